Take an origin answer of two lengths as broken, not as served

Answers that are broken in other ways (a bad chunk, a second load report, interim heads) are handled as they should be.

Ruled out: a mix-up of answers between requests or connections (the same connection goes on with the right values), the cache boxes' answers (all of one form), the module (it sees a plain "served").

Lines at fault: http.rs, head. Each Content-Length overwrote the one before, and a Transfer-Encoding beside one was not seen, so that a body whose end can't be told was cut by one of two claims. Now such a head is malformed: the attempt has failed and may have run, and the connection is closed, since what follows on it can't be matched. A length is digits and nothing else ("+3" passed).

--- a/src/bin/spardeal-node/http.rs
+++ b/src/bin/spardeal-node/http.rs
@@ -42,11 +42,22 @@
     };
     let status = response.code.unwrap_or(0);
     let mut head = Head { length, status, close: response.version == Some(0), ..Head::default() };
+    let mut encoded = false;
     for header in response.headers.iter() {
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
         match header.name.to_ascii_lowercase().as_str() {
-            "content-length" => head.content_length = Some(value.parse().map_err(|_| Malformed)?),
-            "transfer-encoding" => head.chunked |= value.to_ascii_lowercase().ends_with("chunked"),
+            "content-length" => {
+                let stated = digits(value).ok_or(Malformed)?;
+                // Two lengths: where the body ends, and with it what the next answer is, can't be told.
+                if head.content_length.is_some_and(|before| before != stated) {
+                    return Err(Malformed);
+                }
+                head.content_length = Some(stated);
+            }
+            "transfer-encoding" => {
+                encoded = true;
+                head.chunked = value.to_ascii_lowercase().ends_with("chunked");
+            }
             "connection" => head.close |= value.eq_ignore_ascii_case("close"),
             "x-unprocessed" => head.unprocessed = value == "1",
             "x-backend-load" => head.load = Some(value.into()),
@@ -54,7 +65,13 @@
             _ => {}
         }
     }
-    Ok(Some(head))
+    // The same doubt about the body's end.
+    if encoded && head.content_length.is_some() { Err(Malformed) } else { Ok(Some(head)) }
+}
+
+/// A length as HTTP writes it: digits and nothing else.
+fn digits(text: &str) -> Option<usize> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
 }
 
 /// Takes chunks apart as they come.
@@ -109,6 +126,26 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_head_that_leaves_the_end_of_its_body_in_doubt_is_malformed() {
+        let read = |headers: &str| head(format!("HTTP/1.1 200 OK\r\n{headers}\r\n").as_bytes());
+        for bad in [
+            "Content-Length: 3\r\nContent-Length: 16\r\n",
+            "Content-Length: 16\r\nX-Backend-Load: q=0\r\ncontent-length: 3\r\n",
+            "Content-Length: 3, 16\r\n",
+            "Content-Length: +3\r\n",
+            "Content-Length: \r\n",
+            "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n",
+        ] {
+            assert_eq!(read(bad), Err(Malformed), "{bad:?}");
+        }
+        let twice = read("Content-Length: 16\r\nContent-Length: 16\r\n").unwrap().unwrap();
+        assert_eq!((twice.content_length, twice.chunked), (Some(16), false));
+        let chunked = read("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n").unwrap().unwrap();
+        assert_eq!((chunked.content_length, chunked.chunked), (None, true));
+    }
+
     #[test]
     fn chunks_are_joined_however_they_are_cut() {
         let whole = b"5\r\nhello\r\n1;x=y\r\n!\r\n0\r\n\r\n";
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -144,6 +144,20 @@
     );
 }
 
+#[test]
+fn an_answer_of_two_lengths_is_no_answer_and_its_connection_is_of_no_more_use() {
+    let cache = cache(|_| Act::Say(miss()));
+    let origin = origin(|words| match words[0].contains("/aa ") {
+        true => Act::Say(http(200, "Content-Length: 3\r\n", "0123456789abcdef")),
+        false => Act::Say(http(200, "", "ok")),
+    });
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    assert_eq!(client.ask(&put("aa", "1", "v")).unwrap(), "-ERR failed", "it may have run");
+    assert_eq!(client.ask(&put("bb", "2", "v")).unwrap(), "ok");
+}
+
 #[test]
 fn a_kept_connection_that_the_server_has_ended_costs_no_request() {
     let cache = cache(|_| Act::Say(miss()));
