Pass a late box's keys by in part instead of jamming it

Evidence: with the reason of each refusal in the log, 9,527 of 9,908 come from the "server is full" branch of pick. With that branch eased (trial on record), boxes show why it fires: each "small" box (1 core, about 0.6 of the speed) turned away hundreds of attempts and answered none in time (596 full, 472 called off at the aim, 0 served at one of them; reported queue 3 to 4), while each "standard" box (2 cores) served 500 in time at a queue of 0.

Lines at fault: brain.rs, place and pick. Where the list's weights say nothing (always 1 here) every box draws an equal part of the keys, though a standard box can do three times as much as a small one. The load bound does not help: its floor of 8 in flight, shared among balancers, is more than a small box can answer within an aim.

Now an attempt that a box is nearly late with, or turns away, leaves it a smaller part of its keys; answers in good time and, slowly, time give them back. The keys passed by are chosen by hash, so that all balancers pass the same ones on to the same next box, where they are kept. A box that is late with everything still keeps some, and where all are thinned the key's first box has it, as with the load bound.

What is still refused comes from the estimate of the backlog at idle boxes, which is a cause of its own.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,12 @@
 const ASIDE: (u64, u64) = (1, 8);
 /// Repeats of what may have run, and second copies, as a part of the requests, and how many at once.
 const REPEATS: (f64, f64) = (0.05, 5.0);
+/// What is left of a server's part of its keys at each attempt that it is nearly late with or turns away,
+/// what an answer in good time adds to it, and the least. They balance where about a tenth is late.
+const THIN: (f64, f64, f64) = (0.8, 0.02, 0.05);
+/// A server has its whole part again after this multiple of the longest aim at the latest: one left with few
+/// keys has few answers to show that it keeps up.
+const THIN_FOR: f64 = 256.0;
 /// Signs of overload in each attempt (turned away or nearly late is one, slow a half) from which tenants are
 /// held closer to their quotas, and even below them.
 const STRAIN: (f64, f64) = (0.06, 0.55);
@@ -198,7 +204,9 @@
             // Last, not left out: when most look bad the cause is shared, and there is no better place.
             let aside = s.aside.0 != 0 && (self.now < s.aside.0 || s.in_flight > 0);
             let over = f64::from(s.in_flight) >= (bound * self.weight(s)).max(floor);
-            let place = (aside, over || self.queue(id, s) > left * FULL, self.place(key, s), s.line.id);
+            let thinned = s.thinned > 0.0 && unit_hash(key, s.line.id, 3) < s.thinned;
+            let over = over || thinned || self.queue(id, s) > left * FULL;
+            let place = (aside, over, self.place(key, s), s.line.id);
             if best.is_none_or(|b| place < b) {
                 best = Some(place);
             }
@@ -417,6 +425,13 @@
         if self.now - flight.sent < flight.slow_after {
             self.strain.add(f64::from(u8::from(o.status == Status::Full)), 1.0);
         }
+        match o.status {
+            Status::Full => s.thin(THIN.0, THIN.2),
+            Status::Served | Status::Miss if self.now - flight.sent < 2 * flight.slow_after => {
+                s.thinned = (s.thinned - THIN.1).max(0.0);
+            }
+            _ => {}
+        }
         match o.status {
             // A server that fails each request at once looks idle and would draw ever more of them.
             Status::ConnectFailed | Status::Reset | Status::Error => {
@@ -468,6 +483,7 @@
         if trial_failed || (s.aside.0 == 0 && s.strikes >= STRIKES) {
             let time = (s.aside.1 * 2).clamp(self.aim * ASIDE.0, self.aim * ASIDE.1);
             s.aside = (self.now + time, time);
+            s.thinned = 0.0; // It was silent or failed: that tells nothing of how many keys it can bear.
             out.push(Action::Log(format!("server {server} fails or is silent: set aside")));
         }
     }
@@ -481,6 +497,10 @@
         self.strain.add(if age < f.aim { 0.5 } else { 0.0 }, if age < patience * 3 / 2 { 1.0 } else { 0.0 });
         if age < patience * 3 / 2 {
             self.hedge(id, f.server, out);
+        } else if age < f.aim
+            && let Some(s) = self.servers.get_mut(&f.server)
+        {
+            s.thin(THIN.0, THIN.2);
         }
         if age < f.aim {
             return self.wake(patience, Wake::Patience(id, attempt));
@@ -560,7 +580,7 @@
             s.origin = self.settings.origin_kind == Some(line.kind);
             // A new process starts with a clean record. One presumed cold stays so until the list knows.
             if line.started > s.line.started {
-                (s.strikes, s.aside) = (0, (0, 0));
+                (s.strikes, s.aside, s.thinned) = (0, (0, 0), 0.0);
             }
             s.size = if self.settings.weights_are_live { s.size.max(line.weight) } else { line.weight };
             let started = if line.started == 0 { 0 } else { line.started.max(s.line.started) };
@@ -596,6 +616,8 @@
             false => (was * LEVEL_STEPS.1.powf(part)).min(if hold { LEVEL.1 } else { LEVEL.2 }),
         };
         log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
+        let regained = period as f64 / (THIN_FOR * self.aim as f64);
+        self.servers.values_mut().for_each(|s| s.thinned = (s.thinned - regained).max(0.0));
         self.strain.fade(FADE.0, FADE.1);
         self.gate.pressed.fade(FADE.0, FADE.1);
         self.admitted.roll(period);
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
     pub heard: Micros,
     /// Its answers within about one aim, as a fading count.
     pub answered: f64,
+    /// The part of its keys that go past it, since it was late with more of them.
+    pub thinned: f64,
     pub strikes: u32,
     /// Whether the last failure was one to connect.
     pub unreachable: bool,
@@ -87,6 +89,11 @@
         self.answered * (-((now - self.heard) as f64) / span as f64).exp()
     }
 
+    /// Leaves it less of its keys, but some.
+    pub fn thin(&mut self, keep: f64, least: f64) {
+        self.thinned = (1.0 - (1.0 - self.thinned) * keep).min(1.0 - least);
+    }
+
     /// Requests that it holds for each core, as far as its weight tells.
     pub fn held_per_core(&self) -> f64 {
         f64::from(self.size / self.line.weight.max(1e-3) - 1.0).max(0.0)
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -338,6 +338,61 @@
     assert!(refused(&node.actions, 60));
 }
 
+/// Asks for keys 1 to 200, each answered after a time at one server and at once at the others; returns those
+/// that went to the one.
+fn keys_at(node: &mut Node, first_id: RequestId, victim: ServerId, takes: Micros) -> Vec<Key> {
+    let ask = |key: Key| {
+        let id = first_id + key;
+        let to = sent_to(&node.request(read(id, key))).unwrap();
+        node.pass(if to == victim { takes } else { MS });
+        node.outcome(id, 0, to, Status::Served);
+        (to == victim).then_some(key)
+    };
+    (1..=200).filter_map(ask).collect()
+}
+
+#[test]
+fn a_server_that_is_late_with_its_part_of_the_keys_gets_fewer_and_all_again_when_it_keeps_up() {
+    // Found on r8880: boxes of a third of the others' speed had as many keys, and jammed beside idle ones.
+    let mut node = Node::new(Settings { may_duplicate: false, ..settings() }, 4);
+    let all = keys_at(&mut node, 1000, 1, MS);
+    assert!((30..70).contains(&all.len()), "its part while it keeps up: {}", all.len());
+    keys_at(&mut node, 2000, 1, 700 * MS);
+    let fewer = keys_at(&mut node, 3000, 1, 700 * MS);
+    assert!((1..=all.len() / 2).contains(&fewer.len()), "{} of {} when late", fewer.len(), all.len());
+    assert!(fewer.iter().all(|key| all.contains(key)), "of its own keys");
+    for round in 4..12 {
+        keys_at(&mut node, round * 1000, 1, MS);
+    }
+    assert_eq!(keys_at(&mut node, 20_000, 1, MS), all, "the same as before");
+}
+
+#[test]
+fn a_server_that_was_late_once_has_all_its_keys_again_after_some_time_without_any() {
+    let mut node = Node::new(Settings { may_duplicate: false, ..settings() }, 4);
+    let all = keys_at(&mut node, 1000, 1, MS);
+    keys_at(&mut node, 2000, 1, 700 * MS);
+    node.pass(256 * 750 * MS);
+    assert_eq!(keys_at(&mut node, 3000, 1, MS), all);
+}
+
+#[test]
+fn balancers_that_find_a_server_full_pass_the_same_keys_by() {
+    let keys_left = |turned_away: RequestId| {
+        let mut node = Node::new(settings(), 4);
+        for id in 1..=turned_away {
+            // A key of its own each: what is passed by already goes elsewhere.
+            let to = sent_to(&node.request(read(id, id))).unwrap();
+            let next = if to == 1 { sent_to(&node.outcome(id, 0, 1, Status::Full)) } else { None };
+            node.outcome(id, u16::from(to == 1), next.unwrap_or(to), Status::Served);
+        }
+        keys_at(&mut node, 1000, 1, MS)
+    };
+    let [all, many, few] = [0, 20, 40].map(keys_left);
+    assert!(few.len() < many.len() && many.len() < all.len(), "{few:?} {many:?} {all:?}");
+    assert!(few.iter().all(|key| many.contains(key)), "{few:?} within {many:?}");
+}
+
 #[test]
 fn a_server_that_fails_each_request_at_once_is_set_aside() {
     // Found on incident i0f0c3e: quick errors made a server look idle, and it drew ever more requests.
