Credit a server's pace with what its service time allows

Evidence: request after request is given up in pick because of backlog: two or three in flight at a box count as more than half an aim of waiting.

Lines at fault: brain.rs, backlog. By Little's law it divides what is in flight by the pace of the latest answers. That pace is the server's own only while the server is busy; one of several balancers that draws one or two answers an aim from an idle box reads its own asking back as the box's slowness, and the constant credit of two answers was set for servers that were asked far more. Now the credit is what the measured service time allows (three cores' worth, since that time includes network and the other balancers' requests), and the two answers stay where no time is known yet.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,6 +17,10 @@
 const FULL: f64 = 0.5;
 /// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
 const PRIOR: f64 = 2.0;
+/// And once the time that servers take is known: those of so many cores in an aim. The few answers that one
+/// of many balancers draws from an idle server tell how little it asked, not how little the server can do;
+/// and that time, as measured here, has the network and other balancers' requests in it.
+const PRIOR_CORES: f64 = 3.0;
 /// Gate: outstanding origin calls of one balancer at most; it starts from half, the note's default.
 const GATE_OUT: f64 = 20.0;
 /// Gate: calls a second, as a part of this balancer's share; at the least the note's.
@@ -227,7 +231,9 @@
     /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
     /// answers (Little's law), with a credit for a server that has had little to answer.
     fn backlog(&self, s: &Server) -> f64 {
-        f64::from(s.in_flight) * self.aim as f64 / (s.answered_lately(self.now, self.aim) + PRIOR)
+        let aim = self.aim as f64;
+        let credit = if self.service > 0.0 { PRIOR_CORES * aim / self.service } else { 0.0 };
+        f64::from(s.in_flight) * aim / (s.answered_lately(self.now, self.aim) + credit.max(PRIOR))
     }
 
     fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -325,6 +325,21 @@
     assert_eq!(sent, 10, "a burst at an idle fleet is served");
 }
 
+#[test]
+fn a_few_in_flight_at_servers_known_to_be_quick_are_no_backlog_though_they_had_little_to_answer() {
+    // Found on r8880: boxes that answer within a third of an aim were held to be full with three in flight.
+    let mut node = Node::just_started(settings(), 2);
+    for id in 1..=4 {
+        let to = sent_to(&node.request(read(id, id))).unwrap();
+        node.pass(60 * MS);
+        node.outcome(id, 0, to, Status::Served);
+    }
+    let sent = (11..=20).map(|id| sends(&node.request(read(id, id)))).sum::<usize>();
+    assert_eq!(sent, 10, "five at each, of the twelve that one core answers in an aim");
+    let more = (21..=200).map(|id| sends(&node.request(read(id, id)))).sum::<usize>();
+    assert!(more < 60, "but what they cannot answer is refused: {more} more");
+}
+
 #[test]
 fn a_full_server_does_not_spill_its_keys_down_the_order() {
     // Found on incident ia996fa: full servers passed their keys on to servers that lacked them, the caches
