Keep the connection of what is given up before its answer is due

What hurts is what they do to the patient ones: calling off closes the connection, so 1,495 of 2,454 attempts across zones went on fresh connections (589 of 4,260 at other times), and a fresh one answers after 60 to 68 ms where a kept one takes 24, against an aim of 80. Same-zone boxes, kept connections and the origin answer as quickly as ever.

Ruled out: slow boxes or origin (latencies unchanged on kept connections), full boxes (7 answers), the table of sockets (58 of 384).

Lines at fault: node.rs, give_up. It closed the connection of any attempt, however young, and, as that server had not answered since the send, took the machine for vanished and closed all its idle connections too: a client with less time than one trip took all of a box's warm connections along.

Now a connection whose attempt is given up before its class's aim has run since the send is left to its answer, which reaches nobody, and is then used again; one that is still coming up becomes idle. What has not answered by then is closed, and only that counts as silence. A late connection makes room when the table is full. The module is told as before.

The hasty requests themselves, most of them impossible, are refused late; that is looked at next.

--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -76,6 +76,8 @@
     Policy(u32),
     /// An attempt is given up.
     Attempt(RequestId, u16),
+    /// The answer to an attempt that was given up has not come; when the attempt was sent.
+    Late(ConnId, Micros),
     /// A client's time is up.
     Deadline(RequestId),
     /// Idle connections are looked through.
@@ -242,6 +244,11 @@
                 self.give_up((id, number), Status::TimedOut);
                 self.run_events();
             }
+            Due::Late(conn, sent) => {
+                if let Some(server) = self.pool.late(conn) {
+                    self.abort(conn, server, sent);
+                }
+            }
             Due::Deadline(id) => {
                 // The module ends a request before this. Should it not, the client still gets its answer.
                 if self.open.get(&id).is_some_and(|open| !open.over) {
@@ -401,7 +408,6 @@
     }
 
     fn conn(&mut self, conn: ConnId, news: News) {
-        // What comes from a connection that was given up is late, and of no more interest.
         let key = self.pool.attempt(conn);
         match (news, key) {
             (News::Up, Some(key)) => self.write(key, conn),
@@ -421,7 +427,17 @@
             }
             (News::Lost { written }, Some(key)) => self.lost(key, conn, written),
             (News::Lost { .. }, None) => self.pool.close(conn),
-            (_, None) => {}
+            (News::Up, None) => self.spare(conn),
+            // What was given up has its answer after all: of no more interest, but the machine is there.
+            (News::Answer(reply), None) => {
+                let now = self.clock.now();
+                let server = self.pool.late(conn).and_then(|server| self.servers.get_mut(&server));
+                server.into_iter().for_each(|s| s.heard = now);
+                match reply.keep {
+                    true => self.spare(conn),
+                    false => self.pool.close(conn),
+                }
+            }
         }
         self.run_events();
     }
@@ -445,16 +461,36 @@
         self.end(key, Status::ConnectFailed);
     }
 
-    /// Stops waiting for an attempt, by closing its connection.
+    /// A connection whose attempt was given up owes nothing any more.
+    fn spare(&mut self, conn: ConnId) {
+        let Some(server) = self.pool.late(conn) else { return };
+        let server = self.servers.get(&server).filter(|s| s.condition == Condition::Ready);
+        self.pool.release(conn, server.map(|s| s.address), self.clock.now());
+    }
+
+    /// Stops waiting for an attempt. Its connection is closed, unless the answer is hardly due yet: a client
+    /// in a hurry must not cost those after it the handshake of a new connection, nor the box.
     fn give_up(&mut self, key: AttemptKey, status: Status) {
         let Some(attempt) = self.attempts.get(&key) else { return };
-        self.pool.close(attempt.conn);
+        let (conn, server, sent) = (attempt.conn, attempt.server, attempt.sent);
+        let class = self.open.get(&key.0).map_or(0, |open| open.command.class);
+        let due = sent + self.deployment.settings.classes[class].aim;
+        if self.clock.now() < due && self.pool.abandon(conn) {
+            self.timers.push(Reverse((due, Due::Late(conn, sent))));
+        } else {
+            self.abort(conn, server, sent);
+        }
+        self.end(key, status);
+    }
+
+    /// Closes a connection that has not answered what was sent on it.
+    fn abort(&mut self, conn: ConnId, server: ServerId, sent: Micros) {
+        self.pool.close(conn);
         // Against a machine that vanished: its kept connections stay open and silent, and each would cost
         // a request its whole time. A fresh one tells within the time-out of a connect.
-        if self.servers.get(&attempt.server).is_some_and(|server| server.heard < attempt.sent) {
-            self.pool.close_idle(attempt.server);
+        if self.servers.get(&server).is_some_and(|server| server.heard < sent) {
+            self.pool.close_idle(server);
         }
-        self.end(key, status);
     }
 
     fn end(&mut self, key: AttemptKey, status: Status) {
@@ -541,3 +577,142 @@
         self.pool.close_idle(id);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpStream};
+
+    use super::*;
+    use crate::discovery::Endpoint;
+
+    /// Longer than any of this takes.
+    const AIM: Micros = 600_000_000;
+    const LONG: Duration = Duration::from_secs(20);
+
+    /// A node that is driven by hand, what reaches it, and its one cache box.
+    struct Driven {
+        node: Node,
+        inputs: mpsc::Receiver<Input>,
+        cache: TcpListener,
+        answers: (mpsc::Sender<(u64, Bytes)>, mpsc::Receiver<(u64, Bytes)>),
+    }
+
+    impl Driven {
+        async fn new() -> Self {
+            let cache = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let settings = format!(
+                r#"{{"classes":[{{"name":"read","effect":"pure","goalTimeUs":{AIM},"deadlineUs":{AIM}}}],
+                "limits":{{"maxAttempts":4,"connectTimeoutUs":{AIM},"idleCloseUs":{AIM}}}}}"#
+            );
+            let deployment = spardeal::settings::read(settings.as_bytes()).unwrap();
+            let (hub, inputs) = mpsc::channel(64);
+            let endpoint = Endpoint {
+                name: "s-1".into(),
+                address: cache.local_addr().unwrap().to_string(),
+                zone: String::new(),
+                kind: String::new(),
+                group: 0,
+                status: "active".into(),
+                weight: 1.0,
+                since_ms: 0,
+            };
+            let known = Listing { index: 1, snapshot: true, endpoints: vec![endpoint] };
+            let nowhere = cache.local_addr().unwrap();
+            let config = Config {
+                listen: nowhere,
+                discovery: nowhere,
+                seed: 1,
+                sockets: 64,
+                known: Listing::default(),
+                deployment: deployment.clone(),
+            };
+            let mut node = Node::new(config, Arc::new(deployment), Clock::start(), hub, 16);
+            node.list(known, Some(ListKind::Full));
+            Driven { node, inputs, cache, answers: mpsc::channel(16) }
+        }
+
+        /// A client asks; the request's number.
+        fn ask(&mut self, id: &'static str) -> RequestId {
+            let command = Command {
+                key: "aa".into(),
+                id: id.into(),
+                facts: "c=read".into(),
+                time_left: AIM,
+                ..Command::default()
+            };
+            let (number, at) = (self.node.next, self.node.clock.now());
+            let (slot, answers) = (number, self.answers.0.clone());
+            self.node.asked(Asked { command, at, client: 1, slot, answers });
+            number
+        }
+
+        /// Lets the next thing happen.
+        async fn step(&mut self) {
+            let input = tokio::time::timeout(LONG, self.inputs.recv()).await.expect("something happens");
+            self.node.input(input.unwrap());
+        }
+    }
+
+    /// The next command on a connection, which must be for a request.
+    async fn read(stream: &mut TcpStream, id: &str) {
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"c=read\r\n") {
+            let read = tokio::time::timeout(LONG, stream.read_buf(&mut seen)).await;
+            assert_ne!(read.expect("a command").unwrap(), 0, "the connection has ended");
+        }
+        assert!(String::from_utf8(seen).unwrap().contains(&format!("\r\n{id}\r\n")));
+    }
+
+    const VALUE: &[u8] = b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n";
+
+    #[tokio::test]
+    async fn what_is_given_up_before_its_answer_is_due_costs_no_connection() {
+        let mut all = Driven::new().await;
+        let hasty = all.ask("1d");
+        let (mut stream, _) = all.cache.accept().await.unwrap();
+        all.step().await; // The connection is up.
+        read(&mut stream, "1d").await;
+        all.node.give_up((hasty, 0), Status::Cancelled);
+        all.node.close_request(hasty);
+        stream.write_all(VALUE).await.unwrap();
+        all.step().await; // The late answer, which reaches nobody.
+        let next = all.ask("2d");
+        read(&mut stream, "2d").await;
+        stream.write_all(VALUE).await.unwrap();
+        all.step().await;
+        assert_eq!(all.answers.1.try_recv(), Ok((next, Bytes::from_static(b"$1\r\nv\r\n"))));
+    }
+
+    #[tokio::test]
+    async fn a_connection_that_comes_up_for_what_was_given_up_serves_the_next() {
+        let mut all = Driven::new().await;
+        let hasty = all.ask("1d");
+        let (mut stream, _) = all.cache.accept().await.unwrap();
+        all.node.give_up((hasty, 0), Status::Cancelled);
+        all.node.close_request(hasty);
+        all.step().await; // The connection is up.
+        all.ask("2d");
+        read(&mut stream, "2d").await;
+    }
+
+    #[tokio::test]
+    async fn what_is_given_up_when_its_answer_is_overdue_is_closed_and_so_is_what_stays_silent() {
+        for overdue in [true, false] {
+            let mut all = Driven::new().await;
+            let late = all.ask("1d");
+            let (mut stream, _) = all.cache.accept().await.unwrap();
+            all.step().await;
+            read(&mut stream, "1d").await;
+            let sent = all.node.attempts[&(late, 0)].sent;
+            all.node.attempts.get_mut(&(late, 0)).unwrap().sent -= if overdue { AIM } else { 0 };
+            all.node.give_up((late, 0), Status::TimedOut);
+            if !overdue {
+                assert_eq!(all.node.pool.late(1), all.node.servers.keys().next().copied());
+                all.node.due(Due::Late(1, sent), sent + AIM);
+            }
+            assert_eq!(all.node.pool.late(1), None);
+            assert_eq!(stream.read(&mut [0; 8]).await.unwrap(), 0, "closed");
+        }
+    }
+}
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -62,6 +62,8 @@
     task: AbortHandle,
     /// The attempt that it was opened for or carries.
     attempt: Option<AttemptKey>,
+    /// What it was opened for or carries was given up, and its answer may still come.
+    late: bool,
     idle_since: Micros,
     carried: u64,
 }
@@ -118,7 +120,7 @@
         attempt: AttemptKey,
     ) -> Option<ConnId> {
         if self.conns.len() >= self.limit {
-            self.drop_one_idle();
+            self.drop_one_spare();
         }
         if self.conns.len() >= self.limit {
             return None;
@@ -133,7 +135,8 @@
             let _ = link.hub.send(Input::Conn(id, news)).await;
         });
         let task = task.abort_handle();
-        let conn = Conn { server, address, jobs, task, attempt: Some(attempt), idle_since: 0, carried: 0 };
+        let attempt = Some(attempt);
+        let conn = Conn { server, address, jobs, task, attempt, late: false, idle_since: 0, carried: 0 };
         self.conns.insert(id, conn);
         Some(id)
     }
@@ -143,6 +146,18 @@
         self.conns.get(&id)?.attempt
     }
 
+    /// Leaves a connection without its attempt until the answer comes; `false` if there is none to leave.
+    pub fn abandon(&mut self, id: ConnId) -> bool {
+        let Some(conn) = self.conns.get_mut(&id) else { return false };
+        (conn.attempt, conn.late) = (None, true);
+        true
+    }
+
+    /// The server of a connection whose attempt was given up and whose answer has not come.
+    pub fn late(&self, id: ConnId) -> Option<ServerId> {
+        self.conns.get(&id).filter(|conn| conn.late).map(|conn| conn.server)
+    }
+
     /// How many requests a connection has been given.
     pub fn carried(&self, id: ConnId) -> u64 {
         self.conns.get(&id).map_or(0, |conn| conn.carried)
@@ -162,7 +177,7 @@
             // The server is gone from the list or lives elsewhere now.
             return self.close(id);
         }
-        (conn.attempt, conn.idle_since) = (None, now);
+        (conn.attempt, conn.late, conn.idle_since) = (None, false, now);
         self.idle.entry(conn.server).or_default().push(id);
     }
 
@@ -197,10 +212,12 @@
         });
     }
 
-    fn drop_one_idle(&mut self) {
+    /// Makes room: the connection that has been idle for longest goes, else the oldest that is only late.
+    fn drop_one_spare(&mut self) {
         let oldest = self.idle.values().filter_map(|ids| ids.first());
         let oldest = oldest.min_by_key(|id| self.conns.get(id).map_or(0, |conn| conn.idle_since)).copied();
-        oldest.into_iter().for_each(|id| self.close(id));
+        let late = || self.conns.iter().filter(|(_, conn)| conn.late).map(|(id, _)| *id).min();
+        oldest.or_else(late).into_iter().for_each(|id| self.close(id));
     }
 }
 
