--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -595,7 +595,8 @@
         node: Node,
         inputs: mpsc::Receiver<Input>,
         cache: TcpListener,
-        answers: (mpsc::Sender<(u64, Bytes)>, mpsc::Receiver<(u64, Bytes)>),
+        answer_to: mpsc::Sender<(u64, Bytes)>,
+        answers: mpsc::Receiver<(u64, Bytes)>,
     }
 
     impl Driven {
@@ -629,7 +630,8 @@
             };
             let mut node = Node::new(config, Arc::new(deployment), Clock::start(), hub, 16);
             node.list(known, Some(ListKind::Full));
-            Driven { node, inputs, cache, answers: mpsc::channel(16) }
+            let (answer_to, answers) = mpsc::channel(16);
+            Driven { node, inputs, cache, answer_to, answers }
         }
 
         /// A client asks; the request's number.
@@ -642,7 +644,7 @@
                 ..Command::default()
             };
             let (number, at) = (self.node.next, self.node.clock.now());
-            let (slot, answers) = (number, self.answers.0.clone());
+            let (slot, answers) = (number, self.answer_to.clone());
             self.node.asked(Asked { command, at, client: 1, slot, answers });
             number
         }
@@ -681,7 +683,7 @@
         read(&mut stream, "2d").await;
         stream.write_all(VALUE).await.unwrap();
         all.step().await;
-        assert_eq!(all.answers.1.try_recv(), Ok((next, Bytes::from_static(b"$1\r\nv\r\n"))));
+        assert_eq!(all.answers.try_recv(), Ok((next, Bytes::from_static(b"$1\r\nv\r\n"))));
     }
 
     #[tokio::test]
