Ask discovery at its new address on SIGHUP instead of ending

Lines at fault: main.rs, run, handled SIGTERM and SIGINT only; nothing read the configuration a second time.

Now SIGHUP reads the file again. Its address counts, not the variable beside it, which is as old as the process. The watch is opened anew there at once and asks for the whole list: the versions of two discoveries can't be compared, so that a lower number would pass for an older list. A whole list that is being fetched is asked for again too. A file that can't be used is told of in the log and changes nothing.

--- a/src/bin/spardeal-node/config.rs
+++ b/src/bin/spardeal-node/config.rs
@@ -84,14 +84,32 @@
 /// Fewer sockets than this leave no room for clients and servers beside the node's own.
 const LEAST_SOCKETS: usize = 32;
 
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn address(name: &'static str, value: String) -> Result<SocketAddr, ConfigError> {
+    value.parse().map_err(|_| ConfigError::Field(name, value))
+}
+
+impl File {
+    /// Reads the file that the environment names.
+    fn read() -> Result<File, ConfigError> {
+        let path = var("ROUTER_CONFIG").ok_or(ConfigError::Unset("ROUTER_CONFIG"))?;
+        let text = std::fs::read(&path).map_err(|e| ConfigError::File(path, e))?;
+        serde_json::from_slice(&text).map_err(ConfigError::Json)
+    }
+}
+
+/// Where the configuration file has discovery now. The variable beside it is as old as the process.
+pub fn discovery() -> Result<SocketAddr, ConfigError> {
+    address("discovery", File::read()?.discovery)
+}
+
 impl Config {
     /// Reads the configuration that the environment names.
     pub fn from_env() -> Result<Config, ConfigError> {
-        let var = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
-        let path = var("ROUTER_CONFIG").ok_or(ConfigError::Unset("ROUTER_CONFIG"))?;
-        let text = std::fs::read(&path).map_err(|e| ConfigError::File(path, e))?;
-        let file: File = serde_json::from_slice(&text).map_err(ConfigError::Json)?;
-        let address = |name, value: String| value.parse().map_err(|_| ConfigError::Field(name, value));
+        let file = File::read()?;
         let settings = file.settings.ok_or_else(|| ConfigError::Field("settings", String::new()))?;
         let deployment = settings::read(settings.get().as_bytes()).map_err(ConfigError::Settings)?;
         if deployment.classes.is_empty() {
--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -70,13 +70,16 @@
     index: Arc<AtomicU64>,
     hub: mpsc::Sender<Input>,
     watch: Option<AbortHandle>,
+    /// Whether the watch is opened again by itself.
+    follows: bool,
     fetch: Option<AbortHandle>,
 }
 
 impl Discovery {
     /// Discovery at an address, where a list of a version is held.
     pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
-        Discovery { address, index: Arc::new(AtomicU64::new(index)), hub, watch: None, fetch: None }
+        let index = Arc::new(AtomicU64::new(index));
+        Discovery { address, index, hub, watch: None, follows: false, fetch: None }
     }
 
     /// Version of the list held.
@@ -89,6 +92,24 @@
         self.index.store(index, Ordering::Relaxed);
     }
 
+    /// Discovery lives elsewhere from now on: what was asked of the old one is asked of the new one.
+    pub fn moved(&mut self, address: SocketAddr) {
+        if address == self.address {
+            return;
+        }
+        self.address = address;
+        // The versions of two discoveries can't be compared: the whole list is asked for.
+        self.held(0);
+        if self.follows {
+            self.follow();
+        } else if self.watch.is_some() {
+            self.subscribe(true);
+        }
+        if self.fetch.as_ref().is_some_and(|fetch| !fetch.is_finished()) {
+            self.fetch();
+        }
+    }
+
     /// Begins the watch, anew if there is one, or ends it.
     pub fn subscribe(&mut self, on: bool) {
         self.watch.take().inspect(AbortHandle::abort);
@@ -116,6 +137,8 @@
 
     /// Where lists are pushed, an agent on this machine has them: its watch is opened again by itself.
     pub fn follow(&mut self) {
+        self.follows = true;
+        self.watch.take().inspect(AbortHandle::abort);
         let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
         let call = async move {
             let mut pause = BACKOFF.0;
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -43,6 +43,7 @@
     let part = (config.sockets - RESERVE.min(config.sockets / 2)) / 2;
     let room = Arc::new(Semaphore::new(part));
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
+    let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
     let deployment = Arc::new(config.deployment.clone());
@@ -61,7 +62,20 @@
     let signals = hub.clone();
     tokio::spawn(async move {
         let [term, int] = &mut terms;
-        tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = int.recv() => break,
+                _ = hangup.recv() => match config::discovery() {
+                    Ok(address) => {
+                        log(&format!("discovery is at {address} now"));
+                        let _ = signals.send(Input::Discovery(address)).await;
+                    }
+                    // Better the discovery that it has than none.
+                    Err(e) => log(&format!("the configuration stays as it was: {e}")),
+                },
+            }
+        }
         let _ = signals.send(Input::Terminate).await;
     });
     let idle = move || room.available_permits() >= part - 1;
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -35,6 +35,8 @@
     List(Listing),
     /// A call to discovery failed, or the watch broke.
     ListFailed,
+    /// Discovery lives elsewhere from now on.
+    Discovery(SocketAddr),
     /// The platform asks the node to end.
     Terminate,
 }
@@ -226,6 +228,7 @@
             Input::ListFailed => {
                 self.tell(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
             }
+            Input::Discovery(address) => self.discovery.moved(address),
             Input::Terminate if self.ends_at.is_none() => {
                 let now = self.clock.now();
                 let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max();
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -276,6 +276,33 @@
     assert_eq!(client.ask(&get("aa", "1")).unwrap(), "aa");
 }
 
+#[test]
+fn on_sighup_discovery_is_asked_at_its_new_address_and_a_bad_file_changes_nothing() {
+    let (old, new) = (cache(|_| Act::Say(hit("old"))), cache(|_| Act::Say(hit("new"))));
+    let origin = no_origin();
+    let (first, _say_first, calls) = quiet();
+    // Its versions begin anew: what it tells is no older for that.
+    let entries =
+        [entry("s-2", new.address, "std", "active"), entry("o-1", origin.address, "origin", "active")];
+    let script = [watch_head(), chunk(&(listing(1, true, &entries) + "\n"))].concat();
+    let (second, _say, asked) = discovery(vec![script]);
+    let node = Node::start(first, &pair(old.address, origin.address));
+    let mut client = node.client();
+    assert_eq!(client.ask(&get("aa", "1")).unwrap(), "old");
+    assert!(calls.recv_timeout(LONG).unwrap().contains("watch=1"));
+    node.reconfigure(r#""discovery":""#, r#""discovery":"nowhere"#);
+    let told =
+        std::iter::from_fn(|| node.log.recv_timeout(LONG).ok()).find(|line| line.contains("as it was"));
+    assert!(told.is_some(), "a file that can't be used is told of");
+    assert_eq!(client.ask(&get("aa", "2")).unwrap(), "old");
+    node.reconfigure(&first.to_string(), &second.to_string());
+    assert_eq!(asked.recv_timeout(LONG).unwrap(), "GET /v1/servers?watch=1 HTTP/1.1", "the whole list");
+    let end = std::time::Instant::now() + LONG;
+    while client.ask(&get("aa", "3")).unwrap() != "new" {
+        assert!(std::time::Instant::now() < end, "the new list is not in force");
+    }
+}
+
 #[test]
 fn a_server_that_moved_is_found_at_its_new_address() {
     let (old, new) = (cache(|_| Act::Say(hit("old"))), cache(|_| Act::Say(hit("new"))));
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -219,6 +219,8 @@
     child: Child,
     pub address: SocketAddr,
     pub log: Receiver<String>,
+    /// Its configuration file and what was in it at the start.
+    config: (std::path::PathBuf, String),
 }
 
 static FILES: AtomicU32 = AtomicU32::new(0);
@@ -258,16 +260,17 @@
     }
 
     fn start_in(discovery: SocketAddr, known: &str, sockets: usize, before: &str, settings: &str) -> Node {
-        let path = config_file(&format!(
+        let text = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets}}},"known":{known},"settings":{}}}"#,
             settings
-        ));
+        );
+        let path = config_file(&text);
         let mut child = Command::new("/bin/sh")
             .arg("-c")
             .arg(format!("{before} exec \"{}\"", env!("CARGO_BIN_EXE_spardeal-node")))
             .env("ROUTER_CONFIG", &path)
             .env_remove("ROUTER_LISTEN")
-            .env_remove("ROUTER_DISCOVERY")
+            .env("ROUTER_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -276,8 +279,7 @@
         let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address in the log");
         let (tell, log) = channel();
         std::thread::spawn(move || lines.for_each(|line| drop(tell.send(line))));
-        let _ = std::fs::remove_file(path);
-        Node { child, address, log }
+        Node { child, address, log, config: (path, text) }
     }
 
     pub fn client(&self) -> Client {
@@ -287,7 +289,17 @@
     }
 
     pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+        self.signal("TERM");
+    }
+
+    /// Replaces its configuration, some text of the first one by another, and tells it so.
+    pub fn reconfigure(&self, from: &str, to: &str) {
+        std::fs::write(&self.config.0, self.config.1.replace(from, to)).unwrap();
+        self.signal("HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().unwrap().success());
     }
 
@@ -300,6 +312,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config.0);
     }
 }
 
