Send a client in a hurry to a box that can answer in its time, or refuse it

Symptom (r7044, second 5 to 15, after its connections were saved): still half of the requests refused, nearly all of them at the end of their time.

Evidence: of the refusals in those seconds two thirds end in time_up with an attempt out: d is 16 to 40 ms, and the key's box in another zone has never answered in less than 21 (its kept connections' tenth percentile), while boxes of the own zone take 7 to 9.

Ruled out: handshakes (most attempts go on kept connections now), queues (reported as 0).

Lines at fault: brain.rs, pick. It weighed a box's queue against the time left, but not the way there, so that a request with less time than the way takes was sent, done in vain by the box, and refused when its time was up.

Now each server's quickest time is kept, the way included. Boxes that can't answer within the time left come after those that can, in the key's order as before, and a request that none can answer is refused at once. Where the time is as usual nothing changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,6 +49,9 @@
 /// A server has its whole part again after this multiple of the longest aim at the latest: one left with few
 /// keys has few answers to show that it keeps up.
 const THIN_FOR: f64 = 256.0;
+/// A server's quickest time follows a quicker answer at once, and a slower one by this part: what it measures
+/// is the way there and an unhindered service, not chance and queues.
+const QUICKEST: f64 = 0.02;
 /// Signs of overload in each attempt (turned away or nearly late is one, slow a half) from which tenants are
 /// held closer to their quotas, and even below them.
 const STRAIN: (f64, f64) = (0.06, 0.55);
@@ -203,6 +206,7 @@
         let multiple = BOUND.0 + (BOUND.1 - BOUND.0) * (self.gate.pressed.value() / BOUND.3).min(1.0);
         let bound = multiple * f64::from(self.cache_out + 1) / self.total;
         let floor = BOUND.2 / f64::from(self.settings.balancers.max(2)); // All of it from one is a crowd.
+        let late = |s: &Server| s.quickest > left;
         let mut best = None;
         for s in self.ready(false).filter(|s| !h.tried.contains(&s.line.id) && self.warm_enough(key, s)) {
             // Last, not left out: when most look bad the cause is shared, and there is no better place.
@@ -210,7 +214,8 @@
             let over = f64::from(s.in_flight) >= (bound * self.weight(s)).max(floor);
             let thinned = s.thinned > 0.0 && unit_hash(key, s.line.id, 3) < s.thinned;
             let over = over || thinned || self.queue(id, s) > left * FULL;
-            let place = (aside, over, self.place(key, s), s.line.id);
+            // A client in a hurry is served by a server near by or not at all.
+            let place = (aside, late(s), over, self.place(key, s), s.line.id);
             if best.is_none_or(|b| place < b) {
                 best = Some(place);
             }
@@ -218,7 +223,7 @@
         // Passing over a full server for one far down the order would scatter the keys and empty the caches.
         let backlog = |s: &Server| if self.level < LEVEL.2 { self.backlog(s) } else { 0.0 };
         let full = |s: &Server| self.queue(id, s).max(backlog(s)) > left * FULL;
-        best.map(|(.., server)| server).filter(|server| !full(&self.servers[server]))
+        best.map(|(.., server)| &self.servers[&server]).filter(|s| !late(s) && !full(s)).map(|s| s.line.id)
     }
 
     /// Wait at a server by what the list tells of the requests that all balancers together have there. Each
@@ -449,6 +454,8 @@
             _ => {
                 let sample = (self.now - flight.sent) as f64 / (1.0 + s.held_per_core());
                 if o.status == Status::Served {
+                    let quicker = sample < s.quickest || s.quickest == 0.0;
+                    s.quickest += if quicker { 1.0 } else { QUICKEST } * (sample - s.quickest);
                     self.service += if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
                 }
                 s.answered = 1.0 + s.answered_lately(self.now, flight.aim);
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
     pub heard: Micros,
     /// Its answers within about one aim, as a fading count.
     pub answered: f64,
+    /// About the least time in which it serves, the way there and back included; 0 while it has not served.
+    pub quickest: f64,
     /// The part of its keys that go past it, since it was late with more of them.
     pub thinned: f64,
     pub strikes: u32,
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -416,6 +416,25 @@
     assert_eq!(keys_at(&mut node, 3000, 1, MS), all);
 }
 
+#[test]
+fn a_client_in_a_hurry_is_served_by_a_server_near_by_or_refused_at_once() {
+    // Found on r7044: clients with less time than the way to a box took were sent there all the same.
+    let mut node = Node::new(settings(), 2);
+    let near = keys_at(&mut node, 1000, 1, MS);
+    let far = (1..=200).find(|key| !near.contains(key)).unwrap();
+    // It follows slower answers slowly.
+    for id in 1..=200 {
+        node.request(read(id, far));
+        node.pass(60 * MS);
+        node.outcome(id, 0, 2, Status::Served);
+    }
+    let within = |id, time| Request { time_left: time, ..read(id, far) };
+    assert_eq!(sent_to(&node.request(within(301, 100 * MS))), Some(2), "there is time for its own server");
+    assert_eq!(sent_to(&node.request(within(302, 40 * MS))), Some(1), "only the near one is in time");
+    let actions = node.request(within(303, 2 * settings().tick + MS / 2));
+    assert!(sends(&actions) == 0 && refused(&actions, 303), "none is");
+}
+
 #[test]
 fn balancers_that_find_a_server_full_pass_the_same_keys_by() {
     let keys_left = |turned_away: RequestId| {
