End after SIGTERM only when the last client has been written its answers

Ruled out: the node's own count of open requests, which is right: a request is over for it once the answer is on its way to the connection.

Now all places must be free. The end after the longest deadline stays.

--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -78,7 +78,8 @@
         }
         let _ = signals.send(Input::Terminate).await;
     });
-    let idle = move || room.available_permits() >= part - 1;
+    // All places: the listener has given its own back when it ended, and a client's may have answers to write.
+    let idle = move || room.available_permits() >= part;
     Node::new(config, deployment, clock, hub, part).run(inputs, phase_set, idle).await;
     Ok(())
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,7 +4,7 @@
 mod stand_in;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
@@ -343,6 +343,34 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+#[test]
+fn on_sigterm_it_ends_only_when_the_last_client_has_read_all_that_it_is_owed() {
+    let cache = cache(|_| Act::Say(hit(&"v".repeat(60_000))));
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let mut node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    assert_eq!(client.ask(&command(&["PING"])).unwrap(), "+PONG");
+    // More than the buffers between the two hold, one after the other as each needs its box.
+    let mut asked = 0;
+    for id in 0..200 {
+        client.send(&get("aa", &id.to_string()));
+        match cache.seen.recv_timeout(Duration::from_millis(500)) {
+            Ok(_) => asked += 1,
+            Err(_) => break,
+        }
+    }
+    node.terminate();
+    // It is past taking connections, and would end now if it took no heed of what it still has to write.
+    let end = std::time::Instant::now() + LONG;
+    while TcpStream::connect(node.address).is_ok() {
+        assert!(std::time::Instant::now() < end, "it still takes connections");
+    }
+    let read = std::iter::from_fn(|| client.answer()).filter(|answer| answer.len() == 60_000).count();
+    assert!(read >= asked, "{read} of {asked}");
+    assert_eq!(node.wait().code(), Some(0));
+}
+
 #[test]
 fn a_table_of_descriptors_that_is_full_does_not_end_the_node() {
     let cache = cache(|words| Act::Say(hit(&words[1])));
