--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -353,6 +353,23 @@
     assert!(refused(&node.actions, 60));
 }
 
+#[test]
+fn reads_whose_connections_break_young_go_again_however_many_and_old_ones_on_a_budget() {
+    // Found on a day of resets: the budget against repeats under load was spent, and reads were refused.
+    let repeated = |after: Micros| {
+        let mut node = Node::new(Settings { may_duplicate: false, ..settings() }, 12);
+        let again = |id| {
+            let to = sent_to(&node.request(read(id, id))).unwrap();
+            node.pass(after);
+            let next = sent_to(&node.outcome(id, 0, to, Status::Reset));
+            next.inspect(|next| drop(node.outcome(id, 1, *next, Status::Served)))
+        };
+        (1..=60).filter_map(again).count()
+    };
+    assert_eq!(repeated(20 * MS), 60);
+    assert!(repeated(500 * MS) < 20, "{} of 60 that may still run", repeated(500 * MS));
+}
+
 #[test]
 fn a_warm_server_whose_connections_break_is_not_presumed_cold() {
     // Found on a day of resets: one lost connection, however long ago, cost a box its keys for its warm-up.
