Refuse a command once it is longer than any proper one can be

Cause, by reading and by the new test: resp.rs, take_command. Each word was held to 64 KiB but not their sum, so that a peer could have 1 MiB buffered on each of its connections before its 16 words were refused for their number: 180 such connections are more than the 48 MB of a small node. A command now gets its error line as soon as it is longer than one value and the other words together. An everyday command is not touched.

--- a/src/bin/spardeal-node/resp.rs
+++ b/src/bin/spardeal-node/resp.rs
@@ -5,6 +5,9 @@
 
 /// The longest value.
 pub const MAX_VALUE: usize = 64 * 1024;
+/// The longest command: a value, and beside it more than its other words may take. Without it a client could
+/// have the node hold a value for each word of a command that is refused in the end.
+const MAX_COMMAND: usize = MAX_VALUE + 4 * 1024;
 /// Words in a command, and elements in an answer, at most.
 const MAX_WORDS: usize = 16;
 /// The longest line that states a length.
@@ -36,7 +39,9 @@
 /// Takes one whole command, an array of bulk strings, off the front; `None` while it is not all there.
 pub fn take_command(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, Malformed> {
     let mut scan = Scan { bytes: buffer, at: 0 };
-    let Some(words) = scan.command()? else { return Ok(None) };
+    let Some(words) = scan.command()? else {
+        return if buffer.len() > MAX_COMMAND { Err(Malformed("command too long")) } else { Ok(None) };
+    };
     let end = scan.at;
     let whole = buffer.split_to(end).freeze();
     Ok(Some(words.into_iter().map(|(from, to)| whole.slice(from..to)).collect()))
@@ -205,6 +210,16 @@
         }
     }
 
+    #[test]
+    fn a_command_of_many_long_words_is_not_waited_for() {
+        let value = vec![b'v'; MAX_VALUE];
+        let longest = command(&[b"OBJ.SET", &[b'k'; 512], &[b'i'; 512], &[b'f'; 512], &value]);
+        assert_eq!(take_command(&mut BytesMut::from(&longest[..longest.len() - 1])), Ok(None));
+        assert_eq!(take_command(&mut BytesMut::from(&longest[..])).unwrap().unwrap().len(), 5);
+        let many = command(&[&value[..]; 16]);
+        assert!(take_command(&mut BytesMut::from(&many[..2 * MAX_VALUE])).is_err());
+    }
+
     #[test]
     fn answers_are_read_and_deep_nesting_is_not() {
         let mut answer = BytesMut::from("*3\r\n$2\r\nab\r\n$-1\r\n$3\r\nhit\r\n-BUSY\r\n:7\r\n");
