Ask discovery again within four seconds however often it has failed

After three failed calls the module waits 5 s, times 0.5 to 1.5 by chance, before it asks again, while whatever discovery has to tell counts as told after 6 s: a drain that begins as discovery comes back can be missed for longer than it may be.

Evidence: the new test fails after the third failure with the old figure.

Line at fault: brain.rs, discovery_failed. The pause is now doubled twice at most, 3.75 s at the longest with the site's figures; all five balancers together still ask less than two and a half times a second.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,9 @@
 const FADE: (f64, f64) = (0.85, 10.0);
 /// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
 const COLD_RATE: f64 = 1.5;
+/// The pause before discovery is asked again is doubled so often: a change counts as told after 6 s, whether
+/// it was heard of or not, and the longest pause must leave room for the call itself.
+const ASK_AGAIN: u32 = 2;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
 const HOT: usize = 64;
 
@@ -609,7 +612,7 @@
 
     /// Discovery has little capacity: it is asked again later each time, and not by all at once.
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
-        let base = (self.settings.ask_within / 16) << self.subscribe_tries.min(3);
+        let base = (self.settings.ask_within / 16) << self.subscribe_tries.min(ASK_AGAIN);
         self.subscribe_tries += 1;
         let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
         self.wake(delay, Wake::Subscribe);
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -794,6 +794,16 @@
     assert!(sent_to(&node.request(read(1, 9))).is_some(), "the old list stays in force");
 }
 
+#[test]
+fn however_often_discovery_fails_it_is_asked_again_before_a_change_counts_as_told() {
+    let config = Settings { ask_discovery: true, ask_within: 10 * SECOND, ..settings() };
+    let mut node = Node::new(config, 3);
+    for call in 0..50 {
+        node.list(ListKind::Failed, Vec::new());
+        assert!(node.pass(4 * SECOND).contains(&Action::Subscribe(true)), "after failure {call}");
+    }
+}
+
 #[test]
 fn no_server_no_origin_and_servers_back_again_lose_nothing() {
     let mut node = Node::new(settings(), 2);
