Let what is seen of a server's overload count for its machine kind too

Lines at fault: brain.rs, pick and learn: a server's part of its keys is learnt from this node's own attempts there alone. It needs some ten of them, which 5 nodes have within three seconds and 100 in a minute.

Now each sign counts for the server's kind (which the list tells) as well, in quarter steps, and a server is left the product of both parts. What is peculiar to one server is learnt as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -46,6 +46,8 @@
 /// What is left of a server's part of its keys at each attempt that it is nearly late with or turns away,
 /// what an answer in good time adds to it, and the least. They balance where about a twentieth is late.
 const THIN: (f64, f64, f64) = (0.8, 0.01, 0.05);
+/// The same for its kind, in steps of this part, as all servers of the kind take part in it.
+const KIND_STEP: f64 = 0.25;
 /// A server has its whole part again after this multiple of the longest aim at the latest: one left with few
 /// keys has few answers to show that it keeps up.
 const THIN_FOR: f64 = 256.0;
@@ -215,7 +217,8 @@
             // Last, not left out: when most look bad the cause is shared, and there is no better place.
             let aside = s.aside.0 != 0 && (self.now < s.aside.0 || s.in_flight > 0);
             let over = f64::from(s.in_flight) >= (bound * self.weight(s)).max(floor);
-            let thinned = s.thinned > 0.0 && unit_hash(key, s.line.id, 3) < s.thinned;
+            let thinned = 1.0 - self.part(s);
+            let thinned = thinned > 0.0 && unit_hash(key, s.line.id, 3) < thinned;
             let over = over || thinned || self.queue(id, s) > left * FULL;
             // A client in a hurry is served by a server near by or not at all.
             let place = (aside, late(s), over, self.place(key, s), s.line.id);
@@ -252,6 +255,19 @@
         if self.settings.weights_are_sizes { f64::from(s.line.weight).max(0.01) } else { 1.0 }
     }
 
+    /// The part of its keys that a server is left, by what was seen of it and of all of its kind.
+    fn part(&self, s: &Server) -> f64 {
+        (1.0 - s.thinned) * (1.0 - self.kinds.get(&s.line.kind).unwrap_or(&0.0))
+    }
+
+    /// A server turned an attempt away or is nearly late with it: it is left less of its keys, and its kind a
+    /// little less.
+    fn overdone(&mut self, server: ServerId) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        thin(&mut s.thinned, THIN.0, THIN.2);
+        thin(self.kinds.entry(s.line.kind).or_default(), THIN.0.powf(KIND_STEP), THIN.2);
+    }
+
     /// Place of a server in a key's order, the smaller the earlier (weighted rendezvous hashing): the same
     /// at every balancer, and little moves when a server comes or goes.
     fn place(&self, key: Key, s: &Server) -> f64 {
@@ -443,12 +459,15 @@
             self.strain.add(f64::from(u8::from(o.status == Status::Full)), 1.0);
         }
         match o.status {
-            Status::Full => s.thin(THIN.0, THIN.2),
+            Status::Full => self.overdone(flight.server),
             Status::Served | Status::Miss if self.now - flight.sent < 2 * flight.slow_after => {
                 s.thinned = (s.thinned - THIN.1).max(0.0);
+                let kind = self.kinds.entry(s.line.kind).or_default();
+                *kind = (*kind - THIN.1 * KIND_STEP).max(0.0);
             }
             _ => {}
         }
+        let Some(s) = self.servers.get_mut(&flight.server) else { return };
         match o.status {
             // A server that fails each request at once looks idle and would draw ever more of them.
             Status::ConnectFailed | Status::Reset | Status::Error => {
@@ -517,10 +536,8 @@
         self.strain.add(if age < f.aim { 0.5 } else { 0.0 }, if age < patience * 3 / 2 { 1.0 } else { 0.0 });
         if age < patience * 3 / 2 {
             self.hedge(id, f.server, out);
-        } else if age < f.aim
-            && let Some(s) = self.servers.get_mut(&f.server)
-        {
-            s.thin(THIN.0, THIN.2);
+        } else if age < f.aim {
+            self.overdone(f.server);
         }
         if age < f.aim {
             return self.wake(patience, Wake::Patience(id, attempt));
@@ -647,7 +664,8 @@
         };
         log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
         let regained = period as f64 / (THIN_FOR * self.aim as f64);
-        self.servers.values_mut().for_each(|s| s.thinned = (s.thinned - regained).max(0.0));
+        let parts = self.servers.values_mut().map(|s| &mut s.thinned).chain(self.kinds.values_mut());
+        parts.for_each(|thinned| *thinned = (*thinned - regained).max(0.0));
         self.strain.fade(FADE.0, FADE.1);
         self.gate.pressed.fade(FADE.0, FADE.1);
         self.admitted.roll(period);
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,9 @@
     pub(crate) repeats: f64,
     /// The keys last asked for, latest first.
     pub(crate) recent: VecDeque<Key>,
+    /// The part of its keys that go past a server of a kind: one of many balancers meets a server seldom, its
+    /// kind often.
+    pub(crate) kinds: BTreeMap<u16, f64>,
     pub(crate) cache_out: u32,
     /// Weight of all cache servers that are ready.
     pub(crate) total: f64,
@@ -91,11 +94,6 @@
         self.answered * (-((now - self.heard) as f64) / span as f64).exp()
     }
 
-    /// Leaves it less of its keys, but some.
-    pub fn thin(&mut self, keep: f64, least: f64) {
-        self.thinned = (1.0 - (1.0 - self.thinned) * keep).min(1.0 - least);
-    }
-
     /// Requests that it holds for each core, as far as its weight tells.
     pub fn held_per_core(&self) -> f64 {
         f64::from(self.size / self.line.weight.max(1e-3) - 1.0).max(0.0)
@@ -295,6 +293,11 @@
     }
 }
 
+/// Leaves a server or a kind less of its keys, but some.
+pub fn thin(thinned: &mut f64, keep: f64, least: f64) {
+    *thinned = (1.0 - (1.0 - *thinned) * keep).min(1.0 - least);
+}
+
 /// A number between 0 and 1, fixed for a key, a server and a purpose.
 pub fn unit_hash(key: Key, server: ServerId, purpose: u64) -> f64 {
     let mut bytes = [0u8; 12];
