Share the gate's caps out over the balancers, below one origin call each

Evidence, counted over all nodes, each second: the origin answers 500 to 600 calls a second in 50 ms until second 8. In second 9 the calls rise to 750, in 10 to 13 it answers 100 a second, in 340 ms, and 620 to 1,156 are called off when their client's time is up. What is called off is not stored, so that misses rise from 400 to 1,800 a second and stay there. 120 to 190 calls are out at any time; before, 40.

Ruled out: the origin's own state (it answers well as soon as less is asked of it), its connections (none refused), writes (4% of the calls).

Lines at fault: brain.rs, GATE_OUT, GATE_CUT and GATE_RATE, each fixed for one balancer: 20 calls out at most, 2 at the floor, 30 a second at the least. Of 5 balancers the origin bears 100, 10 and 150; of a hundred 2,000, 200 and 3,000, so that the lowered gate was still open wide.

Now more than fifteen balancers share out what fifteen have together. The limit may fall below one call; it is then kept by a rest after each call, with some chance in it, of 1 / limit - 1 times what the call took. A write does not wait for a fetch then.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,9 +23,14 @@
 const PRIOR_CORES: f64 = 3.0;
 /// Gate: outstanding origin calls of one balancer at most; it starts from half, the note's default.
 const GATE_OUT: f64 = 20.0;
+/// Gate: so many balancers may each have that much, and the note's calls a second; more of them share what
+/// these have together, down to less than one call out each, as the origin bears the sum. Not fewer: one that
+/// has only a call or two at a time must find the gate open more often than chance brings them together.
+const GATE_SENDERS: f64 = 15.0;
 /// Gate: calls a second, as a part of this balancer's share; at the least the note's.
 const GATE_RATE: (f64, f64) = (1.0, 30.0);
-/// Gate: its window as a part of the longest aim, short enough that what bursts over it can still wait.
+/// Gate: its window as a part of the longest aim, short enough that what bursts over it can still wait;
+/// longer where a balancer has so small a part that chance would overrun it, up to the note's second.
 const GATE_WINDOW: f64 = 0.25;
 /// Gate: sub-limit of fetches, of both limits; writes have the rest for themselves.
 const GATE_FETCHES: f64 = 0.7;
@@ -93,11 +98,12 @@
                 > 100.0 * settings.handshake_price,
             repeats: REPEATS.1,
             // Calls of an earlier life of this balancer may still run: the gate opens gradually.
-            gate: Gate { limit: GATE_OUT / 2.0, ..Gate::default() },
+            gate_part: (GATE_SENDERS / f64::from(settings.balancers.max(1))).min(1.0),
             quota_share,
             settings,
             ..Policy::default()
         };
+        policy.gate.limit = GATE_OUT / 2.0 * policy.gate_part;
         policy.wake(0, Wake::Subscribe);
         policy.wake(0, Wake::Review);
         policy
@@ -323,13 +329,18 @@
 
     /// Whether the outstanding cap and the windowed tally let one more call through.
     fn gate_open(&mut self, call: Call) -> bool {
-        let window = self.aim as f64 * GATE_WINDOW;
-        let tally = (self.share() * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
+        let window = (self.aim as f64 * GATE_WINDOW / self.gate_part).min(1e6);
+        let tally = (self.share() * GATE_RATE.0).max(GATE_RATE.1 * self.gate_part) * window / 1e6;
         self.gate.roll(self.now, window as Micros);
         let g = &self.gate;
         let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
-        let open = |i: usize, part: f64| room(g.out[i], g.limit * part) && room(g.tally[i], tally * part);
-        let open = open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES));
+        let out = |i: usize, part: f64| room(g.out[i], g.limit * part);
+        let tallied = |i: usize, part: f64| room(g.tally[i], tally * part);
+        // Where there is less than one call out for each balancer, a write does not wait for its fetches.
+        let writes = (out(0, 1.0) || g.out[0] == g.out[1]) && tallied(0, 1.0);
+        let fetches =
+            || out(0, 1.0) && out(1, GATE_FETCHES) && tallied(1, GATE_FETCHES) && self.now >= g.rest;
+        let open = writes && (call == Call::Write || fetches());
         self.gate.pressed.add(f64::from(u8::from(!open)), 1.0);
         open
     }
@@ -501,17 +512,20 @@
     /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
     fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
         let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
-        let g = &mut self.gate;
+        let (g, most) = (&mut self.gate, GATE_OUT * self.gate_part);
         g.leave(flight.call);
         let was = g.limit;
+        // A limit of less than one is kept by a rest after each call.
+        let rest = (1.0 / (g.limit * GATE_FETCHES) - 1.0).max(0.0) * (0.5 + self.rng.unit());
+        g.rest = self.now + (rest * (self.now - flight.sent) as f64) as Micros;
         if o.status == Status::Served && !slow {
-            g.limit = (g.limit + 1.0 / g.limit).min(GATE_OUT);
+            g.limit = (g.limit + (self.gate_part / g.limit).min(g.limit)).min(most);
         } else if o.status != Status::NotSent && flight.sent >= g.cut_at {
             // One cut for all calls that were out together.
             g.cut_at = self.now;
-            g.limit = (g.limit * GATE_CUT.0).max(GATE_OUT * GATE_CUT.1);
+            g.limit = (g.limit * GATE_CUT.0).max(most * GATE_CUT.1);
         }
-        log_crossing(out, was, g.limit, GATE_OUT / 4.0, "gate lowered: origin slow", "gate restored");
+        log_crossing(out, was, g.limit, most / 4.0, "gate lowered: origin slow", "gate restored");
     }
 
     /// A server that fails several times in a row, with no answer between, is set aside for a while.
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,8 @@
     pub(crate) held: BTreeMap<RequestId, Held>,
     pub(crate) flights: BTreeMap<(RequestId, u16), Flight>,
     pub(crate) gate: Gate,
+    /// What this balancer may have of the gate's figures, as the origin bears those of all.
+    pub(crate) gate_part: f64,
     pub(crate) senders: Vec<Bucket>,
     pub(crate) pool: Bucket,
     /// This balancer's equal part of all quotas, 0 where there are none.
@@ -148,6 +150,8 @@
     pub tally: [u32; 2],
     pub window: Micros,
     pub cut_at: Micros,
+    /// Until when no further fetch goes out.
+    pub rest: Micros,
     /// Tries to go through of late that found it shut.
     pub pressed: Ratio,
 }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -149,6 +149,37 @@
     assert!(node.actions.iter().any(|a| matches!(a, Action::Log(l) if l.contains("gate restored"))));
 }
 
+#[test]
+fn many_balancers_share_out_the_gate_so_that_the_origin_bears_the_sum_of_them() {
+    // Found on the fleet days: a hundred balancers at a floor of two calls each held 200 at an origin that
+    // answers 30 at a time well, and nine in ten were called off before their answer.
+    let fetches = |takes: Micros| {
+        let mut node = Node::new(Settings { balancers: 100, ..settings() }, 3);
+        let (mut out, mut most, mut sent) = (Vec::new(), 0, 0);
+        for id in 1..=2000 {
+            let first = sent_to(&node.request(read(id, id))).unwrap();
+            let mut actions = node.outcome(id, 0, first, Status::Miss);
+            actions.extend(node.pass(10 * MS));
+            for action in actions {
+                if let Action::Send { request, server: ORIGIN, .. } = action {
+                    out.push((request, node.now + takes));
+                    sent += usize::from(id > 1000);
+                }
+            }
+            most = most.max(out.len());
+            while let Some(at) = out.iter().position(|(_, at)| *at <= node.now) {
+                node.outcome(out.remove(at).0, 1, ORIGIN, Status::Served);
+            }
+        }
+        assert!(most <= 2, "{most} out at once");
+        sent
+    };
+    let quick = fetches(50 * MS);
+    assert!((200..=400).contains(&quick), "{quick} in 10 s: two may be out at a time");
+    let slow = fetches(200 * MS);
+    assert!((1..=15).contains(&slow), "{slow} in 10 s at the floor: a fifth of the time one is out");
+}
+
 #[test]
 fn full_and_failed_connects_go_on_along_the_order_at_once() {
     let mut node = Node::new(settings(), 4);
