Learn a server's part in larger steps where many balancers learn it

What a node knows of one box comes from one attempt in four seconds.

Line at fault: brain.rs, THIN. Its steps are sized for the four attempts a second that one of 5 balancers makes at a server. They now grow with the root of the number of balancers: fewer samples, larger steps, the same balance of what is late to what is answered, and what is chance in one balancer's figure evens out over all of them. Up to 5 nothing changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,6 +51,9 @@
 /// What is left of a server's part of its keys at each attempt that it is nearly late with or turns away,
 /// what an answer in good time adds to it, and the least. They balance where about a twentieth is late.
 const THIN: (f64, f64, f64) = (0.8, 0.01, 0.05);
+/// So many balancers learn of a server in such steps. Of more, each meets it less often and takes larger
+/// ones, as the root of their number: chance in them evens out over all balancers.
+const THIN_STEPS: f64 = 5.0;
 /// The same for its kind, in steps of this part, as all servers of the kind take part in it.
 const KIND_STEP: f64 = 0.25;
 /// A server has its whole part again after this multiple of the longest aim at the latest: one left with few
@@ -99,6 +102,7 @@
             repeats: REPEATS.1,
             // Calls of an earlier life of this balancer may still run: the gate opens gradually.
             gate_part: (GATE_SENDERS / f64::from(settings.balancers.max(1))).min(1.0),
+            thin_step: (f64::from(settings.balancers) / THIN_STEPS).sqrt().max(1.0),
             quota_share,
             settings,
             ..Policy::default()
@@ -270,7 +274,7 @@
     /// little less.
     fn overdone(&mut self, server: ServerId) {
         let Some(s) = self.servers.get_mut(&server) else { return };
-        thin(&mut s.thinned, THIN.0, THIN.2);
+        thin(&mut s.thinned, THIN.0.powf(self.thin_step), THIN.2);
         thin(self.kinds.entry(s.line.kind).or_default(), THIN.0.powf(KIND_STEP), THIN.2);
     }
 
@@ -472,7 +476,7 @@
         match o.status {
             Status::Full => self.overdone(flight.server),
             Status::Served | Status::Miss if self.now - flight.sent < 2 * flight.slow_after => {
-                s.thinned = (s.thinned - THIN.1).max(0.0);
+                s.thinned = (s.thinned - THIN.1 * self.thin_step).max(0.0);
                 let kind = self.kinds.entry(s.line.kind).or_default();
                 *kind = (*kind - THIN.1 * KIND_STEP).max(0.0);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,6 +36,8 @@
     /// The part of its keys that go past a server of a kind: one of many balancers meets a server seldom, its
     /// kind often.
     pub(crate) kinds: BTreeMap<u16, f64>,
+    /// The step in which a server's part is learnt.
+    pub(crate) thin_step: f64,
     pub(crate) cache_out: u32,
     /// Weight of all cache servers that are ready.
     pub(crate) total: f64,
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -507,6 +507,25 @@
     assert!((1..=25).contains(&late), "{late} of 100 after each weak one was met about once");
 }
 
+#[test]
+fn one_of_many_balancers_spares_a_late_server_after_the_few_times_that_it_meets_it() {
+    // Found on the fleet days: a bad box of a good kind was sent three times what it could do for seconds on
+    // end, as one of a hundred balancers needs ten attempts there to know it and makes one in four seconds.
+    let there = |balancers: u32| {
+        let mut node = Node::new(Settings { may_duplicate: false, balancers, ..settings() }, 4);
+        let mut ask = |id: u64, victim_takes: Micros| {
+            let to = sent_to(&node.request(read(id, id))).unwrap();
+            node.pass(if to == 1 { victim_takes } else { MS });
+            node.outcome(id, 0, to, Status::Served);
+            to == 1
+        };
+        (1..).filter(|id| ask(*id, 700 * MS)).take(3).for_each(drop);
+        (1001..=1060).filter(|id| ask(*id, MS)).count()
+    };
+    assert!((7..=20).contains(&there(5)), "{} of 60 after three late answers to one of 5", there(5));
+    assert!(there(100) <= 4, "{} of 60 after three late answers to one of 100", there(100));
+}
+
 #[test]
 fn a_client_in_a_hurry_is_served_by_a_server_near_by_or_refused_at_once() {
     // Found on r7044: clients with less time than the way to a box took were sent there all the same.
