Give cold servers eight tenths of what the settings say they can bear

Evidence, counted over all nodes, second 14 to 18: new standard boxes are sent 29 attempts a second, answer all in good time and turn none away.

Ruled out: the origin alone (it answers 400 to 500 calls a second then, and 1,100 pairs of key and server miss each second, twice as many as keys).

Lines at fault: brain.rs, COLD_RATE and warm_enough. One and a half times a warm server's part is a fixed figure beside the settings, which tell at how much a cold one falls over; and of its keys it got its present part of capacity, whatever its kind, so that it hardly came to use its bucket.

Now both are eight tenths of the fall multiple (here twice) times its present part of capacity and its kind's. What a warm server gets is taken for all it can do, so that the rest is a margin: warm ones are at 0.5 to 0.7 of it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,8 +75,9 @@
 const POOL: f64 = 0.8;
 /// What a review keeps of the counts before it, while more than this many are left to judge by.
 const FADE: (f64, f64) = (0.85, 10.0);
-/// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
-const COLD_RATE: f64 = 1.5;
+/// A cold server gets at most this part of what makes it fall over, scaled by its present part of capacity;
+/// a warm one's attempts are taken for what it can do, though it may be able to do more.
+const COLD_RATE: f64 = 0.8;
 /// The pause before discovery is asked again is doubled so often: a change counts as told after 6 s, whether
 /// it was heard of or not, and the longest pause must leave room for the call itself.
 const ASK_AGAIN: u32 = 2;
@@ -275,8 +276,9 @@
         self.weight(s) * (1.0 - self.kinds.get(&s.line.kind).unwrap_or(&0.0))
     }
 
-    fn capacities(&self) -> f64 {
-        self.ready(false).map(|s| self.capacity(s)).sum::<f64>().max(0.01)
+    fn add_up(&mut self) {
+        let (total, count) = self.ready(false).fold((0.0, 0.0), |(t, n), s| (t + self.capacity(s), n + 1.0));
+        (self.total, self.mean) = (total.max(0.01), total.max(0.01) / f64::max(count, 1.0));
     }
 
     /// A server turned an attempt away or is nearly late with it: it is left less of its keys, and its kind a
@@ -306,15 +308,17 @@
     /// keys from every balancer, and from each no more than a part of a warm server's requests.
     fn warm_enough(&self, key: Key, s: &Server) -> bool {
         let warmth = self.warmth(s);
+        let part = COLD_RATE * self.settings.fall_multiple * warmth * self.capacity(s) / self.mean;
         let room = |(level, depth)| level < depth;
         // A hot key would come from all balancers at once, from each within its bucket.
         let hot = || self.recent.iter().filter(|recent| **recent == key).count() > 1;
-        warmth >= 1.0 || (unit_hash(key, s.line.id, 1) < warmth && room(self.cold_bucket(s)) && !hot())
+        warmth >= 1.0 || (unit_hash(key, s.line.id, 1) < part && room(self.cold_bucket(s)) && !hot())
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
     fn cold_bucket(&self, s: &Server) -> (f64, f64) {
-        let rate = COLD_RATE * self.warmth(s) * self.usual_share() * self.capacity(s) / self.total / 1e6;
+        let multiple = COLD_RATE * self.settings.fall_multiple * self.warmth(s);
+        let rate = multiple * self.usual_share() * self.capacity(s) / self.total / 1e6;
         let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
         (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
     }
@@ -659,7 +663,7 @@
         }
         // Gone and owing nothing: forgotten here, as a walk over the fleet at each review cost much CPU.
         self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
-        self.total = self.capacities();
+        self.add_up();
         begun.into_iter().for_each(|id| self.begin_cold(id));
     }
 
@@ -701,7 +705,7 @@
         self.strain.fade(FADE.0, FADE.1);
         self.gate.pressed.fade(FADE.0, FADE.1);
         self.admitted.roll(period);
-        self.total = self.capacities();
+        self.add_up();
         self.wake(period, Wake::Review);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,8 +39,9 @@
     /// The step in which a server's part is learnt.
     pub(crate) thin_step: f64,
     pub(crate) cache_out: u32,
-    /// Capacity of all cache servers that are ready.
+    /// Capacity of all cache servers that are ready, and of one of them.
     pub(crate) total: f64,
+    pub(crate) mean: f64,
     /// Time that a server takes for one request, without its queue.
     pub(crate) service: f64,
     pub(crate) crowded: bool,
