Learn a kind in whole steps at first, and undo what a dead server taught it

Ruled out: handshakes (as many in second 1, of which a third is late), the origin (its gate is open).

Line at fault: brain.rs, KIND_STEP. A node that has just started knows nothing and takes the same small steps as one that knows: it halves a weak kind's keys in 12 signs. The steps now begin whole and are a quarter after 24 attempts. A silent server would teach the kind more by that, so what it has made its kind take since its last answer in time is undone when it is set aside. The test of silent servers fails without this second part.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,8 +59,10 @@
 /// So many balancers learn of a server in such steps. Of more, each meets it less often and takes larger
 /// ones, as the root of their number: chance in them evens out over all balancers.
 const FEW: f64 = 5.0;
-/// The same for its kind, in steps of this part, as all servers of the kind take part in it.
-const KIND_STEP: f64 = 0.25;
+/// The same for its kind, in steps of this part, as all servers of the kind take part in it. The first steps
+/// are whole ones and become this after the second figure of attempts: a balancer begins with nothing, often
+/// together with most others, and until it knows the kinds it jams the weak ones.
+const KIND_STEP: (f64, f64) = (0.25, 24.0);
 /// A server has its whole part again after this multiple of the longest aim at the latest: one left with few
 /// keys has few answers to show that it keeps up.
 const THIN_FOR: f64 = 256.0;
@@ -273,12 +275,12 @@
 
     /// The part of its keys that a server is left, by what was seen of it and of all of its kind.
     fn part(&self, s: &Server) -> f64 {
-        (1.0 - s.thinned) * (1.0 - self.kinds.get(&s.line.kind).unwrap_or(&0.0))
+        (1.0 - s.thinned) * (1.0 - self.kinds.get(&s.line.kind).map_or(0.0, |kind| kind.thinned))
     }
 
     /// What a server can do beside others when it is warm, as its weight and its kind tell.
     fn capacity(&self, s: &Server) -> f64 {
-        self.weight(s) * (1.0 - self.kinds.get(&s.line.kind).unwrap_or(&0.0))
+        self.weight(s) * (1.0 - self.kinds.get(&s.line.kind).map_or(0.0, |kind| kind.thinned))
     }
 
     fn add_up(&mut self) {
@@ -291,7 +293,10 @@
     fn overdone(&mut self, server: ServerId) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         thin(&mut s.thinned, THIN.0.powf(self.seldom.sqrt()), THIN.2);
-        thin(self.kinds.entry(s.line.kind).or_default(), THIN.0.powf(KIND_STEP), THIN.2);
+        let kind = self.kinds.entry(s.line.kind).or_default();
+        let step = kind.step(KIND_STEP);
+        thin(&mut kind.thinned, THIN.0.powf(step), THIN.2);
+        s.taught += step;
     }
 
     /// Place of a server in a key's order, the smaller the earlier (weighted rendezvous hashing): the same
@@ -510,8 +515,9 @@
             Status::Full => self.overdone(flight.server),
             Status::Served | Status::Miss if self.now - flight.sent < 2 * flight.slow_after => {
                 s.thinned = (s.thinned - THIN.1 * self.seldom.sqrt()).max(0.0);
+                s.taught = 0.0;
                 let kind = self.kinds.entry(s.line.kind).or_default();
-                *kind = (*kind - THIN.1 * KIND_STEP).max(0.0);
+                kind.thinned = (kind.thinned - THIN.1 * kind.step(KIND_STEP)).max(0.0);
             }
             _ => {}
         }
@@ -583,7 +589,12 @@
             let [least, most] = [least * ASIDE.0, most].map(|aims| (self.aim as f64 * aims) as Micros);
             let time = (s.aside.1 * 2).clamp(least, most.max(least));
             s.aside = (self.now + time, time);
-            s.thinned = 0.0; // It was silent or failed: that tells nothing of how many keys it can bear.
+            // It was silent or failed: that tells nothing of how many keys it can bear, or its kind.
+            s.thinned = 0.0;
+            if let Some(kind) = self.kinds.get_mut(&s.line.kind) {
+                let taught = THIN.0.powf(std::mem::take(&mut s.taught));
+                kind.thinned = (1.0 - (1.0 - kind.thinned) / taught).max(0.0);
+            }
             out.push(Action::Log(format!("server {server} fails or is silent: set aside")));
         }
     }
@@ -725,7 +736,8 @@
         };
         log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
         let regained = period as f64 / (THIN_FOR * self.aim as f64);
-        let parts = self.servers.values_mut().map(|s| &mut s.thinned).chain(self.kinds.values_mut());
+        let kinds = self.kinds.values_mut().map(|kind| &mut kind.thinned);
+        let parts = self.servers.values_mut().map(|s| &mut s.thinned).chain(kinds);
         parts.for_each(|thinned| *thinned = (*thinned - regained).max(0.0));
         self.strain.fade(FADE.0, FADE.1);
         self.gate.pressed.fade(FADE.0, FADE.1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,7 +35,7 @@
     pub(crate) recent: VecDeque<Key>,
     /// The part of its keys that go past a server of a kind: one of many balancers meets a server seldom, its
     /// kind often.
-    pub(crate) kinds: BTreeMap<u16, f64>,
+    pub(crate) kinds: BTreeMap<u16, Kind>,
     /// How many times less often than one of few balancers this one meets a server.
     pub(crate) seldom: f64,
     pub(crate) cache_out: u32,
@@ -84,6 +84,8 @@
     pub quickest: f64,
     /// The part of its keys that go past it, since it was late with more of them.
     pub thinned: f64,
+    /// The steps that its kind was made to take since its last answer in good time.
+    pub taught: f64,
     pub strikes: u32,
     /// Whether the last failure was one to connect.
     pub unreachable: bool,
@@ -116,6 +118,23 @@
     }
 }
 
+/// What was seen of all servers of one machine kind.
+#[derive(Default)]
+pub struct Kind {
+    /// The part of its keys that go past a server of it.
+    pub thinned: f64,
+    judged: f64,
+}
+
+impl Kind {
+    /// The step in which the next attempt counts: from whole ones down to the first figure, which is reached
+    /// after the second of attempts.
+    pub fn step(&mut self, (least, after): (f64, f64)) -> f64 {
+        self.judged += 1.0;
+        least.max(1.0 - (1.0 - least) * self.judged / after)
+    }
+}
+
 /// A request that is owed a final answer.
 #[derive(Default)]
 pub struct Held {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -521,10 +521,13 @@
         };
         ids.filter(ask).count()
     };
-    let early = weak(1..=60);
-    assert!((20..=40).contains(&early), "{early} of 60 before it was known");
-    let late = weak(61..=160);
-    assert!((1..=25).contains(&late), "{late} of 100 after each weak one was met about once");
+    let early = weak(1..=30);
+    assert!((8..=20).contains(&early), "{early} of 30 before it was known");
+    // Seventy balancers that restart together jammed them for two seconds, while it was learnt in small steps.
+    let soon = weak(31..=90);
+    assert!(soon <= 7, "{soon} of 60 after half of the weak ones were met once");
+    let late = weak(91..=190);
+    assert!((1..=25).contains(&late), "{late} of 100 later");
 }
 
 #[test]
