Let the gate's cap on calls out follow the balancer's own requests

All nodes together never had more than 140 calls out, of the 300 that the caps add up to, and the origin answered in 30 ms (median, 99th percentile 60) at 3,500 calls a second as at 1,200.

Cause: `GATE_OUT * gate_part` gives each of 300 balancers one call out. The tally beside it follows the balancer's own requests; the counter did not. The ceiling is now what Little's law gives for its own requests of the last half minute and the time in which a call is slow, never below the equal part nor above the ceiling of a small fleet. The floor stays an equal part, so that a slow origin bears no more than before; the step upwards grows with the ceiling.

Ruled out: the origin (times flat), the tally (a heavy node has 60 a second), late misses (the wait after the miss was 53 ms in the middle and up to 124).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,7 +34,7 @@
 const GATE_WINDOW: f64 = 0.25;
 /// Gate: sub-limit of fetches, of both limits; writes have the rest for themselves.
 const GATE_FETCHES: f64 = 0.7;
-/// Gate: factor on the outstanding cap at a sign of congestion, and its floor as a part of the ceiling.
+/// Gate: factor on the outstanding cap at a sign of congestion, and its floor as part of an equal ceiling.
 const GATE_CUT: (f64, f64) = (0.8, 0.1);
 /// Gate: an origin answer later than this part of the shortest aim is a congestion signal.
 const ORIGIN_SLOW: f64 = 0.8;
@@ -368,6 +368,14 @@
         }
     }
 
+    /// What this balancer may have of the gate's figures: an equal part, or what its own requests ask for by
+    /// Little's law. Clients come to some balancers several times as often as to others; with equal parts
+    /// those would refuse what the origin has room for, as the others leave theirs unused.
+    fn gate_part(&self) -> f64 {
+        let slow = self.origin_aim as f64 * ORIGIN_SLOW / 1e6;
+        self.gate_part.max((self.usual_share() * slow / GATE_OUT).min(1.0))
+    }
+
     /// Whether the outstanding cap and the windowed tally let one more call through.
     fn gate_open(&mut self, call: Call) -> bool {
         let window = (self.aim as f64 * GATE_WINDOW / self.gate_part).min(1e6);
@@ -558,7 +566,8 @@
     /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
     fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
         let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
-        let (g, most) = (&mut self.gate, GATE_OUT * self.gate_part);
+        let (part, least) = (self.gate_part(), GATE_OUT * self.gate_part * GATE_CUT.1);
+        let (g, most) = (&mut self.gate, GATE_OUT * part);
         g.leave(flight.call);
         let was = g.limit;
         // A limit of less than one is kept by a rest after each call.
@@ -569,11 +578,11 @@
             g.usual += if g.usual == 0.0 { 1.0 } else { USUAL.0 } * (took - g.usual);
         }
         if o.status == Status::Served && !slow {
-            g.limit = (g.limit + (self.gate_part / g.limit).min(g.limit)).min(most);
+            g.limit = (g.limit + (part / g.limit).min(g.limit)).min(most);
         } else if o.status != Status::NotSent && flight.sent >= g.cut_at {
             // One cut for all calls that were out together.
             g.cut_at = self.now;
-            g.limit = (g.limit * GATE_CUT.0).max(most * GATE_CUT.1);
+            g.limit = (g.limit * GATE_CUT.0).max(least);
         }
         log_crossing(out, was, g.limit, most / 4.0, "gate lowered: origin slow", "gate restored");
     }
