Play scenarios on sockets with real nodes, and add demo, load tool and experiments

Way taken: one process holds the world (cache servers, origin, list service, clients) behind doors that speak the platform's protocol; real spardeal-node processes stand before it, each zone reaches each server by a way that can be slow, silent in one direction, reset or refusing. Not taken: a process for each server, as 200 of them would measure the scheduler and rules could be checked after the fact only. Clients and what a scenario comes to are now one piece for both drivers; settings go through the deployment's own text in both. The load tool is threads with blocking sockets, since the runtime's timers are a millisecond coarse. Experiments keep one whole file a play (written beside and renamed).

Crates: axum (list and origin doors, as the list service to come), redis-protocol (RESP on the world's side, so that no parser of ours checks ours), nix (signals without unsafe), socket2 (linger of a reset), tempfile, indicatif, plotters.

Also: `base` in scenario files with cycles told, an origin that fails, slows and falls over, stopped nodes, a front that notices late, hot keys, scans, drift, clients that leave early.

--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -46,6 +46,13 @@
         (&["completions", "cobol"], "bash"),
         (&["lab", "run"], "<FILE>"),
         (&["lab", "run", "/nowhere.toml"], "cannot read /nowhere.toml"),
+        (&["demo", "--node", "/nowhere/spardeal-node"], "no program at /nowhere/spardeal-node"),
+        (&["lab", "experiment", "/nowhere.toml"], "--out <DIR>"),
+        (&["lab", "experiment", "/nowhere.toml", "--out", "/nowhere"], "cannot read /nowhere.toml"),
+        (&["lab", "report", "/nowhere"], "/nowhere/experiment.json: No such file"),
+        (&["lab", "load", "--rate", "0"], "write a number of requests a second, 1 to 1000000"),
+        (&["lab", "load", "--lasts", "5"], "--lasts"),
+        (&["lab", "load", "--to", "127.0.0.1:1"], "Connection refused"),
     ] {
         let (code, _, error) = spardeal(arguments);
         assert!(code == 2 && error.contains(told), "{arguments:?}: {code} {error}");
@@ -81,3 +88,47 @@
         }
     }
 }
+
+#[test]
+fn a_load_is_told_with_what_it_was_and_what_was_served() {
+    let (code, told, error) = spardeal(&["lab", "load", "--rate", "300", "--lasts", "1s"]);
+    let row = told.lines().last().unwrap_or_default().split_whitespace().collect::<Vec<_>>();
+    assert!(code == 0 && row[..2] == ["alone", "300"] && row[3] == "0", "{code} {told} {error}");
+}
+
+#[test]
+fn an_experiment_that_is_interrupted_keeps_whole_results_and_goes_on_with_the_others() {
+    let scenarios = concat!(env!("CARGO_MANIFEST_DIR"), "/../lab/scenarios");
+    let folder = tempfile::tempdir().unwrap();
+    let (file, out) = (folder.path().join("e.toml"), folder.path().join("out"));
+    let text = format!(
+        "scenarios = [\"s.toml\"]\nseeds = {:?}\n[[variant]]\nname = \"a\"\n[[variant]]\nname = \"b\"\n\
+         set = {{ \"load.retries\" = 0 }}\n",
+        (1..=20).collect::<Vec<u32>>()
+    );
+    fs::write(&file, text).unwrap();
+    let day = format!("base = \"{scenarios}/calm.toml\"\nlength = \"1s\"\n");
+    fs::write(folder.path().join("s.toml"), day).unwrap();
+    let arguments =
+        ["lab", "experiment", file.to_str().unwrap(), "--out", out.to_str().unwrap(), "--threads", "1"];
+    let mut child = Command::new(env!("CARGO_BIN_EXE_spardeal"))
+        .args(arguments)
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = std::io::BufRead::lines(std::io::BufReader::new(child.stdout.take().unwrap()));
+    assert!(lines.next().unwrap().unwrap().starts_with("   1 of 40  s, seed 1, a: service 0."));
+    let interrupt = format!("kill -INT {}", child.id());
+    assert!(Command::new("/bin/sh").arg("-c").arg(interrupt).status().unwrap().success());
+    let played = 1 + lines.map_while(Result::ok).count();
+    let output = child.wait_with_output().unwrap();
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert!(output.status.code() == Some(2) && played < 40, "{played} {told}");
+    assert!(told.contains(&format!("interrupted: {played} of 40 plays are kept")), "{told}");
+    let (code, told, _) = spardeal(&["lab", "report", out.to_str().unwrap()]);
+    assert!(code == 1 && told.contains(&format!("{played} of 40 plays; ")), "{code} {told}");
+    let (code, told, _) = spardeal(&arguments);
+    assert!(code == 0 && told.lines().count() == 40 - played + 3, "{code} {told}");
+    assert!(told.contains("40 of 40 plays; ") && out.join("report.html").is_file());
+}
--- a/crates/config/src/layers.rs
+++ b/crates/config/src/layers.rs
@@ -79,6 +79,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Layers {
     file: Option<PathBuf>,
+    /// What the file is based on, the nearest first.
+    bases: Vec<(PathBuf, String)>,
     variables: Vec<(String, String)>,
     flags: Vec<(String, String)>,
 }
@@ -140,6 +142,9 @@
             return Err(ConfigError::Wrong { place, what: format!("not TOML: {what}") });
         }
         let mut layers = defaults;
+        for (_, text) in self.bases.iter().rev() {
+            layers = layers.merge(Toml::string(text));
+        }
         if let Some((_, text)) = file {
             layers = layers.merge(Toml::string(text));
         }
@@ -199,23 +204,54 @@
         if self.variables.iter().any(|(name, _)| *name == variable) {
             return Place::Variable(variable);
         }
-        match file {
+        let bases = self.bases.iter().map(|(path, text)| (path.as_path(), text.as_str()));
+        let holds = |(_, text): &(&Path, &str)| locate::holds(text, path);
+        match file.into_iter().chain(bases).find(holds).or(file) {
             Some((file, text)) => Place::File(file.into(), locate::key(text, path)),
             None => Place::Defaults,
         }
     }
 }
 
-/// Reads a file of a schema of the caller's own, with the same errors, and without the other layers. `impossible` tells
-/// the first value that is of the right kind and yet impossible: its key with dots, and what would do.
+/// Reads a file of a schema of the caller's own, with the same errors, and without the environment. A file may name
+/// another that it is based on by the key `base`, a path beside it: what it does not set is as it is there. `set` holds
+/// keys with dots and values over the file's. `impossible` tells the first value that is of the right kind and yet
+/// impossible: its key with dots, and what would do.
 ///
 /// # Errors
-/// Where the file can't be read or holds what the schema does not allow.
+/// Where a file can't be read, is based on itself, or holds what the schema does not allow.
 pub fn read_toml<T: DeserializeOwned>(
     path: &Path,
+    set: &[(String, String)],
     impossible: impl Fn(&T) -> Option<(String, String)>,
 ) -> Result<T, ConfigError> {
-    Layers::default().file(path).extract(Figment::new(), impossible)
+    let bases = bases(path)?;
+    let layers = Layers { bases, flags: set.to_vec(), ..Layers::default().file(path) };
+    layers.extract(Figment::new(), impossible)
+}
+
+/// The files that one is based on, the nearest first.
+fn bases(path: &Path) -> Result<Vec<(PathBuf, String)>, ConfigError> {
+    let mut seen = vec![path.to_path_buf()];
+    let mut bases = Vec::new();
+    let mut text = read_file(path)?;
+    while let Some((base, at)) = locate::text(&text, "base") {
+        let from = seen.last().map_or(path, PathBuf::as_path).to_path_buf();
+        let base = from.parent().unwrap_or(Path::new("")).join(base);
+        let same = |other: &PathBuf| other.canonicalize().ok() == base.canonicalize().ok();
+        let wrong = |what| ConfigError::Wrong { place: Place::File(from.clone(), Some(at)), what };
+        if base.exists() && seen.iter().any(same) {
+            return Err(wrong(format!("base: {} is based on itself: name another or none", base.display())));
+        }
+        text = read_file(&base).map_err(|e| wrong(format!("base: {e}")))?;
+        if let Some((at, what)) = locate::fault(&text) {
+            let place = Place::File(base, Some(at));
+            return Err(ConfigError::Wrong { place, what: format!("not TOML: {what}") });
+        }
+        seen.push(base.clone());
+        bases.push((base, text.clone()));
+    }
+    Ok(bases)
 }
 
 /// What could have been meant.
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -36,6 +36,30 @@
     found.map(|span| line_and_column(text, span.start))
 }
 
+/// Whether a text has a key.
+pub fn holds(text: &str, path: &[String]) -> bool {
+    let Ok(document) = Document::parse(text) else { return false };
+    let mut item: Option<&Item> = Some(document.as_item());
+    for name in path {
+        let number = name.parse::<usize>().ok();
+        item = item.and_then(|item| match (item.as_array_of_tables(), number) {
+            // A key inside of it is the table's own: as near as it gets.
+            (Some(tables), Some(number)) => tables.get(number).map(|_| item),
+            (Some(tables), None) => tables.iter().find_map(|table| table.get(name)),
+            (None, _) => item.as_table_like().and_then(|table| table.get(name)),
+        });
+    }
+    item.is_some()
+}
+
+/// A text at the top of a TOML text, with its line and column.
+pub fn text(text: &str, name: &str) -> Option<(String, (usize, usize))> {
+    let document = Document::parse(text).ok()?;
+    let (key, item) = document.get_key_value(name)?;
+    let start = key.span().map_or(0, |span| span.start);
+    Some((item.as_str()?.to_string(), line_and_column(text, start)))
+}
+
 /// The text's fault as TOML, with its line and column.
 pub fn fault(text: &str) -> Option<((usize, usize), String)> {
     let error = Document::parse(text).err()?;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,6 +1,7 @@
 //! A scenario: the fleet, its load and what goes wrong, as a TOML file. `docs/LAB.md` has every key.
 
-use std::path::Path;
+use std::fmt::{self, Display, Formatter};
+use std::path::{Path, PathBuf};
 
 use serde::{Deserialize, Serialize};
 use spardeal_config::{ConfigError, Span};
@@ -9,6 +10,9 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
+    /// The file that this one is based on: what it does not set is as it is there.
+    #[serde(default, skip_serializing)]
+    pub base: Option<PathBuf>,
     /// Seed of all chance.
     #[serde(default = "one")]
     pub seed: u64,
@@ -30,6 +34,9 @@
     /// The network.
     #[serde(default)]
     pub network: Network,
+    /// The front.
+    #[serde(default)]
+    pub front: Front,
     /// The list of servers.
     #[serde(default)]
     pub list: List,
@@ -63,6 +70,15 @@
     /// Pause before the first of them, doubled for each further one, where the refusal tells none.
     #[serde(default = "backoff")]
     pub backoff: Span,
+    /// So many ranks of popularity a second pass from key to key: what was most popular is not for long.
+    #[serde(default)]
+    pub drift_per_s: f64,
+    /// This part of the clients goes away
+    #[serde(default)]
+    pub give_up: f64,
+    /// after this, though its deadline is later.
+    #[serde(default = "backoff")]
+    pub give_up_after: Span,
 }
 
 fn backoff() -> Span {
@@ -158,6 +174,34 @@
     pub work: Span,
     /// Calls that it works on at full speed.
     pub cores: f64,
+    /// It falls over when it has turned calls away for so long without a pause of half a second; 0s: it does not.
+    #[serde(default = "none")]
+    pub fall_after: Span,
+    /// After a fall it is back after this.
+    #[serde(default = "back_after")]
+    pub back_after: Span,
+}
+
+fn none() -> Span {
+    Span(std::time::Duration::ZERO)
+}
+
+fn back_after() -> Span {
+    Span(std::time::Duration::from_secs(5))
+}
+
+/// The front that deals out the clients' requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Front {
+    /// It notices a node that has died after this; what it deals out to it until then fails.
+    pub notice: Span,
+}
+
+impl Default for Front {
+    fn default() -> Self {
+        Front { notice: none() }
+    }
 }
 
 /// The network, one way.
@@ -221,6 +265,16 @@
     }
 }
 
+/// How calls to the origin fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Failure {
+    /// After they were worked on: they may have run.
+    Late,
+    /// At once: they never ran.
+    Early,
+}
+
 /// What goes wrong, and when.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "kebab-case", deny_unknown_fields)]
@@ -245,6 +299,15 @@
         /// They are back after this.
         back: Span,
     },
+    /// A part of the nodes is stopped, as a paused machine is; they go on after a time. Nothing of theirs ends.
+    StopNodes {
+        /// When.
+        at: Span,
+        /// Part of the nodes.
+        part: f64,
+        /// For how long.
+        lasts: Span,
+    },
     /// A zone is cut off from the others.
     CutZone {
         /// When.
@@ -279,6 +342,44 @@
         /// For how long.
         lasts: Span,
     },
+    /// A part of the origin's calls fails.
+    OriginFails {
+        /// When.
+        at: Span,
+        /// Part of the calls.
+        part: f64,
+        /// `late`: worked on, and then 500; `early`: 503 or 504 at once, unprocessed.
+        how: Failure,
+        /// For how long.
+        lasts: Span,
+    },
+    /// The origin is slow: a part of its cores is taken.
+    OriginSlow {
+        /// When.
+        at: Span,
+        /// Part of its cores.
+        taken: f64,
+        /// For how long.
+        lasts: Span,
+    },
+    /// A part of the first tries asks for one key.
+    HotKey {
+        /// When.
+        at: Span,
+        /// Part of the first tries.
+        part: f64,
+        /// For how long.
+        lasts: Span,
+    },
+    /// A part of the first tries goes through all keys in turn, from the least popular.
+    Scan {
+        /// When.
+        at: Span,
+        /// Part of the first tries.
+        part: f64,
+        /// For how long.
+        lasts: Span,
+    },
     /// Neighbours take a part of some machines.
     Neighbour {
         /// When.
@@ -298,25 +399,83 @@
         match self {
             Event::Replace { at, .. }
             | Event::KillNodes { at, .. }
+            | Event::StopNodes { at, .. }
             | Event::CutZone { at, .. }
             | Event::LoseServers { at, .. }
             | Event::ListDown { at, .. }
             | Event::Burst { at, .. }
+            | Event::OriginFails { at, .. }
+            | Event::OriginSlow { at, .. }
+            | Event::HotKey { at, .. }
+            | Event::Scan { at, .. }
             | Event::Neighbour { at, .. } => *at,
         }
     }
 }
 
+impl Display for Event {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let percent = |part: &f64| format!("{:.0}%", part * 100.0);
+        match self {
+            Event::Replace { part, over, .. } => {
+                write!(f, "{} of the cache servers are replaced within {over}", percent(part))
+            }
+            Event::KillNodes { part, back, .. } => {
+                write!(f, "{} of the nodes are killed, back after {back}", percent(part))
+            }
+            Event::StopNodes { part, lasts, .. } => {
+                write!(f, "{} of the nodes are stopped for {lasts}", percent(part))
+            }
+            Event::CutZone { zone, lasts, .. } => write!(f, "zone {zone} is cut off for {lasts}"),
+            Event::LoseServers { part, back, .. } => {
+                write!(f, "{} of the cache servers die, back cold after {back}", percent(part))
+            }
+            Event::ListDown { lasts, .. } => write!(f, "the list service is down for {lasts}"),
+            Event::Burst { factor, lasts, .. } => {
+                write!(f, "clients ask {factor} times as often for {lasts}")
+            }
+            Event::OriginFails { part, how, lasts, .. } => {
+                let how = if *how == Failure::Late { "fail after their work" } else { "are turned away" };
+                write!(f, "{} of the origin's calls {how} for {lasts}", percent(part))
+            }
+            Event::OriginSlow { taken, lasts, .. } => {
+                write!(f, "the origin loses {} of its cores for {lasts}", percent(taken))
+            }
+            Event::HotKey { part, lasts, .. } => {
+                write!(f, "{} of the clients ask for one key for {lasts}", percent(part))
+            }
+            Event::Scan { part, lasts, .. } => {
+                write!(f, "{} of the clients go through all keys for {lasts}", percent(part))
+            }
+            Event::Neighbour { part, taken, lasts, .. } => {
+                let (part, taken) = (percent(part), percent(taken));
+                write!(f, "neighbours take {taken} of {part} of the cache servers for {lasts}")
+            }
+        }
+    }
+}
+
 /// The most that a scenario may hold: what a play in memory still bears.
 const MOST: (u32, u32, f64) = (2_000, 2_000, 50_000_000.0);
 
 impl Scenario {
+    /// The scenario of `spardeal demo`, as TOML.
+    pub const DEMO: &str = include_str!("../scenarios/demo.toml");
+
     /// Reads a file.
     ///
     /// # Errors
     /// Where it can't be read, or holds what the schema or sense does not allow; with file, line and what would do.
     pub fn read(path: &Path) -> Result<Scenario, ConfigError> {
-        spardeal_config::read_toml(path, Scenario::impossible)
+        Scenario::read_with(path, &[])
+    }
+
+    /// The same with some keys set over the file's: with dots, and as they would stand in the file.
+    ///
+    /// # Errors
+    /// The same.
+    pub fn read_with(path: &Path, set: &[(String, String)]) -> Result<Scenario, ConfigError> {
+        spardeal_config::read_toml(path, set, Scenario::impossible)
     }
 
     /// The first value that is of the right kind and yet impossible: its key, and what would do.
@@ -376,10 +535,15 @@
             let found = match event {
                 Event::Replace { part: share, .. }
                 | Event::KillNodes { part: share, .. }
+                | Event::StopNodes { part: share, .. }
+                | Event::OriginFails { part: share, .. }
+                | Event::HotKey { part: share, .. }
+                | Event::Scan { part: share, .. }
                 | Event::LoseServers { part: share, .. } => part(&key("part"), *share),
                 Event::Neighbour { part: share, taken, .. } => {
                     part(&key("part"), *share).or_else(|| part(&key("taken"), *taken))
                 }
+                Event::OriginSlow { taken, .. } => part(&key("taken"), *taken),
                 Event::Burst { factor, .. } => above(&key("factor"), *factor),
                 Event::CutZone { zone, .. } if *zone >= self.zones => {
                     wrong(&key("zone"), format!("found {zone}: write 0 to {}", self.zones - 1))
@@ -394,6 +558,8 @@
                 return wrong(&key("at"), format!("found {at}, after the end: write at most {length}"));
             }
         }
-        part("network.lost", self.network.lost).or_else(|| part("network.jitter", self.network.jitter))
+        part("load.give_up", self.load.give_up).or_else(|| {
+            part("network.lost", self.network.lost).or_else(|| part("network.jitter", self.network.jitter))
+        })
     }
 }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -1,5 +1,5 @@
 //! The model of what a node serves: machines that share their cores among requests ([`machine`]), what a cache server
-//! keeps ([`memory`]), cache servers and the origin made of these ([`server`]), the list of servers with its watches
+//! keeps ([`memory`]), cache servers made of these ([`server`]), the origin ([`origin`]), the list of servers with its watches
 //! and its limited capacity ([`list`]), the network between zones ([`network`]), and the rules that all of it is played
 //! by ([`rules`]).
 //!
@@ -11,6 +11,7 @@
 pub mod machine;
 pub mod memory;
 pub mod network;
+pub mod origin;
 pub mod rules;
 pub mod server;
 
--- a/crates/world/tests/parts.rs
+++ b/crates/world/tests/parts.rs
@@ -6,6 +6,9 @@
 use spardeal_world::machine::{Machine, Spec as MachineSpec};
 use spardeal_world::memory::Memory;
 use spardeal_world::network::{Network, Spec as NetworkSpec};
+use spardeal_world::origin::{
+    Answer as OriginAnswer, Fault, Origin, Spec as OriginSpec, Taken as OriginTaken,
+};
 use spardeal_world::server::{Answer, Ask, Cache, Spec as CacheSpec, Taken};
 use spardeal_world::{Micros, chance};
 
@@ -259,3 +262,41 @@
     assert_eq!(draw(7, 1), draw(7, 1));
     assert!(draw(7, 1) != draw(7, 2) && draw(7, 1) != draw(8, 1));
 }
+
+#[test]
+fn the_origin_fails_a_part_of_its_calls_late_or_early_and_works_on_for_those_nobody_waits_for() {
+    let machine = MachineSpec { cores: 2.0, slots: 2, waiting: 1, ..MachineSpec::default() };
+    let mut origin = Origin::new(OriginSpec { machine, ..OriginSpec::default() }, 0);
+    let mut draws = chance(1, 1);
+    let mut come = |origin: &mut Origin, at, job| origin.arrive(at, job, 10_000.0, &mut draws);
+    origin.fail(Some((Fault::Late, 1.0)));
+    assert_eq!(come(&mut origin, 0, 1), OriginTaken::Held);
+    origin.fail(Some((Fault::Early, 1.0)));
+    assert_eq!(come(&mut origin, 0, 2), OriginTaken::Answered(OriginAnswer::Unprocessed));
+    origin.fail(None);
+    assert_eq!(come(&mut origin, 0, 3), OriginTaken::Held);
+    assert_eq!(come(&mut origin, 0, 4), OriginTaken::Held, "it waits");
+    assert_eq!(come(&mut origin, 0, 5), OriginTaken::Answered(OriginAnswer::Unprocessed), "no room");
+    assert_eq!(origin.due(), Some(10 * MS));
+    assert_eq!(origin.finish(10 * MS), [(1, OriginAnswer::Failed), (3, OriginAnswer::Done)]);
+    assert_eq!(origin.finish(20 * MS), [(4, OriginAnswer::Done)]);
+}
+
+#[test]
+fn an_origin_kept_full_for_too_long_falls_over_and_is_back_and_a_pause_relieves_it() {
+    let machine = MachineSpec { cores: 1.0, slots: 1, waiting: 0, ..MachineSpec::default() };
+    let spec = OriginSpec { machine, fall_after: SECOND, relief: 200 * MS, back_after: 2 * SECOND };
+    let mut origin = Origin::new(spec, 0);
+    let mut draws = chance(1, 1);
+    let mut come = |origin: &mut Origin, at, job| origin.arrive(at, job, 10_000_000.0, &mut draws);
+    let busy = OriginTaken::Answered(OriginAnswer::Unprocessed);
+    assert_eq!(come(&mut origin, 0, 1), OriginTaken::Held);
+    // Turned away at 0.1 to 0.9 s, then not for 0.3 s: it begins anew.
+    (1..=9).for_each(|i| assert_eq!(come(&mut origin, i * 100 * MS, 10 + i), busy));
+    (12..=21).for_each(|i| assert_eq!(come(&mut origin, i * 100 * MS, 10 + i), busy));
+    assert_eq!(come(&mut origin, 2_200 * MS, 99), OriginTaken::FellOver(vec![1]));
+    assert_eq!((origin.falls(), origin.due()), (1, None));
+    let refused = OriginTaken::Answered(OriginAnswer::Refused);
+    assert_eq!(come(&mut origin, 4_199 * MS, 100), refused);
+    assert_eq!(come(&mut origin, 4_200 * MS, 101), OriginTaken::Held);
+}
