Restart nodes, move the list, break answers and send rubbish in the lab

Change: events restart-nodes (SIGTERM one after another, started again once ended), move-list (new doors, a new configuration, SIGHUP), break-answers (a part lost, spoilt or reset, drawn in the network's state machine) and rubbish (five kinds of rude peers, on sockets only). A client on sockets takes nothing for served but the value that the servers have; a connection that its node ended without an answer, not being killed, counts as a lost request at once.

Tests: each new fault in tests/sockets.rs and tests/plays.rs, the broken-off request in crates/world/tests/rules.rs.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -427,6 +427,10 @@
     let rates = if arguments.most {
         let (way, to) = *ways.last().ok_or("there is nothing to send to")?;
         let most = baseline::most(to, &load, |per_s, outcome| shown(way, per_s, outcome, None))?;
+        if most == 0.0 {
+            println!("{way} bears nothing");
+            return Ok(false);
+        }
         println!("{way} bears {most:.0} requests a second; at a tenth, half and nine tenths of it:");
         vec![most * 0.1, most * 0.5, most * 0.9]
     } else {
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -8,6 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use spardeal_config::Span;
 use tokio::sync::oneshot;
 
@@ -21,6 +22,8 @@
 
 /// Cache servers that stand behind the node.
 const SERVERS: u32 = 4;
+/// A node that was told to end has this long.
+const ENDS: Duration = Duration::from_secs(10);
 /// The most requests a second that are tried.
 const MOST: f64 = 1_000_000.0;
 /// A rate is borne where so much is served
@@ -195,6 +198,11 @@
             let pid = node.child.as_ref().and_then(tokio::process::Child::id).unwrap_or(0);
             let _ = tell.send(Ok((node.address(), pid)));
             let _ = stopped.await;
+            // Told first, so that what it was started under, such as a profiler, can say what it has seen.
+            node.signal(Signal::SIGTERM);
+            if let Some(child) = &mut node.child {
+                let _ = tokio::time::timeout(ENDS, child.wait()).await;
+            }
             node.kill().await;
         }
         Err(e) => drop(tell.send(Err(e))),
@@ -207,7 +215,8 @@
         && outcome.latency.value_at_quantile(0.99) <= WITHIN.as_nanos() as u64
 }
 
-/// The most requests a second that an address bears: rates are doubled until one is not borne, and then halved into.
+/// The most requests a second that an address bears, 0 where it bears none: from the load's rate on, rates are doubled
+/// until one is not borne, or halved until one is, and what lies between is halved into.
 ///
 /// # Errors
 /// Where the address can't be reached.
@@ -217,11 +226,23 @@
         tried(per_s, &outcome);
         Ok::<_, std::io::Error>(borne(&outcome))
     };
-    let (mut low, mut high) = (0.0, load.per_s);
-    while high < MOST && bears(high)? {
-        (low, high) = (high, high * 2.0);
+    let (mut low, mut high) = (load.per_s, load.per_s * 2.0);
+    if bears(low)? {
+        while high < MOST && bears(high)? {
+            (low, high) = (high, high * 2.0);
+        }
+    } else {
+        loop {
+            (low, high) = (low / 2.0, low);
+            if low < 1.0 {
+                return Ok(0.0);
+            }
+            if bears(low)? {
+                break;
+            }
+        }
     }
-    while low > 0.0 && high / low > NEAR {
+    while high / low > NEAR {
         let middle = (low * high).sqrt();
         *(if bears(middle)? { &mut low } else { &mut high }) = middle;
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -308,6 +308,21 @@
         /// For how long.
         lasts: Span,
     },
+    /// A part of the nodes is restarted one after another: each is told to end, answers what it has, and is started
+    /// again once it has ended. The front sends it new requests for another 0.3 s.
+    RestartNodes {
+        /// When it begins.
+        at: Span,
+        /// Part of the nodes.
+        part: f64,
+        /// They are told within this.
+        over: Span,
+    },
+    /// The list service moves: watches end, nodes are told where it is (on sockets by SIGHUP), and ask for all of it.
+    MoveList {
+        /// When.
+        at: Span,
+    },
     /// A zone is cut off from the others.
     CutZone {
         /// When.
@@ -380,6 +395,31 @@
         /// For how long.
         lasts: Span,
     },
+    /// Parts of the answers of cache servers and origin do not come as they were sent.
+    BreakAnswers {
+        /// When.
+        at: Span,
+        /// Part that never comes while its connection stays,
+        #[serde(default)]
+        lost: f64,
+        /// that comes as rubbish,
+        #[serde(default)]
+        spoilt: f64,
+        /// or as the end of its connection.
+        #[serde(default)]
+        reset: f64,
+        /// For how long.
+        lasts: Span,
+    },
+    /// Peers come to the nodes that say nothing, rubbish or half a command. Only on sockets: no module sees them.
+    Rubbish {
+        /// When.
+        at: Span,
+        /// So many a second, 1,000 at most.
+        per_s: f64,
+        /// For how long.
+        lasts: Span,
+    },
     /// Neighbours take a part of some machines.
     Neighbour {
         /// When.
@@ -400,12 +440,16 @@
             Event::Replace { at, .. }
             | Event::KillNodes { at, .. }
             | Event::StopNodes { at, .. }
+            | Event::RestartNodes { at, .. }
+            | Event::MoveList { at }
             | Event::CutZone { at, .. }
             | Event::LoseServers { at, .. }
             | Event::ListDown { at, .. }
             | Event::Burst { at, .. }
             | Event::OriginFails { at, .. }
             | Event::OriginSlow { at, .. }
+            | Event::BreakAnswers { at, .. }
+            | Event::Rubbish { at, .. }
             | Event::HotKey { at, .. }
             | Event::Scan { at, .. }
             | Event::Neighbour { at, .. } => *at,
@@ -426,6 +470,10 @@
             Event::StopNodes { part, lasts, .. } => {
                 write!(f, "{} of the nodes are stopped for {lasts}", percent(part))
             }
+            Event::RestartNodes { part, over, .. } => {
+                write!(f, "{} of the nodes are restarted within {over}", percent(part))
+            }
+            Event::MoveList { .. } => write!(f, "the list service moves"),
             Event::CutZone { zone, lasts, .. } => write!(f, "zone {zone} is cut off for {lasts}"),
             Event::LoseServers { part, back, .. } => {
                 write!(f, "{} of the cache servers die, back cold after {back}", percent(part))
@@ -438,6 +486,13 @@
                 let how = if *how == Failure::Late { "fail after their work" } else { "are turned away" };
                 write!(f, "{} of the origin's calls {how} for {lasts}", percent(part))
             }
+            Event::BreakAnswers { lost, spoilt, reset, lasts, .. } => {
+                let (lost, spoilt, reset) = (percent(lost), percent(spoilt), percent(reset));
+                write!(f, "{lost} of the answers are lost, {spoilt} spoilt, {reset} reset for {lasts}")
+            }
+            Event::Rubbish { per_s, lasts, .. } => {
+                write!(f, "{per_s} peers a second send rubbish or nothing for {lasts}")
+            }
             Event::OriginSlow { taken, lasts, .. } => {
                 write!(f, "the origin loses {} of its cores for {lasts}", percent(taken))
             }
@@ -455,6 +510,9 @@
     }
 }
 
+/// The front sends a node that was told to end new requests for so long.
+pub(crate) const LEAVES: std::time::Duration = std::time::Duration::from_millis(300);
+
 /// The most that a scenario may hold: what a play in memory still bears.
 const MOST: (u32, u32, f64) = (2_000, 2_000, 50_000_000.0);
 
@@ -536,6 +594,7 @@
                 Event::Replace { part: share, .. }
                 | Event::KillNodes { part: share, .. }
                 | Event::StopNodes { part: share, .. }
+                | Event::RestartNodes { part: share, .. }
                 | Event::OriginFails { part: share, .. }
                 | Event::HotKey { part: share, .. }
                 | Event::Scan { part: share, .. }
@@ -543,12 +602,20 @@
                 Event::Neighbour { part: share, taken, .. } => {
                     part(&key("part"), *share).or_else(|| part(&key("taken"), *taken))
                 }
+                Event::BreakAnswers { lost, spoilt, reset, .. } => part(&key("lost"), *lost)
+                    .or_else(|| part(&key("spoilt"), *spoilt))
+                    .or_else(|| part(&key("reset"), *reset))
+                    .or_else(|| part(&key("lost"), lost + spoilt + reset)),
+                Event::Rubbish { per_s, .. } if *per_s > 1_000.0 => {
+                    wrong(&key("per_s"), format!("found {per_s}: write at most 1000"))
+                }
+                Event::Rubbish { per_s, .. } => above(&key("per_s"), *per_s),
                 Event::OriginSlow { taken, .. } => part(&key("taken"), *taken),
                 Event::Burst { factor, .. } => above(&key("factor"), *factor),
                 Event::CutZone { zone, .. } if *zone >= self.zones => {
                     wrong(&key("zone"), format!("found {zone}: write 0 to {}", self.zones - 1))
                 }
-                Event::CutZone { .. } | Event::ListDown { .. } => None,
+                Event::CutZone { .. } | Event::ListDown { .. } | Event::MoveList { .. } => None,
             };
             if found.is_some() {
                 return found;
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -16,6 +16,15 @@
 /// Connections kept to one node at most; more are closed after their answer.
 const KEPT: usize = 256;
 
+/// Why a try had no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// No connection came up: the node never had the request.
+    Unreached,
+    /// The connection ended, or brought what is no answer.
+    BrokenOff,
+}
+
 /// Connections to one node that no try uses.
 #[derive(Debug)]
 pub struct Connections {
@@ -34,65 +43,73 @@
         lock(&self.idle).clear();
     }
 
-    /// Writes a command and reads its answer. A connection that was kept and ends without a byte of it may have been
+    /// Writes a command and reads its answer, which serves it only with the value that the servers have. A connection that was kept and ends without a byte of it may have been
     /// closed by the node between requests: the command goes once more on a new one.
     ///
     /// # Errors
-    /// Where the node can't be reached, breaks the connection, or sends what is no answer.
-    pub async fn ask(&self, command: &[u8]) -> std::io::Result<Reply> {
+    /// Where the node can't be reached, ends the connection, or sends what is no answer.
+    pub async fn ask(&self, command: &[u8], value: &[u8]) -> Result<Reply, NoAnswer> {
         let kept = lock(&self.idle).pop();
         if let Some(mut stream) = kept {
             match exchange(&mut stream, command).await {
-                Ok(frame) => return Ok(self.keep(stream, &frame)),
-                Err((_, true)) => {}
-                Err((e, false)) => return Err(e),
+                Ok(frame) => return self.keep(stream, &frame, value),
+                Err(Ended { untouched: true }) => {}
+                Err(Ended { untouched: false }) => return Err(NoAnswer::BrokenOff),
             }
         }
-        let mut stream = TcpStream::connect(self.address).await?;
-        stream.set_nodelay(true)?;
-        let frame = exchange(&mut stream, command).await.map_err(|(e, _)| e)?;
-        Ok(self.keep(stream, &frame))
+        let mut stream = TcpStream::connect(self.address).await.map_err(|_| NoAnswer::Unreached)?;
+        let _ = stream.set_nodelay(true);
+        let frame = exchange(&mut stream, command).await.map_err(|_| NoAnswer::BrokenOff)?;
+        self.keep(stream, &frame, value)
     }
 
-    fn keep(&self, stream: TcpStream, frame: &BytesFrame) -> Reply {
+    fn keep(&self, stream: TcpStream, frame: &BytesFrame, value: &[u8]) -> Result<Reply, NoAnswer> {
         let mut idle = lock(&self.idle);
         if idle.len() < KEPT {
             idle.push(stream);
         }
-        reply(frame)
+        reply(frame, value)
     }
 }
 
-/// Writes a command and reads one answer; an error says too whether nothing of an answer had come.
-async fn exchange(stream: &mut TcpStream, command: &[u8]) -> Result<BytesFrame, (std::io::Error, bool)> {
-    stream.write_all(command).await.map_err(|e| (e, true))?;
+/// A connection has ended; whether nothing of an answer had come on it.
+struct Ended {
+    untouched: bool,
+}
+
+/// Writes a command and reads one answer.
+async fn exchange(stream: &mut TcpStream, command: &[u8]) -> Result<BytesFrame, Ended> {
+    stream.write_all(command).await.map_err(|_| Ended { untouched: true })?;
     let mut input = BytesMut::with_capacity(512);
     loop {
         match decode_bytes_mut(&mut input) {
             Ok(Some((frame, ..))) => return Ok(frame),
             Ok(None) => {}
-            Err(_) => return Err((std::io::ErrorKind::InvalidData.into(), false)),
+            Err(_) => return Err(Ended { untouched: false }),
         }
-        let none_yet = input.is_empty();
-        match stream.read_buf(&mut input).await {
-            Ok(0) => return Err((std::io::ErrorKind::UnexpectedEof.into(), none_yet)),
-            Ok(_) => {}
-            Err(e) => return Err((e, none_yet)),
+        let untouched = input.is_empty();
+        if !stream.read_buf(&mut input).await.is_ok_and(|count| count > 0) {
+            return Err(Ended { untouched });
         }
     }
 }
 
 /// What an answer of a node means.
-fn reply(frame: &BytesFrame) -> Reply {
-    match frame {
-        BytesFrame::BulkString(_) => Reply::Served,
-        BytesFrame::Array(items) if matches!(items.first(), Some(BytesFrame::BulkString(_))) => Reply::Served,
+fn reply(frame: &BytesFrame, value: &[u8]) -> Result<Reply, NoAnswer> {
+    let served = match frame {
+        BytesFrame::Array(items) => items.first(),
+        frame => Some(frame),
+    };
+    Ok(match frame {
+        _ if matches!(served, Some(BytesFrame::BulkString(bytes)) if bytes[..] == *value) => Reply::Served,
+        // A value that no server made for it: the request is lost.
+        _ if matches!(served, Some(BytesFrame::BulkString(_))) => return Err(NoAnswer::BrokenOff),
         BytesFrame::Error(line) if line.split(' ').next() == Some("BUSY") => {
             let ms = line.split(' ').nth(1).and_then(|ms| ms.parse::<u64>().ok());
             Reply::Refused(ms.unwrap_or(0) * 1_000)
         }
         _ => Reply::Failed,
-    }
+    })
 }
 
 /// A command of words.
--- a/crates/lab/src/sockets/doors.rs
+++ b/crates/lab/src/sockets/doors.rs
@@ -82,6 +82,11 @@
         (self.start.1 + Duration::from_micros(at.saturating_sub(self.start.0))).into()
     }
 
+    /// What cache servers and the origin answer for a value.
+    pub fn value(&self) -> &[u8] {
+        &self.value
+    }
+
     /// The stage.
     pub fn stage(&self) -> MutexGuard<'_, Stage> {
         lock(&self.stage)
@@ -222,6 +227,17 @@
         Said::Busy => Some(BytesFrame::Error("BUSY".into())),
         Said::Failed => Some(BytesFrame::Error("ERR failed".into())),
         Said::Died => None,
+        Said::Rubbish => {
+            stream.write_all(b"?!\r\n").await?;
+            None
+        }
+        Said::Nothing => {
+            // Until its peer has had enough.
+            while stream.read_buf(input).await? > 0 {
+                input.clear();
+            }
+            None
+        }
     })
 }
 
@@ -246,6 +262,8 @@
     match attempt.said.await {
         Ok(Said::Value) => shared.value.clone().into_response(),
         Ok(Said::Busy) => (StatusCode::SERVICE_UNAVAILABLE, [("x-unprocessed", "1")]).into_response(),
+        Ok(Said::Nothing) => std::future::pending().await,
+        Ok(Said::Rubbish) => (StatusCode::IM_A_TEAPOT, "?!").into_response(),
         Ok(Said::Failed | Said::Miss) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         // A process that dies takes its connections with it: the answer breaks off in its head.
         Ok(Said::Died) | Err(_) => Response::builder()
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -14,6 +14,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,16 +23,19 @@
 use rand::Rng;
 use spardeal::{ServerId, ServerLine};
 use spardeal_world::list::{Condition, Line};
+use spardeal_world::network::Breaks;
 use spardeal_world::{Chance, Micros, chance};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clients::{Clients, Part, Reply};
 use crate::report::{self, Counts, Report};
-use crate::scenario::{Event, Scenario};
+use crate::scenario::{Event, LEAVES, Scenario};
 use crate::{deployment, us};
-use clients::command;
+use clients::{NoAnswer, command};
 use doors::{Shared, lock};
 use link::{Link, State};
 use nodes::{Node, address};
@@ -45,6 +49,16 @@
 const ENDS: Duration = Duration::from_secs(12);
 /// Progress is shown, and what is over forgotten, so often.
 const LOOK: Duration = Duration::from_millis(500);
+/// What peers say that are no clients: nothing, another protocol, half a command, a length that nobody has.
+const RUBBISH: [&[u8]; 5] = [
+    b"",
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"*4\r\n$7\r\nOBJ.GET\r\n$16\r\n00000",
+    b"*2\r\n$999999999\r\n",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+];
+/// They stay for so long.
+const RUDE: Duration = Duration::from_secs(5);
 /// Ends of tries that wait for the driver.
 const ENDED: usize = 4096;
 
@@ -108,10 +122,14 @@
     Calm(f64),
     Alone(Number),
     OriginWell,
+    AnswersWhole,
+    Rubbish(f64, Micros),
     OriginQuick,
     Cool(f64),
     Scanned(f64),
     Noticed(u32, u32),
+    Restart(u32),
+    Leave(u32, u32),
 }
 
 struct Entry(Micros, u64, What);
@@ -138,8 +156,8 @@
 
 /// What tasks tell the driver.
 enum Input {
-    /// A try has ended: the client, the try's number, and its answer, none where the client's time was up.
-    Ended(u64, u64, Option<Reply>),
+    /// A try has ended: the client, the try's number, and how; `None` where the client's time was up.
+    Ended(u64, u64, Option<Result<Reply, NoAnswer>>),
     /// A node answers, or does not, in one of its lives.
     Ready(u32, u32, bool),
 }
@@ -162,6 +180,7 @@
     next_try: u64,
     ended: (mpsc::Sender<Input>, mpsc::Receiver<Input>),
     front: Chance,
+    faults: Chance,
     seeds: Chance,
     news: Vec<String>,
     crashes: Vec<String>,
@@ -198,6 +217,20 @@
     }
 }
 
+/// Opens a door of the list service for a node.
+fn open_list(
+    doors: &mut JoinSet<()>,
+    shared: &Arc<Shared>,
+    scenario: &Scenario,
+    number: u32,
+) -> std::io::Result<SocketAddr> {
+    let listener = link::listen(address(3, number))?;
+    let list = listener.local_addr()?;
+    let serve = doors::list(shared.clone(), listener, number, deployment::zone(scenario, number));
+    doors.spawn(async move { drop(serve.await) });
+    Ok(list)
+}
+
 impl<'a> Driver<'a> {
     async fn new(
         scenario: &'a Scenario,
@@ -217,10 +250,7 @@
         doors.spawn(async move { drop(fetch.await) });
         let mut nodes = Vec::new();
         for number in 0..scenario.nodes {
-            let listener = link::listen(address(3, number)).map_err(port)?;
-            let list = listener.local_addr().map_err(port)?;
-            let serve = doors::list(shared.clone(), listener, number, deployment::zone(scenario, number));
-            doors.spawn(async move { drop(serve.await) });
+            let list = open_list(&mut doors, &shared, scenario, number).map_err(port)?;
             nodes.push(Node::new(number, list, options.folder).map_err(port)?);
         }
         let mut driver = Driver {
@@ -236,6 +266,7 @@
             next_try: 1,
             ended: mpsc::channel(ENDED),
             front: part(Part::Front),
+            faults: chance(seed, Part::Faults as u64 + 100),
             seeds: part(Part::Nodes),
             news: Vec::new(),
             crashes: Vec::new(),
@@ -250,6 +281,11 @@
         Ok(driver)
     }
 
+    /// Opens another door of the list service for a node.
+    fn open_list(&mut self, number: u32) -> std::io::Result<SocketAddr> {
+        open_list(&mut self.doors, &self.shared, self.scenario, number)
+    }
+
     /// Opens a server's door, and a way to it from each zone.
     async fn open_server(&mut self, number: Number) -> std::io::Result<()> {
         let listener = link::listen(address(1, number))?;
@@ -388,11 +424,13 @@
         };
         for node in 0..self.nodes.len() as u32 {
             let Some(status) = self.nodes[node as usize].ended() else { continue };
+            self.nodes[node as usize].clients.close();
             self.up.retain(|up| *up != node);
-            if !self.nodes[node as usize].ending {
+            if !self.nodes[node as usize].ending || !status.success() {
                 self.crashes.push(format!("crash: node {node} ended by itself with {status}"));
-                self.shared.stage().killed(now, node);
             }
+            self.shared.stage().ended(now, node);
+            self.at(now, What::Back(node));
         }
         let all = self.clients.sum();
         let lately = all.since(before);
@@ -410,7 +448,14 @@
         let now = self.shared.now();
         match input {
             Input::Ended(client, number, Some(reply)) => {
-                self.shared.stage().answered(now, number, matches!(reply, Reply::Refused(_)));
+                match reply {
+                    Ok(reply) => {
+                        self.shared.stage().answered(now, number, matches!(reply, Reply::Refused(_)))
+                    }
+                    Err(NoAnswer::Unreached) => self.shared.stage().gone(now, number),
+                    Err(NoAnswer::BrokenOff) => self.shared.stage().broken_off(now, number),
+                }
+                let reply = reply.unwrap_or(Reply::Failed);
                 if let Some(again) = self.clients.told(now, client, reply) {
                     self.at(again, What::Again(client));
                 }
@@ -484,9 +529,25 @@
             What::Calm(factor) => self.clients.quicken(1.0 / factor),
             What::Alone(server) => self.take(now, server, 0.0),
             What::OriginWell => self.shared.stage().origin.fail(None),
+            What::AnswersWhole => self.shared.stage().network.break_answers(Breaks::default()),
+            What::Rubbish(per_s, until) => self.rubbish(at, per_s, until),
             What::OriginQuick => self.shared.stage().origin.take(now, 0.0),
             What::Cool(part) => self.clients.heat(-part),
             What::Scanned(part) => self.clients.scan(-part),
+            What::Restart(node) => {
+                let its = &mut self.nodes[node as usize];
+                if its.child.is_some() {
+                    its.ending = true;
+                    its.signal(Signal::SIGTERM);
+                    let life = its.life;
+                    self.at(now + LEAVES.as_micros() as Micros, What::Leave(node, life));
+                }
+            }
+            What::Leave(node, life) => {
+                if self.nodes[node as usize].life == life {
+                    self.up.retain(|up| *up != node);
+                }
+            }
             What::Noticed(node, life) => {
                 let its = &self.nodes[node as usize];
                 if its.life == life && its.child.is_none() {
@@ -506,7 +567,7 @@
         let ended = self.ended.0.clone();
         if self.up.is_empty() {
             self.tries.spawn(async move {
-                let _ = ended.send(Input::Ended(id, number, Some(Reply::Failed))).await;
+                let _ = ended.send(Input::Ended(id, number, Some(Err(NoAnswer::Unreached)))).await;
             });
             return;
         }
@@ -530,10 +591,35 @@
         }
         let (command, until) = (command(&words), self.shared.instant(client.leaves));
         let connections = self.nodes[node as usize].clients.clone();
+        let shared = self.shared.clone();
+        self.tries.spawn(async move {
+            let asked = tokio::time::timeout_at(until, connections.ask(&command, shared.value())).await;
+            let _ = ended.send(Input::Ended(id, number, asked.ok())).await;
+        });
+    }
+
+    /// A peer that no node should be harmed by comes to one of them, and the next one some time later.
+    fn rubbish(&mut self, at: Micros, per_s: f64, until: Micros) {
+        let next = at + (1e6 / per_s) as Micros;
+        if next < until {
+            self.at(next, What::Rubbish(per_s, until));
+        }
+        if self.up.is_empty() {
+            return;
+        }
+        let node = self.up[self.faults.random_range(0..self.up.len())];
+        let address = self.nodes[node as usize].address();
+        let says = RUBBISH[self.faults.random_range(0..RUBBISH.len())];
         self.tries.spawn(async move {
-            let asked = tokio::time::timeout_at(until, connections.ask(&command)).await;
-            let reply = asked.ok().map(|reply| reply.unwrap_or(Reply::Failed));
-            let _ = ended.send(Input::Ended(id, number, reply)).await;
+            let peer = async {
+                let mut stream = TcpStream::connect(address).await?;
+                stream.write_all(says).await?;
+                // Until the node has had enough.
+                let mut answer = [0; 256];
+                while stream.read(&mut answer).await? > 0 {}
+                Ok::<_, std::io::Error>(())
+            };
+            let _ = tokio::time::timeout(RUDE, peer).await;
         });
     }
 
@@ -632,6 +718,25 @@
                     self.at(now + us(lasts), What::Continue(node));
                 }
             }
+            Event::RestartNodes { part, over, .. } => {
+                let numbers = (0..self.nodes.len() as u32).collect();
+                let some = self.shared.stage().some(numbers, part);
+                let count = some.len().max(1) as Micros;
+                for (i, node) in some.into_iter().enumerate() {
+                    self.at(now + us(over) * i as Micros / count, What::Restart(node));
+                }
+            }
+            Event::MoveList { .. } => {
+                // The new service's doors are there before any node is told, and the old ones stay, as good as down.
+                for number in 0..self.nodes.len() as u32 {
+                    let moved =
+                        self.open_list(number).and_then(|list| self.nodes[number as usize].move_list(list));
+                    if let Err(e) = moved {
+                        self.crashes.push(format!("the list of node {number} could not be moved: {e}"));
+                    }
+                }
+                self.shared.stage().move_list();
+            }
             Event::CutZone { zone, lasts, .. } => {
                 self.cut(zone, true);
                 self.at(now + us(lasts), What::Mend(zone));
@@ -655,6 +760,11 @@
                 self.shared.stage().origin.fail(Some((deployment::fault(how), part)));
                 self.at(now + us(lasts), What::OriginWell);
             }
+            Event::BreakAnswers { lost, spoilt, reset, lasts, .. } => {
+                self.shared.stage().network.break_answers(Breaks { lost, spoilt, reset });
+                self.at(now + us(lasts), What::AnswersWhole);
+            }
+            Event::Rubbish { per_s, lasts, .. } => self.at(now, What::Rubbish(per_s, now + us(lasts))),
             Event::OriginSlow { taken, lasts, .. } => {
                 self.shared.stage().origin.take(now, taken);
                 self.at(now + us(lasts), What::OriginQuick);
--- a/crates/lab/src/sockets/nodes.rs
+++ b/crates/lab/src/sockets/nodes.rs
@@ -124,6 +124,20 @@
         }
     }
 
+    /// Its list is at another address from now on: its configuration says so, and its process is told to read it again.
+    ///
+    /// # Errors
+    /// Where the configuration can't be read or written.
+    pub fn move_list(&mut self, list: SocketAddr) -> std::io::Result<()> {
+        self.list = list;
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&self.config)?)?;
+        config["discovery"] = json!(list);
+        // Whole at once: the process may read it at any time.
+        crate::report::write_whole(&self.config, config.to_string().as_bytes())?;
+        self.signal(Signal::SIGHUP);
+        Ok(())
+    }
+
     /// Sends its process a signal, if it has one.
     pub fn signal(&self, signal: Signal) {
         if let Some(pid) = self.child.as_ref().and_then(Child::id) {
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -6,7 +6,7 @@
 use rand::seq::SliceRandom;
 use spardeal_world::list::{Call, Condition, Line, List, NodeId, Told};
 use spardeal_world::machine::JobId;
-use spardeal_world::network::Zone;
+use spardeal_world::network::{Fate, Network, Zone};
 use spardeal_world::origin::{Answer as OriginAnswer, Origin, Taken as OriginTaken};
 use spardeal_world::rules::{Figures, Rules};
 use spardeal_world::server::{Answer, Ask, Cache, Taken};
@@ -38,8 +38,12 @@
     Busy,
     /// The origin failed, and may have run.
     Failed,
-    /// Its process has died.
+    /// Its process has died, or its connection is reset.
     Died,
+    /// Nothing, and the connection stays.
+    Nothing,
+    /// Rubbish.
+    Rubbish,
 }
 
 fn origin_says(answer: OriginAnswer) -> Said {
@@ -110,6 +114,8 @@
     pub servers: BTreeMap<Number, Server>,
     /// The origin.
     pub origin: Origin,
+    /// Which answers break; the ways themselves are between the doors.
+    pub network: Network,
     /// The list.
     pub list: List,
     /// The rules.
@@ -147,6 +153,7 @@
             }
         }
         Stage {
+            network: deployment::network(scenario),
             list: List::new(deployment::list(scenario), servers.keys().copied()),
             servers,
             origin: deployment::origin(scenario, now),
@@ -194,6 +201,13 @@
         self.forget(now, number);
     }
 
+    /// A try's connection was ended by its node without an answer.
+    pub fn broken_off(&mut self, now: Micros, number: u64) {
+        let Some(node) = self.end_try(now, number) else { return };
+        self.rules.broken_off(now, (node, number));
+        self.forget(now, number);
+    }
+
     fn end_try(&mut self, now: Micros, number: u64) -> Option<NodeId> {
         let ended = self.tries.get_mut(&number)?;
         ended.ended.get_or_insert(now);
@@ -312,6 +326,12 @@
         if let (Said::Miss, Some(server), Some(t)) = (said, server, self.tries.get_mut(&number)) {
             t.missed.push(server);
         }
+        let said = match self.network.fate(&mut self.work) {
+            Fate::Whole => said,
+            Fate::Lost => Said::Nothing,
+            Fate::Spoilt => Said::Rubbish,
+            Fate::Reset => Said::Died,
+        };
         // Nobody may wait for it any more.
         let _ = say.send(said);
         self.out(now, number, attempt, matches!(said, Said::Miss | Said::Busy));
@@ -412,6 +432,13 @@
         }
     }
 
+    /// The list service is reached elsewhere: what nodes hold of the old one's versions tells the new one nothing.
+    pub fn move_list(&mut self) {
+        for (node, told) in self.list.move_away() {
+            self.tell(node, told);
+        }
+    }
+
     /// The list service goes down or comes back.
     pub fn list_up(&mut self, now: Micros, up: bool) {
         for (node, told) in self.list.set_up(now, up) {
@@ -490,6 +517,11 @@
     /// A node was killed: what it had open is its clients' to ask again.
     pub fn killed(&mut self, now: Micros, node: NodeId) {
         self.rules.killed(node);
+        self.ended(now, node);
+    }
+
+    /// A node's process has ended by itself: what it still owes stays owed.
+    pub fn ended(&mut self, now: Micros, node: NodeId) {
         self.waiting.remove(&node);
         self.list.hang_up(node);
         for t in self.tries.values_mut().filter(|t| t.node == node) {
--- a/crates/lab/src/virtual_time.rs
+++ b/crates/lab/src/virtual_time.rs
@@ -12,7 +12,7 @@
 };
 use spardeal_world::list::{Call, Condition as Listed, Line, List, NodeId, Told};
 use spardeal_world::machine::JobId;
-use spardeal_world::network::{Network, Zone};
+use spardeal_world::network::{Breaks, Fate, Network, Zone};
 use spardeal_world::origin::{Answer as OriginAnswer, Origin, Taken as OriginTaken};
 use spardeal_world::rules::{Figures, Rules};
 use spardeal_world::server::{Answer, Ask, Cache, Taken};
@@ -21,7 +21,7 @@
 use crate::clients::{Clients, Part, Reply, spread};
 use crate::deployment::{self, MAX_ATTEMPTS, ORIGIN_SPREAD, outcome};
 use crate::report::{self, Counts, Report};
-use crate::scenario::{Event, Scenario};
+use crate::scenario::{Event, LEAVES, Scenario};
 use crate::us;
 
 /// The origin's id; cache servers count from 1.
@@ -30,6 +30,12 @@
 const BEGIN: Micros = 1_000_000_000;
 /// From a client to a node, one way.
 const CLIENT_WAY: Micros = 300;
+/// A node that was told to end and has not answered all by then is killed.
+const LONGEST_END: Micros = 10_000_000;
+/// Whether it has is looked at so often.
+const END_LOOK: Micros = 10_000;
+/// A process takes so long to start.
+const START: Micros = 50_000;
 /// After the last first try, the world goes on until all is answered, this long at most.
 const TAIL: Micros = 10_000_000;
 /// What is to happen.
@@ -80,10 +86,16 @@
     Alone(ServerId),
     /// The origin's calls do not fail any more; it has its cores again.
     OriginWell,
+    /// Answers come whole again.
+    AnswersWhole,
     OriginQuick,
     /// A part of the clients leaves the hot key, or stops going through all keys.
     Cool(f64),
     Scanned(f64),
+    /// A node is told to end, the front leaves it, and it ends once it has answered all.
+    Restart(NodeId),
+    Leave(NodeId, u32),
+    EndNode(NodeId, u32, Micros),
     /// The front notices that a node has died, in one of its lives.
     Noticed(NodeId, u32),
 }
@@ -324,12 +336,33 @@
             What::Calm(factor) => self.clients.quicken(1.0 / factor),
             What::Alone(server) => self.take(server, 0.0),
             What::OriginWell => self.origin.fail(None),
+            What::AnswersWhole => self.network.break_answers(Breaks::default()),
             What::OriginQuick => {
                 self.origin.take(self.now, 0.0);
                 self.origin_again();
             }
             What::Cool(part) => self.clients.heat(-part),
             What::Scanned(part) => self.clients.scan(-part),
+            What::Restart(node) => {
+                let life = self.nodes[node as usize].life;
+                if self.nodes[node as usize].up {
+                    self.at(self.now + LEAVES.as_micros() as Micros, What::Leave(node, life));
+                }
+            }
+            What::Leave(node, life) if self.lives(node, life) => {
+                self.up.retain(|up| *up != node);
+                self.happen(What::EndNode(node, life, self.now));
+            }
+            What::EndNode(node, life, since) if self.lives(node, life) => {
+                // A platform kills what does not end.
+                if self.nodes[node as usize].open.is_empty() || self.now > since + LONGEST_END {
+                    self.kill_node(node);
+                    self.at(self.now + START, What::Back(node));
+                } else {
+                    self.at(self.now + END_LOOK, What::EndNode(node, life, since));
+                }
+            }
+            What::Leave(..) | What::EndNode(..) => {}
             What::Noticed(node, life) => {
                 let its = &self.nodes[node as usize];
                 if !its.up && its.life == life {
@@ -585,8 +618,14 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let (zone, server) = (self.nodes[job.node as usize].zone, job.server);
         let there = self.servers.get(&server).map_or(zone, |server| server.zone);
+        let fate = self.network.fate(&mut self.ways);
         if let Some(way) = self.network.carry(there, zone, &mut self.ways) {
-            self.at(self.now + way, What::Answer(id, status));
+            match fate {
+                Fate::Lost => {}
+                Fate::Whole => self.at(self.now + way, What::Answer(id, status)),
+                // A node ends a connection that brings rubbish, which is the same to its module.
+                Fate::Spoilt | Fate::Reset => self.at(self.now + way, What::Answer(id, Status::Reset)),
+            }
         }
     }
 
@@ -783,6 +822,19 @@
                     self.at(self.now + us(lasts), What::Continue(node));
                 }
             }
+            Event::RestartNodes { part, over, .. } => {
+                let nodes = self.some_nodes(part);
+                let count = nodes.len().max(1) as Micros;
+                for (i, node) in nodes.into_iter().enumerate() {
+                    self.at(self.now + us(over) * i as Micros / count, What::Restart(node));
+                }
+            }
+            Event::MoveList { .. } => {
+                self.nodes.iter_mut().for_each(|node| node.version = 0);
+                for (node, told) in self.list.move_away() {
+                    self.list_told(self.now, node, told);
+                }
+            }
             Event::CutZone { zone, lasts, .. } => {
                 self.network.isolate(zone, self.scenario.zones, true);
                 self.at(self.now + us(lasts), What::Mend(zone));
@@ -807,6 +859,12 @@
                 self.origin.fail(Some((deployment::fault(how), part)));
                 self.at(self.now + us(lasts), What::OriginWell);
             }
+            Event::BreakAnswers { lost, spoilt, reset, lasts, .. } => {
+                self.network.break_answers(Breaks { lost, spoilt, reset });
+                self.at(self.now + us(lasts), What::AnswersWhole);
+            }
+            // What is no command never reaches a module.
+            Event::Rubbish { .. } => {}
             Event::OriginSlow { taken, lasts, .. } => {
                 self.origin.take(self.now, taken);
                 self.origin_again();
--- a/crates/lab/tests/plays.rs
+++ b/crates/lab/tests/plays.rs
@@ -130,7 +130,11 @@
     assert!(sum(&fails, |w| w.failed) > 0 && sum(&quiet, |w| w.failed) == 0, "{fails}");
     let slow = with(Event::OriginSlow { at, taken: 0.99, lasts });
     let stopped = with(Event::StopNodes { at, part: 0.5, lasts });
-    for report in [&fails, &slow, &stopped] {
+    let broken = with(Event::BreakAnswers { at, lost: 0.1, spoilt: 0.1, reset: 0.2, lasts });
+    let restarted = with(Event::RestartNodes { at, part: 1.0, over: lasts });
+    let moved = with(Event::MoveList { at });
+    assert!(restarted.kept() && moved.kept() && restarted.service > 0.9, "{restarted}{moved}");
+    for report in [&fails, &slow, &stopped, &broken] {
         assert!(report.service < quiet.service && report.kept(), "{report}");
     }
     assert!(sum(&stopped, |w| w.timed_out) > sum(&quiet, |w| w.timed_out), "{stopped}");
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -85,12 +85,13 @@
 }
 
 #[test]
-fn servers_replaced_and_lost_a_zone_cut_and_the_list_down_break_no_rule() {
+fn servers_replaced_and_lost_a_zone_cut_and_the_list_down_and_moved_break_no_rule() {
     let mut scenario = small();
     scenario.event = vec![
         Event::Replace { at: ms(300), part: 0.5, over: ms(500), drain: ms(500) },
         Event::CutZone { at: ms(1_000), zone: 1, lasts: ms(500) },
         Event::ListDown { at: ms(1_200), lasts: ms(500) },
+        Event::MoveList { at: ms(1_900) },
         Event::LoseServers { at: ms(2_000), part: 0.3, back: ms(300) },
     ];
     let (_folder, report) = played(&scenario, std::future::pending());
@@ -148,6 +149,42 @@
     assert!(told.contains("does not start: spardeal-node: the settings name no class"), "{told}");
 }
 
+#[test]
+fn lost_spoilt_and_reset_answers_and_rubbish_peers_serve_no_client_anything_else() {
+    let mut scenario = small();
+    for class in &mut scenario.class {
+        (class.aim, class.deadline, class.share) = (ms(1_500), ms(2_000), 0.5);
+    }
+    scenario.event = vec![
+        Event::BreakAnswers { at: ms(200), lost: 0.05, spoilt: 0.1, reset: 0.1, lasts: ms(2_300) },
+        Event::Rubbish { at: ms(200), per_s: 40.0, lasts: ms(2_300) },
+    ];
+    let (_folder, report) = played(&scenario, std::future::pending());
+    let report = report.unwrap();
+    each_has_one_end(&report);
+    assert!(report.kept() && report.service > 0.3, "{report}");
+    assert!(sum(&report, |w| w.failed) > 0, "a write whose answer broke may have run: {report}");
+}
+
+#[test]
+fn nodes_restarted_one_after_another_under_load_lose_nothing_and_are_back() {
+    let mut scenario = small();
+    scenario.load.retries = 0;
+    scenario.event = vec![
+        Event::RestartNodes { at: ms(300), part: 1.0, over: ms(1_500) },
+        Event::MoveList { at: ms(2_500) },
+    ];
+    let (folder, report) = played(&scenario, std::future::pending());
+    let report = report.unwrap();
+    each_has_one_end(&report);
+    assert!(report.kept() && report.service > 0.5, "{report}");
+    for node in 0..3 {
+        let log = std::fs::read_to_string(folder.path().join(format!("n{node}.log"))).unwrap();
+        assert_eq!(log.matches("listening on").count(), 2, "node {node}: {log}");
+        assert!(log.contains("discovery is at"), "node {node}: {log}");
+    }
+}
+
 /// A far end that says back all it is told.
 async fn echo() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/world/src/list.rs
+++ b/crates/world/src/list.rs
@@ -203,15 +203,17 @@
         Told::Lines { version, whole: false, lines }
     }
 
+    /// The service is reached elsewhere from now on: all watches and calls end.
+    pub fn move_away(&mut self) -> Vec<(NodeId, Told)> {
+        let watching = std::mem::take(&mut self.watches).into_keys();
+        let waiting = std::mem::take(&mut self.queue).into_iter().map(|(_, node, _)| node);
+        watching.chain(waiting).map(|node| (node, Told::Failed)).collect()
+    }
+
     /// The service goes down, which ends all watches and calls, or comes back.
     pub fn set_up(&mut self, now: Micros, up: bool) -> Vec<(NodeId, Told)> {
         self.up = up;
         self.busy = self.busy.max(now);
-        if up {
-            return Vec::new();
-        }
-        let watching = std::mem::take(&mut self.watches).into_keys();
-        let waiting = std::mem::take(&mut self.queue).into_iter().map(|(_, node, _)| node);
-        watching.chain(waiting).map(|node| (node, Told::Failed)).collect()
+        if up { Vec::new() } else { self.move_away() }
     }
 }
--- a/crates/world/src/network.rs
+++ b/crates/world/src/network.rs
@@ -29,10 +29,35 @@
     }
 }
 
+/// Parts of the answers that do not come as they were sent. What is left of 1 comes whole.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Breaks {
+    /// Nothing comes, and the connection stays.
+    pub lost: f64,
+    /// Something else comes than was sent.
+    pub spoilt: f64,
+    /// The connection is reset instead.
+    pub reset: f64,
+}
+
+/// What becomes of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It comes as it was sent.
+    Whole,
+    /// Nothing comes, and the connection stays.
+    Lost,
+    /// Something else comes than was sent.
+    Spoilt,
+    /// The connection is reset instead.
+    Reset,
+}
+
 /// The network.
 #[derive(Debug, Clone, Default)]
 pub struct Network {
     spec: Spec,
+    breaks: Breaks,
     /// Ways that are cut, each in one direction.
     cut: BTreeSet<(Zone, Zone)>,
 }
@@ -40,7 +65,7 @@
 impl Network {
     /// One without cuts.
     pub fn new(spec: Spec) -> Self {
-        Network { spec, cut: BTreeSet::new() }
+        Network { spec, breaks: Breaks::default(), cut: BTreeSet::new() }
     }
 
     /// Cuts or mends the way from one zone to another, in that direction only.
@@ -65,6 +90,22 @@
         !self.cut.contains(&(from, to))
     }
 
+    /// From now on these parts of the answers break.
+    pub fn break_answers(&mut self, breaks: Breaks) {
+        self.breaks = breaks;
+    }
+
+    /// What becomes of an answer.
+    pub fn fate(&self, chance: &mut Chance) -> Fate {
+        let Breaks { lost, spoilt, reset } = self.breaks;
+        match chance.random::<f64>() {
+            draw if draw < lost => Fate::Lost,
+            draw if draw < lost + spoilt => Fate::Spoilt,
+            draw if draw < lost + spoilt + reset => Fate::Reset,
+            _ => Fate::Whole,
+        }
+    }
+
     /// How long a message takes, `None` where it never comes.
     pub fn carry(&self, from: Zone, to: Zone, chance: &mut Chance) -> Option<Micros> {
         let base = if from == to { self.spec.same } else { self.spec.cross };
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -189,6 +189,14 @@
         }
     }
 
+    /// A node ended a request's connection without a whole answer, and was not killed.
+    pub fn broken_off(&mut self, now: Micros, request: Request) {
+        if let Some(owed) = self.owed.get_mut(&request).filter(|owed| !owed.ended) {
+            owed.ended = true;
+            self.broken(now, Broken::Lost(request));
+        }
+    }
+
     /// Nothing is owed for a request any more: its client has gone.
     pub fn client_gone(&mut self, request: Request) {
         if let Some(owed) = self.owed.get_mut(&request) {
--- a/crates/world/tests/rules.rs
+++ b/crates/world/tests/rules.rs
@@ -35,6 +35,21 @@
     assert_eq!(broken(&killed), [], "its client asks again");
 }
 
+#[test]
+fn a_request_whose_node_breaks_it_off_is_lost_at_once_and_only_once() {
+    let mut all = rules();
+    all.taken(R, SECOND, Effect::Pure);
+    all.broken_off(10, R);
+    all.broken_off(20, R);
+    all.end(2 * SECOND);
+    assert_eq!(broken(&all), [Broken::Lost(R)]);
+    let mut answered = rules();
+    answered.taken(R, SECOND, Effect::Pure);
+    answered.answered(10, R, false);
+    answered.broken_off(20, R);
+    assert_eq!(broken(&answered), [], "what it answered is not lost");
+}
+
 #[test]
 fn a_send_after_the_end_is_reported() {
     let mut all = rules();
