Share one queue of events between the lab's two drivers

Need: both drivers had the same ordered entries and the same pushes and pops, found by a search for repeated code.

Change: crates/lab/src/queue.rs owns order and numbering; behaviour is unchanged.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod page;
 pub mod program;
+mod queue;
 pub mod report;
 pub mod scenario;
 pub mod sockets;
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -12,8 +12,6 @@
 pub mod nodes;
 pub mod stage;
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -32,6 +30,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clients::{Clients, Part, Reply};
+use crate::queue::Queue;
 use crate::report::{self, Counts, Report};
 use crate::scenario::{Event, LEAVES, Scenario};
 use crate::{deployment, us};
@@ -132,28 +131,6 @@
     Leave(u32, u32),
 }
 
-struct Entry(Micros, u64, What);
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Entry {}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// What tasks tell the driver.
 enum Input {
     /// A try has ended: the client, the try's number, and how; `None` where the client's time was up.
@@ -167,8 +144,7 @@
     options: &'a Options<'a>,
     shared: Arc<Shared>,
     begin: Micros,
-    queue: BinaryHeap<Reverse<Entry>>,
-    entered: u64,
+    queue: Queue<What>,
     clients: Clients<'a>,
     nodes: Vec<Node>,
     up: Vec<u32>,
@@ -255,8 +231,7 @@
         }
         let mut driver = Driver {
             begin: now,
-            queue: BinaryHeap::new(),
-            entered: 0,
+            queue: Queue::new(),
             clients: Clients::new(scenario, seed, now),
             nodes,
             up: Vec::new(),
@@ -360,8 +335,7 @@
     }
 
     fn at(&mut self, at: Micros, what: What) {
-        self.entered += 1;
-        self.queue.push(Reverse(Entry(at, self.entered, what)));
+        self.queue.push(at, what);
     }
 
     /// Until all clients have ended.
@@ -371,17 +345,17 @@
         let mut before = Counts::default();
         loop {
             let now = self.shared.now();
-            let asks = self.queue.iter().any(|Reverse(entry)| matches!(entry.2, What::Ask));
+            let asks = self.queue.holds(|what| matches!(what, What::Ask));
             if now > last + TAIL || (!asks && now > last && self.clients.left() == 0) {
                 return;
             }
-            let due = self.queue.peek().map_or(last + TAIL, |Reverse(entry)| entry.0);
+            let due = self.queue.due().unwrap_or(last + TAIL);
             let due = self.shared.instant(due);
             tokio::select! {
                 () = tokio::time::sleep_until(due) => {
                     let now = self.shared.now();
-                    while self.queue.peek().is_some_and(|Reverse(entry)| entry.0 <= now) {
-                        if let Some(Reverse(Entry(at, _, what))) = self.queue.pop() {
+                    while self.queue.due().is_some_and(|due| due <= now) {
+                        if let Some((at, what)) = self.queue.pop() {
                             self.happen(at, what).await;
                         }
                     }
@@ -819,7 +793,7 @@
         let broken_in_all = in_all + self.crashes.len();
         broken.append(&mut self.crashes);
         let servers = self.scenario.kind.iter().map(|kind| kind.servers).sum();
-        let (nodes, events) = (self.scenario.nodes, self.entered);
+        let (nodes, events) = (self.scenario.nodes, self.queue.entered());
         let load = std::mem::take(&mut stage.load);
         Report { seed, nodes, servers, service, classes, windows, load, events, broken, broken_in_all }
     }
--- a/crates/lab/src/virtual_time.rs
+++ b/crates/lab/src/virtual_time.rs
@@ -1,8 +1,7 @@
 //! The driver in virtual time: a queue of events, the decision module of each node, and the world's parts. The clock
 //! jumps from event to event; of two at one time the one asked for first comes first.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 
 use rand::Rng;
 use rand::seq::SliceRandom;
@@ -20,6 +19,7 @@
 
 use crate::clients::{Clients, Part, Reply, spread};
 use crate::deployment::{self, MAX_ATTEMPTS, ORIGIN_SPREAD, outcome};
+use crate::queue::Queue;
 use crate::report::{self, Counts, Report};
 use crate::scenario::{Event, LEAVES, Scenario};
 use crate::us;
@@ -100,28 +100,6 @@
     Noticed(NodeId, u32),
 }
 
-struct Entry(Micros, u64, What);
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Entry {}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 struct Open {
     client: u64,
     ends: Micros,
@@ -166,8 +144,7 @@
     scenario: &'a Scenario,
     now: Micros,
     ends: Micros,
-    asked: u64,
-    queue: BinaryHeap<Reverse<Entry>>,
+    queue: Queue<What>,
     clients: Clients<'a>,
     nodes: Vec<Node>,
     /// Nodes that are up, among which the front deals tries out.
@@ -197,7 +174,7 @@
 pub fn play(scenario: &Scenario, seed: u64) -> Report {
     let mut world = World::new(scenario, seed);
     world.begin();
-    while let Some(Reverse(Entry(at, _, what))) = world.queue.pop() {
+    while let Some((at, what)) = world.queue.pop() {
         if at > world.ends + TAIL {
             break;
         }
@@ -222,8 +199,7 @@
         World {
             now: BEGIN,
             ends: BEGIN + us(scenario.length),
-            asked: 0,
-            queue: BinaryHeap::new(),
+            queue: Queue::new(),
             clients: Clients::new(scenario, seed, BEGIN),
             nodes: Vec::new(),
             up: (0..scenario.nodes).collect(),
@@ -287,9 +263,7 @@
     }
 
     fn at(&mut self, at: Micros, what: What) {
-        let number = self.asked;
-        self.asked += 1;
-        self.queue.push(Reverse(Entry(at.max(self.now), number, what)));
+        self.queue.push(at.max(self.now), what);
     }
 
     fn happen(&mut self, what: What) {
