Mend what a second reading of the lab found: mixed scenarios, masked sends, nodes back twice

Found by reading: two scenarios of one file name in an experiment were played as the first of them; a commit's build with a relative folder looked for its program in the wrong place; on sockets a send within 50 ms after a request's end was kept from all rules, also from the one on running twice; two faults could bring a node back twice, which in virtual time threw its open requests away; after a move the list's old doors went on taking calls; `--node` and `--logs` without `--sockets` did nothing; a node that ends at its start was waited for 15 s.

Change: each is refused, told or mended.

Node and module unchanged.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -199,9 +199,7 @@
         Order::Standing { root, journal } => standing(root, journal),
         Order::Margins { plays, table } => measure(&plays, table),
         Order::Demo { seed, sockets } => demo(seed, &sockets),
-        Order::Lab(Lab::Run { file, seed, json, sockets, with }) => {
-            run(&file, seed, json, sockets.then_some(with))
-        }
+        Order::Lab(Lab::Run { file, seed, json, sockets, with }) => run(&file, seed, json, sockets, &with),
         Order::Lab(Lab::Experiment { file, out, threads }) => experiment(&file, &out, threads),
         Order::Lab(Lab::Report { folder }) => report(&folder),
         Order::Lab(Lab::Load(arguments)) => load(&arguments),
@@ -247,12 +245,15 @@
     }
 }
 
-fn run(file: &Path, seed: Option<u64>, json: Option<PathBuf>, sockets: Option<Sockets>) -> Held {
+fn run(file: &Path, seed: Option<u64>, json: Option<PathBuf>, sockets: bool, with: &Sockets) -> Held {
     let scenario = Scenario::read(file)?;
+    if !sockets && (with.node.is_some() || with.logs.is_some()) {
+        return Err("--node and --logs go with --sockets".into());
+    }
     let seed = seed.unwrap_or(scenario.seed);
     let report = match sockets {
-        Some(with) => on_sockets(&scenario, seed, &with)?,
-        None => virtual_time::play(&scenario, seed),
+        true => on_sockets(&scenario, seed, with)?,
+        false => virtual_time::play(&scenario, seed),
     };
     print!("{report}");
     if let Some(path) = json {
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -49,6 +49,7 @@
         (&["demo", "--node", "/nowhere/spardeal-node"], "no program at /nowhere/spardeal-node"),
         (&["lab", "experiment", "/nowhere.toml"], "--out <DIR>"),
         (&["lab", "experiment", "/nowhere.toml", "--out", "/nowhere"], "cannot read /nowhere.toml"),
+        (&["lab", "run", "../lab/scenarios/calm.toml", "--logs", "x"], "--node and --logs go with --sockets"),
         (&["lab", "report", "/nowhere"], "/nowhere/experiment.json: No such file"),
         (&["lab", "load", "--rate", "0"], "write a number of requests a second, 1 to 1000000"),
         (&["lab", "load", "--lasts", "5"], "--lasts"),
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -123,9 +123,10 @@
     Network::new(NetworkSpec { same, cross, jitter: network.jitter, lost: network.lost })
 }
 
-/// The rules.
-pub fn rules(scenario: &Scenario) -> Rules {
-    Rules::new(Figures { drain_grace: us(scenario.rules.drain_grace), ..Figures::default() })
+/// The rules, with what a driver forgives of sends that come after a request's end.
+pub fn rules(scenario: &Scenario, sent_grace: Micros) -> Rules {
+    let drain_grace = us(scenario.rules.drain_grace);
+    Rules::new(Figures { drain_grace, sent_grace, ..Figures::default() })
 }
 
 /// What running twice does to requests of a class.
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -132,6 +132,19 @@
         if plays > MOST {
             return wrong("seeds".into(), format!("{plays} plays in all: write at most {MOST}"));
         }
+        // Plays are told apart by the scenario's name and the seed.
+        let mut stems = BTreeSet::new();
+        for (i, path) in self.scenarios.iter().enumerate() {
+            let stem = path.file_stem().unwrap_or_default();
+            if !stems.insert(stem) {
+                let what = format!("there are two of the name {stem:?}: rename one");
+                return wrong(format!("scenarios.{i}"), what);
+            }
+        }
+        let mut seeds = BTreeSet::new();
+        if let Some(twice) = self.seeds.iter().find(|seed| !seeds.insert(**seed)) {
+            return wrong("seeds".into(), format!("found {twice} twice: write each once"));
+        }
         let mut names = BTreeSet::new();
         for (i, variant) in self.variant.iter().enumerate() {
             let key = |name: &str| format!("variant.{i}.{name}");
@@ -194,12 +207,14 @@
         .args(["rev-parse", "--verify", "--quiet", "--end-of-options"])
         .arg(format!("{commit}^{{commit}}")))?;
     let name = String::from_utf8_lossy(&name).trim().to_string();
+    // Cargo runs in the work tree: what is relative to this folder is not to that.
+    let folder = folder.canonicalize().map_err(|e| failed(e.to_string()))?;
     let program = folder.join("builds").join(format!("{name}-spardeal-node"));
     if program.is_file() {
         return Ok(program);
     }
     let tree = folder.join("builds").join(&name);
-    std::fs::create_dir_all(tree.parent().unwrap_or(folder)).map_err(|e| failed(e.to_string()))?;
+    std::fs::create_dir_all(tree.parent().unwrap_or(&folder)).map_err(|e| failed(e.to_string()))?;
     // What an interrupted build has left is no work tree that could be trusted.
     let _ = std::fs::remove_dir_all(&tree);
     run(Command::new("git").args(["worktree", "prune"]))?;
@@ -234,7 +249,7 @@
         let Play { scenario, seed, variant } = self;
         // Names may hold what no file's name may.
         let clean = |name: &str| name.replace(|c: char| !c.is_ascii_alphanumeric() && c != '-', "_");
-        let hash = xxh3_64(variant.as_bytes()) as u16;
+        let hash = xxh3_64(format!("{scenario}\n{variant}").as_bytes()) as u16;
         folder.join(format!("{}-{seed}-{}-{hash:04x}.json", clean(scenario), clean(variant)))
     }
 }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -26,7 +26,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clients::{Clients, Part, Reply};
@@ -46,6 +46,8 @@
 const TAIL: Micros = 10_000_000;
 /// A node that was told to end has this long.
 const ENDS: Duration = Duration::from_secs(12);
+/// Whether a node has ended while it starts is looked at so often.
+const START_LOOK: Duration = Duration::from_millis(50);
 /// Progress is shown, and what is over forgotten, so often.
 const LOOK: Duration = Duration::from_millis(500);
 /// What peers say that are no clients: nothing, another protocol, half a command, a length that nobody has.
@@ -152,6 +154,8 @@
     ways: Vec<Vec<Link>>,
     /// The servers' and the service's doors; they end with the driver.
     doors: JoinSet<()>,
+    /// Those of the list service among them.
+    lists: Vec<AbortHandle>,
     tries: JoinSet<()>,
     next_try: u64,
     ended: (mpsc::Sender<Input>, mpsc::Receiver<Input>),
@@ -166,8 +170,7 @@
 /// or when it is dropped.
 ///
 /// # Errors
-/// Where the scenario is too large, a node does not start, the system refuses a socket or
-/// process, or `stop` ended first.
+/// Where the scenario is too large, a node does not start, the system refuses a socket or process, or `stop` ended first.
 pub async fn play(
     scenario: &Scenario,
     seed: u64,
@@ -199,12 +202,12 @@
     shared: &Arc<Shared>,
     scenario: &Scenario,
     number: u32,
-) -> std::io::Result<SocketAddr> {
+) -> std::io::Result<(SocketAddr, AbortHandle)> {
     let listener = link::listen(address(3, number))?;
     let list = listener.local_addr()?;
     let serve = doors::list(shared.clone(), listener, number, deployment::zone(scenario, number));
-    doors.spawn(async move { drop(serve.await) });
-    Ok(list)
+    let door = doors.spawn(async move { drop(serve.await) });
+    Ok((list, door))
 }
 
 impl<'a> Driver<'a> {
@@ -224,9 +227,10 @@
         let (tick, fetch) = (doors::tick(shared.clone()), doors::origin(shared.clone(), origin));
         doors.spawn(tick);
         doors.spawn(async move { drop(fetch.await) });
-        let mut nodes = Vec::new();
+        let (mut nodes, mut lists) = (Vec::new(), Vec::new());
         for number in 0..scenario.nodes {
-            let list = open_list(&mut doors, &shared, scenario, number).map_err(port)?;
+            let (list, door) = open_list(&mut doors, &shared, scenario, number).map_err(port)?;
+            lists.push(door);
             nodes.push(Node::new(number, list, options.folder).map_err(port)?);
         }
         let mut driver = Driver {
@@ -237,6 +241,7 @@
             up: Vec::new(),
             ways: (0..scenario.zones).map(|_| Vec::new()).collect(),
             doors,
+            lists,
             tries: JoinSet::new(),
             next_try: 1,
             ended: mpsc::channel(ENDED),
@@ -258,7 +263,9 @@
 
     /// Opens another door of the list service for a node.
     fn open_list(&mut self, number: u32) -> std::io::Result<SocketAddr> {
-        open_list(&mut self.doors, &self.shared, self.scenario, number)
+        let (list, door) = open_list(&mut self.doors, &self.shared, self.scenario, number)?;
+        self.lists.push(door);
+        Ok(list)
     }
 
     /// Opens a server's door, and a way to it from each zone.
@@ -288,12 +295,21 @@
         for number in 0..self.scenario.nodes {
             self.start_node(number).map_err(|e| SocketError::System("cannot start a node", e))?;
         }
+        let mut look = tokio::time::interval(START_LOOK);
         while self.up.len() < self.nodes.len() {
-            if let Some(Input::Ready(node, _, ready)) = self.ended.1.recv().await {
-                if !ready {
-                    return Err(self.nodes[node as usize].refusal());
+            tokio::select! {
+                Some(input) = self.ended.1.recv() => if let Input::Ready(node, _, ready) = input {
+                    if !ready {
+                        return Err(self.nodes[node as usize].refusal());
+                    }
+                    self.up.push(node);
+                },
+                // One that ends at once has said why.
+                _ = look.tick() => {
+                    if let Some(node) = self.nodes.iter_mut().find_map(|n| n.ended().map(|_| n.refusal())) {
+                        return Err(node);
+                    }
                 }
-                self.up.push(node);
             }
         }
         // In the order of their numbers, so that the front's chance means the same nodes in each play.
@@ -483,6 +499,8 @@
                 self.notice(now, server, Condition::Active, now);
             }
             What::Known(line) => self.shared.stage().become_known(now, line),
+            // Two faults may each bring it back.
+            What::Back(node) if self.nodes[node as usize].child.is_some() => {}
             What::Back(node) => {
                 if let Err(e) = self.start_node(node) {
                     self.crashes.push(format!("node {node} could not be started again: {e}"));
@@ -701,7 +719,8 @@
                 }
             }
             Event::MoveList { .. } => {
-                // The new service's doors are there before any node is told, and the old ones stay, as good as down.
+                // The new service's doors are there before any node is told; nothing new is taken at the old ones.
+                let old = std::mem::take(&mut self.lists);
                 for number in 0..self.nodes.len() as u32 {
                     let moved =
                         self.open_list(number).and_then(|list| self.nodes[number as usize].move_list(list));
@@ -709,6 +728,7 @@
                         self.crashes.push(format!("the list of node {number} could not be moved: {e}"));
                     }
                 }
+                old.into_iter().for_each(|door| door.abort());
                 self.shared.stage().move_list();
             }
             Event::CutZone { zone, lasts, .. } => {
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/lab/src/sockets/stage.rs
@@ -55,9 +55,6 @@
     }
 }
 
-/// What a node is told by the list service: text to write, and after it the lines that it holds.
-pub type News = Told;
-
 /// A cache server.
 pub struct Server {
     /// The world's part of it.
@@ -124,7 +121,7 @@
     jobs: BTreeMap<JobId, (Option<Number>, Job)>,
     next_job: JobId,
     /// Who waits for the list service.
-    waiting: BTreeMap<NodeId, mpsc::Sender<News>>,
+    waiting: BTreeMap<NodeId, mpsc::Sender<Told>>,
     /// What each node holds of the list, as far as it was written to it, and the version.
     held: BTreeMap<NodeId, (u64, BTreeMap<Number, Line>)>,
     /// When each start became known.
@@ -157,7 +154,7 @@
             list: List::new(deployment::list(scenario), servers.keys().copied()),
             servers,
             origin: deployment::origin(scenario, now),
-            rules: deployment::rules(scenario),
+            rules: deployment::rules(scenario, SLACK),
             tries: BTreeMap::new(),
             jobs: BTreeMap::new(),
             next_job: 0,
@@ -197,7 +194,7 @@
     /// Nothing is owed for a try any more: its client has gone, or its node was killed.
     pub fn gone(&mut self, now: Micros, number: u64) {
         let Some(node) = self.end_try(now, number) else { return };
-        self.rules.client_gone((node, number));
+        self.rules.client_gone(now, (node, number));
         self.forget(now, number);
     }
 
@@ -296,9 +293,7 @@
                 sent = sent.min(t.begun.max(*cut));
             }
         }
-        if t.ended.is_none_or(|ended| sent > ended + SLACK) {
-            self.rules.sent(sent, (t.node, number), attempt, server);
-        }
+        self.rules.sent(sent, (t.node, number), attempt, server);
         Some((t.node, attempt))
     }
 
@@ -363,7 +358,7 @@
     // The list.
 
     /// A node calls the list service; what it is told comes through the channel, which ends with the call or watch.
-    pub fn call(&mut self, now: Micros, node: NodeId, call: Call) -> Option<mpsc::Receiver<News>> {
+    pub fn call(&mut self, now: Micros, node: NodeId, call: Call) -> Option<mpsc::Receiver<Told>> {
         if self.list.call(now, node, call).is_some() {
             return None;
         }
--- a/crates/lab/src/virtual_time.rs
+++ b/crates/lab/src/virtual_time.rs
@@ -208,7 +208,7 @@
             origin: deployment::origin(scenario, BEGIN),
             origin_due: 0,
             network: deployment::network(scenario),
-            rules: deployment::rules(scenario),
+            rules: deployment::rules(scenario, 0),
             jobs: BTreeMap::new(),
             by_attempt: BTreeMap::new(),
             next_job: 0,
@@ -401,7 +401,7 @@
 
     fn deadline(&mut self, id: u64) {
         let Some((node, request)) = self.clients.time_up(id) else { return };
-        self.rules.client_gone((node, request));
+        self.rules.client_gone(self.now, (node, request));
         // It has waited to the end and is owed nothing more: the node hears that it has gone.
         if let Some(open) = self.nodes[node as usize].open.get_mut(&request)
             && !open.over
@@ -931,6 +931,10 @@
     }
 
     fn node_back(&mut self, id: NodeId) {
+        // Two faults may each bring it back.
+        if self.nodes[id as usize].up {
+            return;
+        }
         let policy = Policy::new(deployment::settings(self.scenario, id), self.seeds.random());
         let node = &mut self.nodes[id as usize];
         (node.policy, node.up, node.next) = (policy, true, 1);
--- a/crates/lab/tests/experiments.rs
+++ b/crates/lab/tests/experiments.rs
@@ -115,6 +115,8 @@
         ("\"90ms\"", "90", "variant b <slow>: --set origin.work: origin.work: found"),
         ("origin.work", "origin.wokr", "there is no such key"),
         ("quiet.toml", "none.toml", "cannot read"),
+        ("quiet.toml", "x/calm.toml", "there are two of the name \"calm\": rename one"),
+        ("seeds = [1, 2]", "seeds = [1, 1]", "seeds: found 1 twice: write each once"),
         ("seeds = [1, 2]", "seeds = [1, 2", "not TOML"),
     ] {
         fs::write(&path, good.replace(from, to)).unwrap();
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -28,6 +28,8 @@
 pub struct Figures {
     /// Past a request's deadline its answer still counts for so long.
     pub answer_grace: Micros,
+    /// Past a request's end what was sent before it may still come for so long.
+    pub sent_grace: Micros,
     /// Sends to a server end within this time of the news that it drains or is gone.
     pub drain_grace: Micros,
     /// News counts as told this long after it was known, heard of or not.
@@ -38,7 +40,13 @@
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures { answer_grace: 70_000, drain_grace: 550_000, told_after: 6_000_000, fall_knew: 2.0 / 3.0 }
+        Figures {
+            answer_grace: 70_000,
+            sent_grace: 0,
+            drain_grace: 550_000,
+            told_after: 6_000_000,
+            fall_knew: 2.0 / 3.0,
+        }
     }
 }
 
@@ -102,7 +110,7 @@
 struct Owed {
     deadline: Micros,
     effect: Effect,
-    ended: bool,
+    ended: Option<Micros>,
     /// Attempts that run or may have run, and when each was sent.
     may_have_run: BTreeMap<u16, Micros>,
 }
@@ -136,7 +144,7 @@
 
     /// A node has taken a request whose client waits until a deadline.
     pub fn taken(&mut self, request: Request, deadline: Micros, effect: Effect) {
-        let owed = Owed { deadline, effect, ended: false, may_have_run: BTreeMap::new() };
+        let owed = Owed { deadline, effect, ended: None, may_have_run: BTreeMap::new() };
         self.owed.insert(request, owed);
     }
 
@@ -159,7 +167,7 @@
             (Effect::Keyed(window), Some(first)) => now > first + window,
             (Effect::Once, Some(_)) => true,
         };
-        let ended = owed.ended;
+        let ended = owed.ended.is_some_and(|ended| now >= ended + self.figures.sent_grace);
         if twice {
             self.broken(now, Broken::Twice(request));
         }
@@ -177,8 +185,8 @@
 
     /// A node gives its final answer; whether it is a refusal.
     pub fn answered(&mut self, now: Micros, request: Request, refused: bool) {
-        let Some(owed) = self.owed.get_mut(&request).filter(|owed| !owed.ended) else { return };
-        owed.ended = true;
+        let Some(owed) = self.owed.get_mut(&request).filter(|owed| owed.ended.is_none()) else { return };
+        owed.ended = Some(now);
         let late = now > owed.deadline + self.figures.answer_grace;
         let run = refused && owed.effect == Effect::Once && !owed.may_have_run.is_empty();
         if late {
@@ -191,22 +199,22 @@
 
     /// A node ended a request's connection without a whole answer, and was not killed.
     pub fn broken_off(&mut self, now: Micros, request: Request) {
-        if let Some(owed) = self.owed.get_mut(&request).filter(|owed| !owed.ended) {
-            owed.ended = true;
+        if let Some(owed) = self.owed.get_mut(&request).filter(|owed| owed.ended.is_none()) {
+            owed.ended = Some(now);
             self.broken(now, Broken::Lost(request));
         }
     }
 
     /// Nothing is owed for a request any more: its client has gone.
-    pub fn client_gone(&mut self, request: Request) {
+    pub fn client_gone(&mut self, now: Micros, request: Request) {
         if let Some(owed) = self.owed.get_mut(&request) {
-            owed.ended = true;
+            owed.ended.get_or_insert(now);
         }
     }
 
     /// No attempt of a request is out any more and it has ended: it can be forgotten.
     pub fn forget(&mut self, request: Request) {
-        if self.owed.get(&request).is_some_and(|owed| owed.ended) {
+        if self.owed.get(&request).is_some_and(|owed| owed.ended.is_some()) {
             self.owed.remove(&request);
         }
     }
@@ -246,7 +254,7 @@
     pub fn end(&mut self, now: Micros) {
         let grace = self.figures.answer_grace;
         let lost = |(request, owed): (&Request, &Owed)| {
-            (!owed.ended && now > owed.deadline + grace).then_some(*request)
+            (owed.ended.is_none() && now > owed.deadline + grace).then_some(*request)
         };
         let lost: Vec<_> = self.owed.iter().filter_map(lost).collect();
         lost.into_iter().for_each(|request| self.broken(now, Broken::Lost(request)));
--- a/crates/world/tests/rules.rs
+++ b/crates/world/tests/rules.rs
@@ -23,7 +23,7 @@
     }
     all.answered(SECOND + 20_000, (3, 0), false);
     all.answered(SECOND + 20_001, (3, 1), true);
-    all.client_gone((3, 2));
+    all.client_gone(SECOND, (3, 2));
     all.end(2 * SECOND);
     assert_eq!(broken(&all), [Broken::Lost((3, 1)), Broken::Lost((3, 3))]);
     let told = all.breaks()[0].to_string();
@@ -58,6 +58,17 @@
     all.answered(20, R, false);
     all.sent(30, R, 1, 2);
     assert_eq!(broken(&all), [Broken::SentAfterEnd(R)]);
+    // What was on its way is forgiven for as long as is stated, and still counts for what must not run twice.
+    let mut all = Rules::new(Figures { sent_grace: 50, ..Figures::default() });
+    all.taken(R, SECOND, Effect::Once);
+    all.sent(10, R, 0, 1);
+    all.answered(20, R, false);
+    all.sent(69, R, 1, 2);
+    assert_eq!(broken(&all), [Broken::Twice(R)]);
+    all.never_ran(R, 0);
+    all.never_ran(R, 1);
+    all.sent(70, R, 2, 2);
+    assert_eq!(broken(&all), [Broken::Twice(R), Broken::SentAfterEnd(R)]);
 }
 
 #[test]
