Read lists as a stream of JSON values through hyper, and ask anew at once after a silence

Cause, by reading and by tests that failed before: discovery.rs cut a chunked body at each line end, so that an indented list was rubbish; each read had its own limit, so that a body or a head that dripped a byte at a time was never too slow; a half-open call held the only slot for 4 s, while what it misses counts as told after 4; a silent watch waited for the module's pause of up to 1.9 s, a pushed one for up to 2 s. A request that came long after SIGTERM on a connection with answers owed could be cut off by the node's own end.

Lists are taken off a stream of serde_json values, bounded in bytes and time. A call without an answer after 2.5 s has a second one beside it. ListKind::Silent tells the module, which asks at once; refused calls keep their pauses. Pushed watches are opened again after 50 to 200 ms. What comes after SIGTERM ends before the node does or may be killed; a new connection is waited for a quarter of a second. Not taken: a scan for braces of our own, and ending the half-open call, which would lose its place where turns are longer.

--- a/src/bin/spardeal-drill/main.rs
+++ b/src/bin/spardeal-drill/main.rs
@@ -57,7 +57,7 @@
             }
             Record::ListHeard { node, kind, number } => {
                 let servers = match kind {
-                    ListKind::Failed => Vec::new(),
+                    ListKind::Failed | ListKind::Silent => Vec::new(),
                     _ => {
                         let list = self.lists.get(usize::from(number)).and_then(Option::as_ref);
                         list.ok_or_else(|| format!("roster_change names unknown list {number}"))?.clone()
--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -29,6 +29,9 @@
 /// however it trickles: it holds one of few places. A silent peer is owed its close within 3 s; what it may
 /// have waited to be taken is left off.
 const PATIENCE: Duration = Duration::from_millis(2_500);
+/// A node that ends closes a connection between requests, a new one only after this long: its first request is on its
+/// way, and closed without an answer it counts as refused.
+const FRESH: Duration = Duration::from_millis(250);
 /// The longest key, id and list of facts.
 const MAX_WORD: usize = 512;
 
@@ -217,6 +220,7 @@
 impl Session {
     async fn run(&mut self) -> Ended {
         let mut phase = self.front.phase.clone();
+        let fresh_until = Instant::now() + FRESH;
         loop {
             while !self.broken && self.slots.len() < PIPELINE && self.output.len() < OUT_LIMIT {
                 match resp::take_command(&mut self.input) {
@@ -287,7 +291,9 @@
                     }
                 }
                 _ = phase.changed(), if !draining => {}
-                () = std::future::ready(()), if draining && between => return Ended::Closed,
+                () = tokio::time::sleep_until(fresh_until), if draining && between && self.first == 0 =>
+                    return Ended::Closed,
+                () = std::future::ready(()), if draining && between && self.first > 0 => return Ended::Closed,
                 () = self.front.pressure.notified(), if between && self.first > 0 => return Ended::Closed,
                 () = tokio::time::sleep(STALLED), if !self.output.is_empty() => return Ended::Gone,
                 () = async { tokio::time::sleep_until(cut_off.unwrap_or_else(Instant::now)).await },
@@ -388,7 +394,7 @@
     struct Around {
         inputs: mpsc::Receiver<Input>,
         front: Arc<Front>,
-        _phase: watch::Sender<Phase>,
+        phase: watch::Sender<Phase>,
     }
 
     /// A connection to a session of its own.
@@ -410,7 +416,7 @@
         let address = listener.local_addr().unwrap();
         tokio::spawn(listen(listener, front.clone()));
         let stream = TcpStream::connect(address).await.unwrap();
-        (stream, Around { inputs, front, _phase: set_phase })
+        (stream, Around { inputs, front, phase: set_phase })
     }
 
     /// How long until the node closes a connection.
@@ -465,6 +471,21 @@
         assert!(closed_after(&mut client).await <= OWED);
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_node_that_ends_waits_a_moment_for_the_first_command_of_a_new_connection_but_not_for_the_next()
+    {
+        let (mut client, around) = connected().await;
+        around.phase.send(Phase::Draining).unwrap();
+        tokio::time::sleep(FRESH / 2).await;
+        client.write_all(PING).await.unwrap();
+        let mut answer = [0; 7];
+        client.read_exact(&mut answer).await.unwrap();
+        assert_eq!((&answer, closed_after(&mut client).await), (b"+PONG\r\n", Duration::ZERO));
+        let (mut silent, around) = connected().await;
+        around.phase.send(Phase::Draining).unwrap();
+        assert_eq!(closed_after(&mut silent).await, FRESH);
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_client_that_is_owed_an_answer_is_waited_for() {
         let (mut client, mut around) = connected().await;
--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -1,19 +1,24 @@
-//! Discovery: the whole list, and the watch on its changes.
+//! Discovery: the whole list, and the watch on its changes. HTTP is hyper's; what is decided here is only how long a
+//! call may be silent, and that a silent one never stands in the way of the next.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1;
+use hyper::{Request, header};
+use hyper_util::rt::TokioIo;
 use serde::Deserialize;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{info, warn};
 
-use crate::http::{self, Chunks};
 use crate::node::Input;
 
 /// A list of servers, or a change of it.
@@ -53,15 +58,23 @@
 }
 
 const CONNECT: Duration = Duration::from_secs(1);
-/// Calls wait in turn at discovery: it is given this long to begin its answer.
-const ANSWER: Duration = Duration::from_secs(4);
+/// Calls wait in turn at discovery, by the operators' terms for 2 s: one that has not begun its answer after this is
+/// taken for half open, and a second is made beside it. Whichever answers first is used, since a call that waits
+/// longer than that elsewhere would lose its place if it were ended.
+const HALF_OPEN: Duration = Duration::from_millis(2_500);
+/// No call is given longer than this to begin its answer.
+const ANSWER: Duration = Duration::from_secs(5);
 /// A watch brings a line every two seconds: one that is silent for longer is dead. What it had to tell counts
-/// as told after six seconds, so that there must be time left to ask anew.
+/// as told after six seconds, so that there must be time left to ask anew. A list that has begun must be whole within
+/// the same time, however its bytes drip.
 const SILENCE: Duration = Duration::from_secs(3);
-/// Pauses before a watch on pushed lists is opened again: the first, and the longest.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Pauses before a watch on pushed lists is opened again. The agent is on this machine, so that asking costs nothing,
+/// and what it learns at a return counts as told at once: a longer pause would use up the grace of a drain.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
+/// The longest head of an answer.
+const MAX_HEAD: usize = 16 * 1024;
 
 /// The calls to discovery that are out: one watch and one whole list at most.
 pub struct Discovery {
@@ -115,8 +128,22 @@
         self.watch.take().inspect(AbortHandle::abort);
         let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
         let call = async move {
-            report(watch(address, &index, &hub).await);
-            let _ = hub.send(Input::ListFailed).await;
+            // The module is told how it ended, and says when to ask again.
+            let ended = match watch(address, &index, &hub).await {
+                Ok(()) => {
+                    info!("discovery: the watch has ended");
+                    Input::ListFailed
+                }
+                Err(CallError::Silent) => {
+                    warn!("discovery: {}", CallError::Silent);
+                    Input::ListSilent
+                }
+                Err(e) => {
+                    warn!("discovery: {e}");
+                    Input::ListFailed
+                }
+            };
+            let _ = hub.send(ended).await;
         };
         self.watch = on.then(|| tokio::spawn(call).abort_handle());
     }
@@ -143,11 +170,14 @@
         let call = async move {
             let mut pause = BACKOFF.0;
             loop {
-                let before = index.load(Ordering::Relaxed);
-                let _ = watch(address, &index, &hub).await;
-                let heard = index.load(Ordering::Relaxed) != before;
-                pause = if heard { BACKOFF.0 } else { (pause * 2).min(BACKOFF.1) };
-                tokio::time::sleep(pause).await;
+                match watch(address, &index, &hub).await {
+                    // It was there a moment ago.
+                    Ok(()) | Err(CallError::Silent) => pause = BACKOFF.0,
+                    Err(_) => {
+                        tokio::time::sleep(pause).await;
+                        pause = (pause * 2).min(BACKOFF.1);
+                    }
+                }
             }
         };
         self.watch = Some(tokio::spawn(call).abort_handle());
@@ -155,24 +185,31 @@
 }
 
 /// Why a call to discovery ended.
+#[derive(Debug)]
 enum CallError {
-    /// It broke, or could not be made.
+    /// It could not be made.
     Io(std::io::Error),
-    /// It was silent for too long.
+    /// It broke, or what came is not HTTP.
+    Http(hyper::Error),
+    /// It did not begin its answer.
+    Unanswered,
+    /// It was answered and then silent for too long, or brought a list too slowly.
     Silent,
     /// It was turned away.
     Status(u16),
     /// It brought what is no list; the list held stays in force.
-    Garbage,
+    Garbage(String),
 }
 
 impl std::fmt::Display for CallError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             CallError::Io(e) => write!(f, "{e}"),
+            CallError::Http(e) => write!(f, "{e}"),
+            CallError::Unanswered => write!(f, "no answer in time"),
             CallError::Silent => write!(f, "silent for too long"),
             CallError::Status(status) => write!(f, "answered with status {status}"),
-            CallError::Garbage => write!(f, "brought no list, or one that was cut off"),
+            CallError::Garbage(what) => write!(f, "brought no list, or one that was cut off: {what}"),
         }
     }
 }
@@ -183,6 +220,12 @@
     }
 }
 
+impl From<hyper::Error> for CallError {
+    fn from(e: hyper::Error) -> Self {
+        CallError::Http(e)
+    }
+}
+
 async fn watch(address: SocketAddr, index: &AtomicU64, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
     let path = match index.load(Ordering::Relaxed) {
         0 => "/v1/servers?watch=1".into(),
@@ -191,71 +234,279 @@
     lists(address, &path, hub).await
 }
 
-fn report(called: Result<(), CallError>) {
-    match called {
-        Ok(()) => info!("discovery: the watch has ended"),
-        Err(e) => warn!("discovery: {e}"),
+/// An answer that has begun, with the task that moves its bytes.
+struct Answer {
+    body: Incoming,
+    _mover: Mover,
+}
+
+/// Ends a connection's task with the call that it is for.
+struct Mover(AbortHandle);
+
+impl Drop for Mover {
+    fn drop(&mut self) {
+        self.0.abort();
     }
 }
 
-/// Makes a call and passes on each line of its answer that holds a list, until the answer ends.
-async fn lists(address: SocketAddr, path: &str, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
-    let silent = |_| CallError::Silent;
-    let mut stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await.map_err(silent)??;
+/// Makes a call and waits for its answer's head. Dropped at any point, it leaves no connection behind.
+async fn call(address: SocketAddr, path: &str) -> Result<Answer, CallError> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| CallError::Unanswered)??;
     let _ = stream.set_nodelay(true);
-    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-    stream.write_all(request.as_bytes()).await?;
-    let (mut raw, mut body) = (BytesMut::new(), BytesMut::new());
-    let head = loop {
-        raw.reserve(4096);
-        let count = tokio::time::timeout(ANSWER, stream.read_buf(&mut raw)).await.map_err(silent)??;
-        match http::head(&raw).map_err(|_| CallError::Garbage)? {
-            Some(head) => break head,
-            None if count == 0 => return Err(CallError::Garbage),
-            None => {}
+    let (mut send, conn) =
+        http1::Builder::new().max_buf_size(MAX_HEAD).handshake(TokioIo::new(stream)).await?;
+    let mover = Mover(tokio::spawn(async move { drop(conn.await) }).abort_handle());
+    let request = Request::get(path)
+        .header(header::HOST, address.to_string())
+        .header(header::ACCEPT, "application/json")
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| CallError::Garbage(e.to_string()))?;
+    let answer = send.send_request(request).await?;
+    match answer.status().as_u16() {
+        200 => Ok(Answer { body: answer.into_body(), _mover: mover }),
+        status => Err(CallError::Status(status)),
+    }
+}
+
+/// The same, with a second call beside a first that may be half open. What failed first decides nothing while the
+/// other may still be answered.
+async fn answered(address: SocketAddr, path: &str) -> Result<Answer, CallError> {
+    let both = async {
+        let first = call(address, path);
+        tokio::pin!(first);
+        if let Ok(answer) = timeout(HALF_OPEN, &mut first).await {
+            return answer;
+        }
+        tokio::select! {
+            Ok(answer) = &mut first => Ok(answer),
+            Ok(answer) = call(address, path) => Ok(answer),
+            else => Err(CallError::Unanswered),
         }
     };
-    if head.status != 200 {
-        return Err(CallError::Status(head.status));
-    }
-    let _ = raw.split_to(head.length);
-    let mut chunks = Chunks::default();
-    let mut left = head.content_length.unwrap_or(usize::MAX);
-    let mut ended = false;
-    let mut patience = ANSWER;
+    timeout(ANSWER, both).await.unwrap_or(Err(CallError::Unanswered))
+}
+
+/// Makes a call and passes on each list of its answer, until the answer ends.
+async fn lists(address: SocketAddr, path: &str, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
+    let mut answer = answered(address, path).await?;
+    let mut lists = Lists::default();
     loop {
-        if head.chunked {
-            ended |= chunks.take(&mut raw, &mut body).map_err(|_| CallError::Garbage)?;
-        } else {
-            let part = raw.split_to(raw.len().min(left));
-            left -= part.len();
-            body.extend_from_slice(&part);
-            ended |= left == 0;
-        }
-        // A body of a stated length is one list, on however many lines; else each line is one.
-        let whole = head.content_length.is_some();
-        while !whole && let Some(end) = body.iter().position(|byte| *byte == b'\n') {
-            pass_on(&body.split_to(end + 1), hub).await?;
-            patience = SILENCE;
+        let by = lists.since.unwrap_or_else(Instant::now) + SILENCE;
+        let frame = timeout_at(by, answer.body.frame()).await.map_err(|_| CallError::Silent)?;
+        let Some(frame) = frame else { return lists.end() };
+        let Ok(data) = frame?.into_data() else { continue };
+        for listing in lists.take(&data)? {
+            let _ = hub.send(Input::List(listing)).await;
         }
-        if ended {
-            return pass_on(&body, hub).await;
+    }
+}
+
+/// Takes lists off a stream of bytes: JSON values one after another, on however many lines each.
+#[derive(Default)]
+struct Lists {
+    pending: BytesMut,
+    /// When the list that is not whole yet began; `None` where none has.
+    since: Option<Instant>,
+}
+
+impl Lists {
+    /// The lists that are whole now.
+    fn take(&mut self, data: &[u8]) -> Result<Vec<Listing>, CallError> {
+        self.pending.extend_from_slice(data);
+        let mut taken = Vec::new();
+        // A list ends with a brace: without one among the new bytes none has become whole, and what drips
+        // is not read from its start each time.
+        if data.contains(&b'}') || self.pending.trim_ascii().is_empty() {
+            let mut values = serde_json::Deserializer::from_slice(&self.pending).into_iter();
+            let cut_off = loop {
+                match values.next() {
+                    Some(Ok(listing)) => taken.push(listing),
+                    Some(Err(e)) if !e.is_eof() => return Err(CallError::Garbage(e.to_string())),
+                    Some(Err(_)) => break true,
+                    None => break false,
+                }
+            };
+            let read = if cut_off { values.byte_offset() } else { self.pending.len() };
+            self.pending.advance(read);
         }
-        if body.len() > MAX_LIST {
-            return Err(CallError::Garbage);
+        if self.pending.len() > MAX_LIST {
+            return Err(CallError::Garbage(format!("more than {MAX_LIST} bytes")));
         }
-        raw.reserve(4096);
-        if tokio::time::timeout(patience, stream.read_buf(&mut raw)).await.map_err(silent)?? == 0 {
-            // What is left over is a line that was cut off.
-            return Err(CallError::Garbage);
+        let begun = taken.is_empty().then_some(self.since).flatten();
+        self.since = (!self.pending.is_empty()).then(|| begun.unwrap_or_else(Instant::now));
+        Ok(taken)
+    }
+
+    /// The stream has ended: nothing may be left over.
+    fn end(&self) -> Result<(), CallError> {
+        match self.pending.len() {
+            0 => Ok(()),
+            left => Err(CallError::Garbage(format!("{left} bytes of a list that did not come whole"))),
         }
     }
 }
 
-async fn pass_on(line: &[u8], hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
-    if !line.trim_ascii().is_empty() {
-        let listing = serde_json::from_slice(line).map_err(|_| CallError::Garbage)?;
-        let _ = hub.send(Input::List(listing)).await;
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const INDENTED: &str = "{\n  \"index\": 7,\n  \"snapshot\": true,\n  \"endpoints\": [\n    {\n      \"name\": \"s-1\",\n\
+        \x20     \"status\": \"active\"\n    }\n  ]\n}\n";
+
+    fn chunk(text: &str) -> String {
+        format!("{:x}\r\n{text}\r\n", text.len())
+    }
+
+    /// What a stand-in does on a connection once it has read the call: says this at once, then a byte of that at each
+    /// step of time, and keeps the connection open.
+    #[derive(Clone, Default)]
+    struct Script {
+        says: String,
+        drips: (String, Duration),
+    }
+
+    /// Discovery that meets its calls with one script after the other, and tells of each call when it came. Calls
+    /// beyond the last script have no answer.
+    async fn stand_in(scripts: Vec<Script>) -> (SocketAddr, mpsc::Receiver<(Instant, String)>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tell, calls) = mpsc::channel(64);
+        tokio::spawn(async move {
+            let mut scripts = scripts.into_iter();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (script, tell) = (scripts.next().unwrap_or_default(), tell.clone());
+                tokio::spawn(async move {
+                    let mut seen = BytesMut::new();
+                    while !seen.ends_with(b"\r\n\r\n") {
+                        assert_ne!(stream.read_buf(&mut seen).await.unwrap(), 0);
+                    }
+                    let line = String::from_utf8_lossy(&seen).lines().next().unwrap_or("").to_owned();
+                    tell.send((Instant::now(), line)).await.unwrap();
+                    stream.write_all(script.says.as_bytes()).await.unwrap();
+                    for byte in script.drips.0.bytes() {
+                        tokio::time::sleep(script.drips.1).await;
+                        if stream.write_all(&[byte]).await.is_err() {
+                            return;
+                        }
+                    }
+                    let _ = stream.read_buf(&mut seen).await;
+                });
+            }
+        });
+        (address, calls)
+    }
+
+    fn says(parts: &[&str]) -> Script {
+        Script { says: parts.concat(), ..Script::default() }
+    }
+
+    #[test]
+    fn lists_are_read_whole_however_they_are_laid_out_and_cut() {
+        let line = r#"{"index":8,"endpoints":[{"name":"}{","status":"left"}]}"#;
+        let text = format!("\n{INDENTED}\n\n{line}{line}\r\n");
+        for step in 1..text.len() {
+            let mut lists = Lists::default();
+            let parts = text.as_bytes().chunks(step);
+            let taken: Vec<_> = parts.flat_map(|part| lists.take(part).unwrap()).collect();
+            let found = |list: &Listing| (list.index, list.snapshot, list.endpoints[0].name.clone());
+            let change = (8, false, "}{".to_owned());
+            let expected = vec![(7, true, "s-1".to_owned()), change.clone(), change];
+            assert_eq!(taken.iter().map(found).collect::<Vec<_>>(), expected, "in steps of {step}");
+            assert!(lists.end().is_ok() && lists.since.is_none());
+        }
+    }
+
+    #[test]
+    fn what_is_no_list_is_told_and_what_never_ends_is_bounded() {
+        for bad in ["{\"index\":9,\"endpoints\":[{\"na\n}", "<html>}", "{\"index\":\"x\"}", "}"] {
+            assert!(matches!(Lists::default().take(bad.as_bytes()), Err(CallError::Garbage(_))), "{bad}");
+        }
+        let mut lists = Lists::default();
+        assert!(lists.take(b"{\"index\":9,\"endpoints\":[").unwrap().is_empty() && lists.end().is_err());
+        let spaces = vec![b'x'; 64 * 1024];
+        let ends = (0..).find(|_| lists.take(&spaces).is_err());
+        assert_eq!(ends, Some(MAX_LIST / spaces.len() - 1), "the bound on a list that never ends");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_indented_list_on_a_watch_is_in_force_at_once() {
+        let (address, _calls) = stand_in(vec![says(&[HEAD, &chunk(INDENTED)])]).await;
+        let (hub, mut inputs) = mpsc::channel(8);
+        let asked = Instant::now();
+        Discovery::new(address, 0, hub).subscribe(true);
+        let Some(Input::List(list)) = inputs.recv().await else { panic!("no list") };
+        assert_eq!((list.index, asked.elapsed()), (7, Duration::ZERO));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_watch_that_falls_silent_is_told_of_in_time_and_so_is_one_that_drips() {
+        let drips = (chunk(INDENTED), Duration::from_millis(100));
+        for script in [says(&[HEAD, &chunk("\n")]), Script { drips, ..says(&[HEAD]) }] {
+            let (address, _calls) = stand_in(vec![script]).await;
+            let (hub, mut inputs) = mpsc::channel(8);
+            let asked = Instant::now();
+            Discovery::new(address, 0, hub).subscribe(true);
+            let told = inputs.recv().await;
+            assert!(matches!(told, Some(Input::ListSilent)), "{told:?}");
+            // The head of a chunk says nothing yet: ten more drips at the most.
+            assert!(asked.elapsed() <= SILENCE + Duration::from_secs(1), "after {:?}", asked.elapsed());
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_pushed_watch_that_falls_silent_is_opened_anew_at_once_on_a_new_connection() {
+        let (address, mut calls) = stand_in(vec![says(&[HEAD, &chunk("\n")]); 3]).await;
+        let (hub, _inputs) = mpsc::channel(8);
+        let mut discovery = Discovery::new(address, 5, hub);
+        discovery.follow();
+        let mut last = calls.recv().await.unwrap().0;
+        for _ in 0..2 {
+            let (at, call) = calls.recv().await.unwrap();
+            assert_eq!((call.as_str(), at - last), ("GET /v1/servers?watch=1&after=5 HTTP/1.1", SILENCE));
+            last = at;
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_half_open_call_does_not_hold_up_the_next() {
+        let (address, mut calls) = stand_in(vec![Script::default(), says(&[HEAD, &chunk(INDENTED)])]).await;
+        let (hub, mut inputs) = mpsc::channel(8);
+        let asked = Instant::now();
+        Discovery::new(address, 0, hub).subscribe(true);
+        assert!(matches!(inputs.recv().await, Some(Input::List(_))));
+        assert_eq!(asked.elapsed(), HALF_OPEN);
+        calls.recv().await.unwrap();
+        calls.recv().await.unwrap();
+        assert!(calls.try_recv().is_err(), "two calls and no more");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_call_that_is_never_answered_ends_and_so_does_one_whose_head_drips() {
+        let drip = Script { drips: (HEAD.repeat(2), Duration::from_millis(200)), ..Script::default() };
+        for script in [Script::default(), drip] {
+            let (address, _calls) = stand_in(vec![script.clone(), script]).await;
+            let (hub, mut inputs) = mpsc::channel(8);
+            let asked = Instant::now();
+            Discovery::new(address, 0, hub).subscribe(true);
+            assert!(matches!(inputs.recv().await, Some(Input::ListFailed)));
+            assert_eq!(asked.elapsed(), ANSWER);
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_first_call_that_waits_long_in_turn_keeps_its_place() {
+        let waits = Script { drips: ("x".into(), Duration::from_secs(60)), ..Script::default() };
+        let late = Script {
+            drips: ([HEAD, &chunk(INDENTED)].concat(), Duration::from_millis(10)),
+            ..Script::default()
+        };
+        let (address, _calls) = stand_in(vec![late, waits]).await;
+        let (hub, mut inputs) = mpsc::channel(8);
+        Discovery::new(address, 0, hub).subscribe(true);
+        assert!(matches!(inputs.recv().await, Some(Input::List(_))));
     }
-    Ok(())
 }
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -37,6 +37,8 @@
     List(Listing),
     /// A call to discovery failed, or the watch broke.
     ListFailed,
+    /// The watch was open and fell silent.
+    ListSilent,
     /// Discovery lives elsewhere from now on.
     Discovery(SocketAddr),
     /// The platform asks the node to end.
@@ -72,6 +74,11 @@
 const ACCEPT_ON: Micros = 450_000;
 /// A node that drains ends this long after the longest deadline at the latest.
 const DRAIN_SLACK: Micros = 550_000;
+/// The platform kills a node no sooner than the longest deadline after SIGTERM, counted as the first where it is
+/// longer, and the second more. What came 0.7 s after SIGTERM or later has to be answered by then.
+const KILLED: (Micros, Micros) = (3_000_000, 700_000);
+/// Before its end, and before it may be killed, a node has this long to write out its last answers.
+const WRITE_OUT: Micros = 100_000;
 const SWEEP: Micros = 1_000_000;
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -133,6 +140,8 @@
     discovery: Discovery,
     known: Option<Listing>,
     ends_at: Option<Micros>,
+    /// What comes after SIGTERM has its answer by then.
+    answered_by: Micros,
     trace: Trace,
 }
 
@@ -159,6 +168,7 @@
             discovery: Discovery::new(config.discovery, config.known.index, hub),
             known: Some(config.known),
             ends_at: None,
+            answered_by: Micros::MAX,
             trace,
             deployment,
         }
@@ -246,15 +256,15 @@
             }
             Input::Conn(conn, news) => self.conn(conn, news),
             Input::List(listing) => self.list(listing, None),
-            Input::ListFailed => {
-                self.trace.line(self.clock.now(), format_args!("unheard"));
-                self.tell(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() });
-            }
+            Input::ListFailed => self.unheard(ListKind::Failed),
+            Input::ListSilent => self.unheard(ListKind::Silent),
             Input::Discovery(address) => self.discovery.moved(address),
             Input::Terminate if self.ends_at.is_none() => {
                 let now = self.clock.now();
-                let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max();
-                self.ends_at = Some(now + longest.unwrap_or(0) + DRAIN_SLACK);
+                let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+                let ends_at = now + longest + DRAIN_SLACK;
+                self.ends_at = Some(ends_at);
+                self.answered_by = ends_at.min(now + longest.min(KILLED.0) + KILLED.1) - WRITE_OUT;
                 self.timers.push(Reverse((now + ACCEPT_ON, Due::Drain)));
                 self.timers.push(Reverse((now + ACCEPT_ON + 20_000, Due::Ended)));
             }
@@ -346,7 +356,7 @@
         let id = self.next;
         self.next += 1;
         // What the request waited within the node is part of its time.
-        let ends = at + command.time_left;
+        let ends = (at + command.time_left).min(self.answered_by);
         let request = Request {
             id,
             class: command.class,
@@ -629,6 +639,12 @@
         self.tell(Event::ServerList { kind, servers: lines });
     }
 
+    /// A call to discovery brought nothing more: the list held stays in force.
+    fn unheard(&mut self, kind: ListKind) {
+        self.trace.line(self.clock.now(), format_args!("unheard"));
+        self.tell(Event::ServerList { kind, servers: Vec::new() });
+    }
+
     fn forget(&mut self, id: ServerId) {
         self.servers.remove(&id);
         self.pool.close_idle(id);
@@ -744,6 +760,18 @@
         assert_eq!(all.answers.try_recv(), Ok((next, Bytes::from_static(b"$1\r\nv\r\n"))));
     }
 
+    #[tokio::test]
+    async fn what_comes_after_sigterm_has_its_answer_before_the_node_may_be_killed_or_ends() {
+        let mut all = Driven::new().await;
+        let sigterm = all.node.clock.now();
+        all.node.input(Input::Terminate);
+        let after = all.ask("2d");
+        let late = all.node.clock.now();
+        let ends = |id| all.node.open[&id].ends;
+        assert!(ends(after) > late && ends(after) + WRITE_OUT <= late + KILLED.0 + KILLED.1);
+        assert!(all.node.answered_by >= sigterm && all.node.answered_by < all.node.ends_at.unwrap());
+    }
+
     #[tokio::test]
     async fn a_connection_is_kept_until_shortly_before_its_server_closes_it() {
         for (after, kept) in [(AIM / 10 * 7, true), (AIM / 10 * 9, false)] {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -134,6 +134,8 @@
         self.now = now;
         match event {
             Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
+            // Its silence was waited for already, and began for each balancer at a time of its own: no pause.
+            Event::ServerList { kind: ListKind::Silent, .. } => out.push(Action::Subscribe(true)),
             Event::ServerList { kind, servers } => self.server_list(kind, servers),
             Event::Request(request) => self.request(request, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,9 @@
     Delta,
     /// A call to discovery failed or the subscription broke; the list held stays in force.
     Failed,
+    /// A subscription that was open fell silent, which is no word of discovery's: the list held stays in force, but
+    /// what it misses counts as told soon.
+    Silent,
 }
 
 /// A client's request.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1137,6 +1137,19 @@
     assert!(sent_to(&node.request(read(1, 9))).is_some(), "the old list stays in force");
 }
 
+#[test]
+fn a_subscription_that_fell_silent_is_opened_anew_at_once() {
+    let mut node = Node::new(Settings { ask_discovery: true, ..settings() }, 3);
+    node.actions.clear();
+    for _ in 0..2 {
+        node.list(ListKind::Silent, Vec::new());
+        assert!(node.actions.contains(&Action::Subscribe(true)));
+        node.actions.clear();
+    }
+    assert!(!node.pass(20 * SECOND).contains(&Action::Subscribe(true)), "and once only");
+    assert!(sent_to(&node.request(read(1, 9))).is_some(), "the old list stays in force");
+}
+
 #[test]
 fn however_often_discovery_fails_it_is_asked_again_before_a_change_counts_as_told() {
     let config = Settings { ask_discovery: true, ask_within: 10 * SECOND, ..settings() };
