Have attempts wait in line for the first connection, and let back a server that is reached late

Change: attempts wait in line at a server and take the first connection that comes up or becomes free; one that still waits at half the time-out has a second opened; the time-out ends the attempt and not the connection, which may come up until the longest deadline, is kept, and is told to the module (Event::Probed), which lets the server back. What waits for a server that drains is turned away at once, and what was never written ends as not sent, not as timed out. Not taken: pipelining behind a busy connection, where one answer that never ends would hold up all behind it; and strikes for late connects only, which would cost two more requests for each vanished server.

--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::discovery::{Discovery, Listing};
 use crate::trace::Trace;
-use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
+use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech, State};
 use crate::{caches, origin, resp};
 
 /// What reaches the loop.
@@ -87,6 +87,10 @@
     Policy(u32),
     /// An attempt is given up.
     Attempt(RequestId, u16),
+    /// An attempt that still waits for a connection has another opened.
+    Another(RequestId, u16),
+    /// An attempt that still waits for a connection waits no more.
+    Unconnected(RequestId, u16),
     /// The answer to an attempt that was given up has not come; when the attempt was sent.
     Late(ConnId, Micros),
     /// A client's time is up.
@@ -122,7 +126,8 @@
 struct Attempt {
     server: ServerId,
     sent: Micros,
-    conn: ConnId,
+    /// The connection that carries it; `None` while it waits for one.
+    conn: Option<ConnId>,
 }
 
 /// The node.
@@ -279,8 +284,21 @@
                 self.give_up((id, number), Status::TimedOut);
                 self.run_events();
             }
+            Due::Another(id, number) => {
+                let server = self.waits((id, number)).map(|attempt| attempt.server);
+                if let Some(to) = server.and_then(|server| self.target(server)) {
+                    self.pool.open(to, now);
+                }
+            }
+            Due::Unconnected(id, number) => {
+                if let Some(server) = self.waits((id, number)).map(|attempt| attempt.server) {
+                    self.pool.leave(server, (id, number));
+                    self.end((id, number), Status::ConnectFailed);
+                    self.run_events();
+                }
+            }
             Due::Late(conn, sent) => {
-                if let Some(server) = self.pool.late(conn) {
+                if let Some((server, State::Late)) = self.pool.state(conn) {
                     self.abort(conn, server, sent);
                 }
             }
@@ -420,88 +438,130 @@
         let allowed =
             !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && now < open.ends;
         let limit = if give_up_after == 0 { open.ends } else { open.ends.min(now + give_up_after) };
-        let target = self.servers.get(&server).filter(|_| allowed);
-        let Some((address, speech)) = target.map(|s| (s.address, s.speech)) else {
-            self.attempts.insert(key, Attempt { server, sent: now, conn: 0 });
-            return self.end(key, Status::NotSent);
-        };
-        let conn = match self.pool.reuse(server, key, now) {
-            Some(conn) => Some((conn, true)),
-            None => self.pool.open(server, address, speech, key).map(|conn| (conn, false)),
-        };
-        let Some((conn, up)) = conn else {
-            // Forced by the limit on sockets: there is no connection to send this on.
-            self.attempts.insert(key, Attempt { server, sent: now, conn: 0 });
+        let Some(to) = self.target(server).filter(|_| allowed) else {
+            self.attempts.insert(key, Attempt { server, sent: now, conn: None });
             return self.end(key, Status::NotSent);
         };
+        let conn = self.pool.reuse(server, key, now);
         self.attempts.insert(key, Attempt { server, sent: now, conn });
         self.timers.push(Reverse((limit, Due::Attempt(id, key.1))));
-        if up {
-            self.write(key, conn);
+        match conn {
+            Some(conn) => self.carry(key, conn),
+            None => self.wait(key, to),
+        }
+    }
+
+    /// Where a server is reached.
+    fn target(&self, server: ServerId) -> Option<(ServerId, SocketAddr, Speech)> {
+        self.servers.get(&server).map(|s| (server, s.address, s.speech))
+    }
+
+    /// An attempt that waits for a connection.
+    fn waits(&self, key: AttemptKey) -> Option<&Attempt> {
+        self.attempts.get(&key).filter(|attempt| attempt.conn.is_none())
+    }
+
+    /// Has an attempt wait for the first connection that comes up or becomes free.
+    fn wait(&mut self, key: AttemptKey, to: (ServerId, SocketAddr, Speech)) {
+        let (now, limit) = (self.clock.now(), self.deployment.connect_timeout.max(1_000));
+        if !self.pool.wait(to, key, now) {
+            // Forced by the limit on sockets: there is no connection to send this on.
+            return self.end(key, Status::NotSent);
+        }
+        // Half the time is far more than a connect takes: one that has not come by then is one of those that come
+        // late or never, and the next has the same chance again.
+        self.timers.push(Reverse((now + limit / 2, Due::Another(key.0, key.1))));
+        self.timers.push(Reverse((now + limit, Due::Unconnected(key.0, key.1))));
+    }
+
+    /// Hands an attempt to its connection, which is up; an attempt that may not be sent any more leaves it to the next.
+    fn carry(&mut self, key: AttemptKey, conn: ConnId) {
+        if !self.write(key, conn) {
+            self.end(key, Status::NotSent);
+            self.free(conn);
         }
     }
 
-    /// Hands an attempt to its connection, which is up.
-    fn write(&mut self, key: AttemptKey, conn: ConnId) {
+    /// A connection owes nothing any more: the next in line has it.
+    fn free(&mut self, conn: ConnId) {
+        let Some((server, _)) = self.pool.state(conn) else { return };
+        // Nothing new goes to a server that drains.
+        let ready = self.servers.get(&server).filter(|s| s.condition == Condition::Ready);
+        let address = ready.map(|s| s.address);
+        while let Some(key) = self.pool.hand_on(conn, address, self.clock.now()) {
+            if self.write(key, conn) {
+                return;
+            }
+            self.end(key, Status::NotSent);
+        }
+    }
+
+    /// Writes an attempt to its connection; `false` where it may not be sent any more.
+    fn write(&mut self, key: AttemptKey, conn: ConnId) -> bool {
         let now = self.clock.now();
-        let Some(attempt) = self.attempts.get(&key) else { return };
+        let Some(attempt) = self.attempts.get_mut(&key) else { return false };
         // Against a send after a drain or an end: between the module's word and the first byte the attempt
         // waited for its connection, and meanwhile its server may have left or its client gone.
         let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
         let open = self.open.get(&key.0).filter(|open| !open.over && now < open.ends);
-        let (Some(server), Some(open)) = (server, open) else {
-            let address = self.servers.get(&attempt.server).map(|s| s.address);
-            self.pool.release(conn, address, now);
-            return self.end(key, Status::NotSent);
-        };
+        let (Some(server), Some(open)) = (server, open) else { return false };
         let bytes = match server.speech {
             Speech::Resp => caches::encode(&open.command, (open.ends - now).div_ceil(1_000)),
             Speech::Http => origin::encode(&open.command, &server.address.to_string()),
         };
+        attempt.conn = Some(conn);
         let server = attempt.server;
         if self.pool.start(conn, bytes) {
             self.trace.line(now, format_args!("send {} {} {server}", key.0, key.1));
         } else {
             self.lost(key, conn, false);
         }
+        true
     }
 
     fn conn(&mut self, conn: ConnId, news: News) {
-        let key = self.pool.attempt(conn);
-        match (news, key) {
-            (News::Up, Some(key)) => self.write(key, conn),
-            (News::Answer(reply), Some(key)) => {
-                let now = self.clock.now();
-                let attempt = self.attempts.get(&key);
-                let server = attempt.and_then(|attempt| self.servers.get_mut(&attempt.server));
-                let address = server.map(|s| {
-                    s.heard = now;
-                    s.address
-                });
-                match reply.keep {
-                    true => self.pool.release(conn, address, now),
-                    false => self.pool.close(conn),
+        let now = self.clock.now();
+        let Some((server, state)) = self.pool.state(conn) else { return };
+        if matches!(news, News::Answer(_)) {
+            self.servers.get_mut(&server).into_iter().for_each(|s| s.heard = now);
+        }
+        match (news, state) {
+            (News::Up, State::Opening(since)) => {
+                self.free(conn);
+                // What waited for it in vain has been told that there was no connection.
+                if self.pool.overdue(since, now) {
+                    let (ok, took, load) = (true, now - since, Load::default());
+                    self.events.push_back(Event::Probed { server, ok, took, load });
                 }
+            }
+            (News::Answer(reply), State::Busy(key)) => {
+                self.free_or_close(conn, reply.keep);
                 self.end_with(key, reply);
             }
-            (News::Lost { written }, Some(key)) => self.lost(key, conn, written),
-            (News::Lost { .. }, None) => self.pool.close(conn),
-            (News::Up, None) => self.spare(conn),
             // What was given up has its answer after all: of no more interest, but the machine is there.
-            (News::Answer(reply), None) => {
-                let now = self.clock.now();
-                let server = self.pool.late(conn).and_then(|server| self.servers.get_mut(&server));
-                server.into_iter().for_each(|s| s.heard = now);
-                match reply.keep {
-                    true => self.spare(conn),
-                    false => self.pool.close(conn),
+            (News::Answer(reply), _) => self.free_or_close(conn, reply.keep),
+            (News::Lost { written }, State::Busy(key)) => self.lost(key, conn, written),
+            (News::Lost { .. }, _) => {
+                self.pool.close(conn);
+                // Refused, or the machine is gone: what waits has one chance less.
+                if let (State::Opening(_), Some(key)) = (state, self.pool.hopeless(server, now)) {
+                    self.pool.leave(server, key);
+                    self.end(key, Status::ConnectFailed);
                 }
             }
+            (News::Up, _) => {}
         }
         self.run_events();
     }
 
-    /// A connection is lost that an attempt was on or waited for.
+    fn free_or_close(&mut self, conn: ConnId, keep: bool) {
+        match keep {
+            true => self.free(conn),
+            false => self.pool.close(conn),
+        }
+    }
+
+    /// A connection is lost that carried an attempt.
     fn lost(&mut self, key: AttemptKey, conn: ConnId, written: bool) {
         let stale = !written && self.pool.carried(conn) > 1;
         self.pool.close(conn);
@@ -509,29 +569,26 @@
             return self.end(key, Status::Reset);
         }
         // A kept connection that had ended unseen: the last byte was not written, so nothing was sent, and
-        // the same attempt may have a fresh connection. Only once: a fresh one has carried nothing.
-        if let Some(attempt) = self.attempts.get_mut(&key).filter(|_| stale)
-            && let Some(server) = self.servers.get(&attempt.server)
-            && let Some(conn) = self.pool.open(attempt.server, server.address, server.speech, key)
-        {
-            attempt.conn = conn;
-            return;
+        // the same attempt may have another. Only so often: a fresh one has carried nothing.
+        let Some(attempt) = self.attempts.get_mut(&key) else { return };
+        attempt.conn = None;
+        let server = attempt.server;
+        match self.target(server).filter(|_| stale) {
+            Some(to) => self.wait(key, to),
+            None => self.end(key, Status::ConnectFailed),
         }
-        self.end(key, Status::ConnectFailed);
-    }
-
-    /// A connection whose attempt was given up owes nothing any more.
-    fn spare(&mut self, conn: ConnId) {
-        let Some(server) = self.pool.late(conn) else { return };
-        let server = self.servers.get(&server).filter(|s| s.condition == Condition::Ready);
-        self.pool.release(conn, server.map(|s| s.address), self.clock.now());
     }
 
     /// Stops waiting for an attempt. Its connection is closed, unless the answer is hardly due yet: a client
     /// in a hurry must not cost those after it the handshake of a new connection, nor the box.
     fn give_up(&mut self, key: AttemptKey, status: Status) {
         let Some(attempt) = self.attempts.get(&key) else { return };
-        let (conn, server, sent) = (attempt.conn, attempt.server, attempt.sent);
+        let (server, sent) = (attempt.server, attempt.sent);
+        let Some(conn) = attempt.conn else {
+            // It was never sent, and what is being opened may serve the next.
+            self.pool.leave(server, key);
+            return self.end(key, Status::NotSent);
+        };
         let class = self.open.get(&key.0).map_or(0, |open| open.command.class);
         let due = sent + self.deployment.settings.classes[class].aim;
         if self.clock.now() < due && self.pool.abandon(conn) {
@@ -624,19 +681,32 @@
                 self.pool.close_idle(id);
             }
         }
+        let unready = |line: &&ServerLine| line.condition != Condition::Ready;
+        let mut unready: Vec<_> = lines.iter().filter(unready).map(|line| line.id).collect();
+        let left = lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
+        let mut gone: Vec<_> = left.collect();
         if kind != ListKind::Delta {
             let listed: Vec<_> = lines.iter().map(|line| line.id).collect();
-            let gone: Vec<_> = self.servers.keys().filter(|id| !listed.contains(id)).copied().collect();
-            gone.iter().for_each(|id| self.forget(*id));
+            gone.extend(self.servers.keys().filter(|id| !listed.contains(id)));
         }
-        let left = lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
-        left.collect::<Vec<_>>().into_iter().for_each(|id| self.forget(id));
+        gone.iter().for_each(|id| self.forget(*id));
+        unready.append(&mut gone);
         self.trace.line(now, format_args!("list {kind:?} {}", listing.index));
         for line in &lines {
             let ServerLine { id, condition, kind, zone, started, .. } = line;
             self.trace.line(now, format_args!("server {id} {condition:?} {kind} {zone} {started}"));
         }
-        self.tell(Event::ServerList { kind, servers: lines });
+        self.events.push_back(Event::ServerList { kind, servers: lines });
+        unready.iter().for_each(|id| self.turn_away(*id));
+        self.run_events();
+    }
+
+    /// What waits for a connection to a server that takes nothing new need not wait for it.
+    fn turn_away(&mut self, server: ServerId) {
+        for key in self.pool.waiting(server) {
+            self.pool.leave(server, key);
+            self.end(key, Status::NotSent);
+        }
     }
 
     /// A call to discovery brought nothing more: the list held stays in force.
@@ -674,24 +744,19 @@
 
     impl Driven {
         async fn new() -> Self {
+            Driven::with(AIM).await
+        }
+
+        /// With a time-out for connects.
+        async fn with(connect: Micros) -> Self {
             let cache = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let settings = format!(
                 r#"{{"classes":[{{"name":"read","effect":"pure","goalTimeUs":{AIM},"deadlineUs":{AIM}}}],
-                "limits":{{"maxAttempts":4,"connectTimeoutUs":{AIM},"idleCloseUs":{AIM}}}}}"#
+                "limits":{{"maxAttempts":4,"connectTimeoutUs":{connect},"idleCloseUs":{AIM}}}}}"#
             );
             let deployment = spardeal::settings::read(settings.as_bytes()).unwrap();
             let (hub, inputs) = mpsc::channel(64);
-            let endpoint = Endpoint {
-                name: "s-1".into(),
-                address: cache.local_addr().unwrap().to_string(),
-                zone: String::new(),
-                kind: String::new(),
-                group: 0,
-                status: "active".into(),
-                weight: 1.0,
-                since_ms: 0,
-            };
-            let known = Listing { index: 1, snapshot: true, endpoints: vec![endpoint] };
+            let known = Listing { index: 1, snapshot: true, endpoints: vec![endpoint(&cache, "active")] };
             let nowhere = cache.local_addr().unwrap();
             let config = Config {
                 listen: nowhere,
@@ -730,6 +795,19 @@
         }
     }
 
+    fn endpoint(cache: &TcpListener, status: &str) -> Endpoint {
+        Endpoint {
+            name: "s-1".into(),
+            address: cache.local_addr().unwrap().to_string(),
+            zone: String::new(),
+            kind: String::new(),
+            group: 0,
+            status: status.into(),
+            weight: 1.0,
+            since_ms: 0,
+        }
+    }
+
     /// The next command on a connection, which must be for a request.
     async fn read(stream: &mut TcpStream, id: &str) {
         let mut seen = Vec::new();
@@ -788,6 +866,62 @@
         }
     }
 
+    #[tokio::test]
+    async fn an_attempt_takes_the_first_connection_that_becomes_free_and_not_the_one_opened_for_it() {
+        let mut all = Driven::new().await;
+        all.ask("0d");
+        let (mut stream, _) = all.cache.accept().await.unwrap();
+        all.step().await;
+        read(&mut stream, "0d").await;
+        stream.write_all(VALUE).await.unwrap();
+        all.step().await;
+        all.answers.try_recv().unwrap();
+        let first = all.ask("1d");
+        read(&mut stream, "1d").await;
+        let second = all.ask("2d");
+        // The way is slow: that the new connection is up is still to come when the first one is answered.
+        let late = tokio::time::timeout(LONG, all.inputs.recv()).await.unwrap().unwrap();
+        stream.write_all(VALUE).await.unwrap();
+        all.step().await;
+        read(&mut stream, "2d").await;
+        all.node.input(late);
+        stream.write_all(VALUE).await.unwrap();
+        all.step().await;
+        let answered: Vec<_> = (0..2).map(|_| all.answers.try_recv().unwrap().0).collect();
+        assert_eq!(answered, [first, second]);
+        let idle = all.node.pool.waiting(*all.node.servers.keys().next().unwrap());
+        assert_eq!((idle.len(), all.node.attempts.len()), (0, 0), "nothing is left behind");
+    }
+
+    #[tokio::test]
+    async fn a_connection_that_comes_up_after_its_time_serves_the_next_request() {
+        let mut all = Driven::with(1).await;
+        let hasty = all.ask("1d");
+        let (mut stream, _) = all.cache.accept().await.unwrap();
+        let late = tokio::time::timeout(LONG, all.inputs.recv()).await.unwrap().unwrap();
+        all.node.due(Due::Unconnected(hasty, 0), all.node.clock.now());
+        assert_eq!(all.answers.try_recv().unwrap().0, hasty, "refused, as there is no other server");
+        let up = all.node.clock.now() + 1_000;
+        while all.node.clock.now() < up {
+            tokio::task::yield_now().await;
+        }
+        all.node.input(late);
+        all.ask("2d");
+        read(&mut stream, "2d").await;
+    }
+
+    #[tokio::test]
+    async fn what_waits_for_a_connection_to_a_server_that_drains_is_turned_away_at_once() {
+        for status in ["leaving", "left"] {
+            let mut all = Driven::new().await;
+            let waits = all.ask("1d");
+            let endpoints = vec![endpoint(&all.cache, status)];
+            all.node.list(Listing { index: 2, snapshot: false, endpoints }, None);
+            let (slot, answer) = all.answers.try_recv().unwrap();
+            assert!(slot == waits && answer.starts_with(b"-BUSY"), "{answer:?}");
+        }
+    }
+
     #[tokio::test]
     async fn a_connection_that_comes_up_for_what_was_given_up_serves_the_next() {
         let mut all = Driven::new().await;
@@ -812,10 +946,11 @@
             all.node.attempts.get_mut(&(late, 0)).unwrap().sent -= if overdue { AIM } else { 0 };
             all.node.give_up((late, 0), Status::TimedOut);
             if !overdue {
-                assert_eq!(all.node.pool.late(1), all.node.servers.keys().next().copied());
+                let (server, _) = all.node.servers.iter().next().unwrap();
+                assert_eq!(all.node.pool.state(1), Some((*server, State::Late)));
                 all.node.due(Due::Late(1, sent), sent + AIM);
             }
-            assert_eq!(all.node.pool.late(1), None);
+            assert_eq!(all.node.pool.state(1), None);
             assert_eq!(stream.read(&mut [0; 8]).await.unwrap(), 0, "closed");
         }
     }
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -1,7 +1,7 @@
-//! Connections to cache servers and the origin: one request at a time on each, since a connection answers
-//! in order and a slow answer would stall those behind it.
+//! Connections to cache servers and the origin, and the attempts that wait for one: one request at a time on each,
+//! since a connection answers in order and a slow answer would stall those behind it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -55,16 +55,25 @@
     Http,
 }
 
+/// What a connection is at.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum State {
+    /// It is being opened, since when.
+    Opening(Micros),
+    /// It carries an attempt.
+    Busy(AttemptKey),
+    /// What it carried was given up, and its answer may still come.
+    Late,
+    /// It owes nothing, since when.
+    Idle(Micros),
+}
+
 struct Conn {
     server: ServerId,
     address: SocketAddr,
     jobs: mpsc::Sender<Bytes>,
     task: AbortHandle,
-    /// The attempt that it was opened for or carries.
-    attempt: Option<AttemptKey>,
-    /// What it was opened for or carries was given up, and its answer may still come.
-    late: bool,
-    idle_since: Micros,
+    state: State,
     carried: u64,
 }
 
@@ -75,14 +84,28 @@
     }
 }
 
+/// What a server has beside its busy connections.
+#[derive(Default)]
+struct Line {
+    /// Idle connections, the one used last at the end.
+    idle: Vec<ConnId>,
+    /// Those being opened, oldest first.
+    opening: VecDeque<ConnId>,
+    /// Attempts that wait for a connection, oldest first: each takes the first that comes up or becomes free, since
+    /// the one that was opened for it may be the last to come.
+    waiting: VecDeque<AttemptKey>,
+}
+
 /// All connections to servers.
 pub struct Pool {
     conns: HashMap<ConnId, Conn>,
-    /// Idle connections of each server, the one used last at the end.
-    idle: HashMap<ServerId, Vec<ConnId>>,
+    lines: HashMap<ServerId, Line>,
     next: ConnId,
     limit: usize,
     idle_limit: Micros,
+    /// A connection that is up by then is in time; one that is not may still come for this long in all.
+    in_time: Micros,
+    patience: Micros,
     deployment: Arc<Deployment>,
     hub: mpsc::Sender<Input>,
 }
@@ -93,69 +116,129 @@
         // Before the server closes it: a request written to a closed connection ends as a reset, which may have
         // run and so may not be sent again. Not long before: one of many nodes meets a server every few seconds.
         let idle_limit = deployment.idle_close / 5 * 4;
-        let (conns, idle) = (HashMap::new(), HashMap::new());
-        Pool { conns, idle, next: 1, limit, idle_limit, deployment, hub }
+        let in_time = deployment.connect_timeout.max(1_000);
+        // What comes later than any request waits would be of use to none that is known of yet.
+        let longest = deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let (conns, lines, patience) = (HashMap::new(), HashMap::new(), in_time.max(longest));
+        Pool { conns, lines, next: 1, limit, idle_limit, in_time, patience, deployment, hub }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
     pub fn reuse(&mut self, server: ServerId, attempt: AttemptKey, now: Micros) -> Option<ConnId> {
         loop {
-            let id = self.idle.get_mut(&server)?.pop()?;
-            match self.conns.get_mut(&id) {
-                Some(conn) if now < conn.idle_since + self.idle_limit && !conn.jobs.is_closed() => {
-                    conn.attempt = Some(attempt);
-                    return Some(id);
-                }
-                _ => drop(self.conns.remove(&id)),
+            let id = self.lines.get_mut(&server)?.idle.pop()?;
+            let Some(conn) = self.conns.get_mut(&id) else { continue };
+            let State::Idle(since) = conn.state else { continue };
+            if now < since + self.idle_limit && !conn.jobs.is_closed() {
+                conn.state = State::Busy(attempt);
+                return Some(id);
             }
+            self.conns.remove(&id);
         }
     }
 
-    /// Begins to open a connection for an attempt; `false` where the table is full.
-    pub fn open(
-        &mut self,
-        server: ServerId,
-        address: SocketAddr,
-        speech: Speech,
-        attempt: AttemptKey,
-    ) -> Option<ConnId> {
+    /// Puts an attempt in line for a connection, one more than there are on their way; `false` where the table of
+    /// sockets is full and none is on its way.
+    pub fn wait(&mut self, to: (ServerId, SocketAddr, Speech), attempt: AttemptKey, now: Micros) -> bool {
+        let line = self.lines.entry(to.0).or_default();
+        line.waiting.push_back(attempt);
+        if line.waiting.len() <= self.in_time(to.0, now) || self.open(to, now) {
+            return true;
+        }
+        let hope = self.in_time(to.0, now) > 0;
+        if !hope {
+            self.leave(to.0, attempt);
+        }
+        hope
+    }
+
+    /// How many connections to a server are being opened that may still come up in time.
+    fn in_time(&self, server: ServerId, now: Micros) -> usize {
+        let Some(line) = self.lines.get(&server) else { return 0 };
+        let fresh = |id: &&ConnId| {
+            let state = self.conns.get(id).map(|conn| conn.state);
+            matches!(state, Some(State::Opening(since)) if now < since + self.in_time)
+        };
+        line.opening.iter().rev().take_while(fresh).count()
+    }
+
+    /// Begins to open a connection; `false` where the table is full.
+    pub fn open(&mut self, (server, address, speech): (ServerId, SocketAddr, Speech), now: Micros) -> bool {
         if self.conns.len() >= self.limit {
-            self.drop_one_spare();
+            self.drop_one_spare(now);
         }
         if self.conns.len() >= self.limit {
-            return None;
+            return false;
         }
         let id = self.next;
         self.next += 1;
         let (jobs, take) = mpsc::channel(1);
         let (hub, deployment) = (self.hub.clone(), self.deployment.clone());
+        let patience = Duration::from_micros(self.patience);
         let task = tokio::spawn(async move {
             let mut link = Link { id, speech, deployment, jobs: take, hub };
-            let news = link.run(address).await;
+            let news = link.run(address, patience).await;
             let _ = link.hub.send(Input::Conn(id, news)).await;
         });
-        let task = task.abort_handle();
-        let attempt = Some(attempt);
-        let conn = Conn { server, address, jobs, task, attempt, late: false, idle_since: 0, carried: 0 };
-        self.conns.insert(id, conn);
-        Some(id)
+        let (task, state) = (task.abort_handle(), State::Opening(now));
+        self.conns.insert(id, Conn { server, address, jobs, task, state, carried: 0 });
+        self.lines.entry(server).or_default().opening.push_back(id);
+        true
     }
 
-    /// The attempt that a connection was opened for or carries; `None` also where it was given up.
-    pub fn attempt(&self, id: ConnId) -> Option<AttemptKey> {
-        self.conns.get(&id)?.attempt
+    /// What a connection is at, and its server; `None` where it is closed.
+    pub fn state(&self, id: ConnId) -> Option<(ServerId, State)> {
+        self.conns.get(&id).map(|conn| (conn.server, conn.state))
     }
 
-    /// Leaves a connection without its attempt until the answer comes; `false` if there is none to leave.
-    pub fn abandon(&mut self, id: ConnId) -> bool {
-        let Some(conn) = self.conns.get_mut(&id) else { return false };
-        (conn.attempt, conn.late) = (None, true);
-        true
+    /// Whether a connection that is being opened is past its time.
+    pub fn overdue(&self, since: Micros, now: Micros) -> bool {
+        now >= since + self.in_time
     }
 
-    /// The server of a connection whose attempt was given up and whose answer has not come.
-    pub fn late(&self, id: ConnId) -> Option<ServerId> {
-        self.conns.get(&id).filter(|conn| conn.late).map(|conn| conn.server)
+    /// The attempt that has waited for longest for a connection to a server, where more wait than may still come up.
+    pub fn hopeless(&self, server: ServerId, now: Micros) -> Option<AttemptKey> {
+        let line = self.lines.get(&server)?;
+        line.waiting.front().filter(|_| line.waiting.len() > self.in_time(server, now)).copied()
+    }
+
+    /// Gives a connection that owes nothing to the attempt that has waited for longest; without one it is idle.
+    /// One whose server is elsewhere now or takes nothing new is closed.
+    pub fn hand_on(&mut self, id: ConnId, address: Option<SocketAddr>, now: Micros) -> Option<AttemptKey> {
+        let conn = self.conns.get_mut(&id)?;
+        if address != Some(conn.address) {
+            self.close(id);
+            return None;
+        }
+        let line = self.lines.entry(conn.server).or_default();
+        line.opening.retain(|other| *other != id);
+        let next = line.waiting.pop_front();
+        conn.state = match next {
+            Some(attempt) => State::Busy(attempt),
+            None => {
+                line.idle.push(id);
+                State::Idle(now)
+            }
+        };
+        next
+    }
+
+    /// An attempt waits for a connection no more.
+    pub fn leave(&mut self, server: ServerId, attempt: AttemptKey) {
+        self.lines
+            .get_mut(&server)
+            .into_iter()
+            .for_each(|line| line.waiting.retain(|other| *other != attempt));
+    }
+
+    /// The attempts that wait for a connection to a server.
+    pub fn waiting(&self, server: ServerId) -> Vec<AttemptKey> {
+        self.lines.get(&server).map(|line| line.waiting.iter().copied().collect()).unwrap_or_default()
+    }
+
+    /// Leaves a connection without its attempt until the answer comes; `false` if there is none to leave.
+    pub fn abandon(&mut self, id: ConnId) -> bool {
+        self.conns.get_mut(&id).map(|conn| conn.state = State::Late).is_some()
     }
 
     /// How many requests a connection has been given.
@@ -170,54 +253,47 @@
         conn.jobs.try_send(request).is_ok()
     }
 
-    /// A connection owes nothing any more and may be used again.
-    pub fn release(&mut self, id: ConnId, address: Option<SocketAddr>, now: Micros) {
-        let Some(conn) = self.conns.get_mut(&id) else { return };
-        if address != Some(conn.address) {
-            // The server is gone from the list or lives elsewhere now.
-            return self.close(id);
-        }
-        (conn.attempt, conn.late, conn.idle_since) = (None, false, now);
-        self.idle.entry(conn.server).or_default().push(id);
-    }
-
     /// Closes a connection.
     pub fn close(&mut self, id: ConnId) {
         if let Some(conn) = self.conns.remove(&id)
-            && let Some(idle) = self.idle.get_mut(&conn.server)
+            && let Some(line) = self.lines.get_mut(&conn.server)
         {
-            idle.retain(|other| *other != id);
+            line.idle.retain(|other| *other != id);
+            line.opening.retain(|other| *other != id);
         }
     }
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&mut self, server: ServerId) {
-        for id in self.idle.remove(&server).unwrap_or_default() {
-            self.conns.remove(&id);
-        }
+        let idle = self.lines.get_mut(&server).map(|line| std::mem::take(&mut line.idle)).unwrap_or_default();
+        idle.iter().for_each(|id| drop(self.conns.remove(id)));
     }
 
     /// Closes what has been idle for long.
     pub fn sweep(&mut self, now: Micros) {
         let (conns, limit) = (&mut self.conns, self.idle_limit);
-        self.idle.retain(|_, ids| {
-            ids.retain(|id| {
-                let keep = conns.get(id).is_some_and(|conn| now < conn.idle_since + limit);
+        self.lines.retain(|_, line| {
+            line.idle.retain(|id| {
+                let idle = conns.get(id).map(|conn| conn.state);
+                let keep = matches!(idle, Some(State::Idle(since)) if now < since + limit);
                 if !keep {
                     conns.remove(id);
                 }
                 keep
             });
-            !ids.is_empty()
+            !(line.idle.is_empty() && line.opening.is_empty() && line.waiting.is_empty())
         });
     }
 
-    /// Makes room: the connection that has been idle for longest goes, else the oldest that is only late.
-    fn drop_one_spare(&mut self) {
-        let oldest = self.idle.values().filter_map(|ids| ids.first());
-        let oldest = oldest.min_by_key(|id| self.conns.get(id).map_or(0, |conn| conn.idle_since)).copied();
-        let late = || self.conns.iter().filter(|(_, conn)| conn.late).map(|(id, _)| *id).min();
-        oldest.or_else(late).into_iter().for_each(|id| self.close(id));
+    /// Makes room: the connection that has been idle for longest goes, else the oldest that is overdue or only late.
+    fn drop_one_spare(&mut self, now: Micros) {
+        let oldest = self.conns.iter().filter_map(|(id, conn)| match conn.state {
+            State::Idle(since) => Some((0, since, *id)),
+            State::Opening(since) if now >= since + self.in_time => Some((1, since, *id)),
+            State::Late => Some((2, 0, *id)),
+            _ => None,
+        });
+        oldest.min().into_iter().for_each(|(.., id)| self.close(id));
     }
 }
 
@@ -232,10 +308,10 @@
 
 impl Link {
     /// Opens the connection and carries one request after the other, until it is lost.
-    async fn run(&mut self, address: SocketAddr) -> News {
-        // A machine that vanished answers nothing: the connect has a time-out of its own.
-        let limit = Duration::from_micros(self.deployment.connect_timeout.max(1_000));
-        let Ok(Ok(mut stream)) = tokio::time::timeout(limit, TcpStream::connect(address)).await else {
+    async fn run(&mut self, address: SocketAddr, patience: Duration) -> News {
+        // A machine that vanished answers nothing: the connect has a time-out of its own. It is longer than that of
+        // the attempts which wait for it, as a connection that comes up late shows that the server is there.
+        let Ok(Ok(mut stream)) = tokio::time::timeout(patience, TcpStream::connect(address)).await else {
             return News::Lost { written: false };
         };
         let _ = stream.set_nodelay(true);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -144,6 +144,7 @@
                 drop(self.held.remove(&request))
             }
             Event::Timer(_) => self.wakes.timer_came(),
+            Event::Probed { server, ok: true, .. } => self.reached(server, out),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
         }
         while let Some(wake) = self.wakes.due(now, out) {
@@ -669,6 +670,18 @@
         }
     }
 
+    /// A connection came up later than attempts wait for one: the way is slow, but the server is there.
+    fn reached(&mut self, server: ServerId, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        if s.in_flight == 0 && self.crowded {
+            out.push(Action::CloseIdle(server));
+        }
+        if std::mem::take(&mut s.unreachable) {
+            (s.strikes, s.aside) = (s.strikes.saturating_sub(1), (0, 0));
+            out.push(Action::Log(format!("server {server} is reached after all: let back")));
+        }
+    }
+
     /// An attempt has had no answer for long: a sign of overload, and against silent and hanging servers a
     /// strike when the server has answered nothing since.
     fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1125,6 +1125,17 @@
     assert!(refused(&node.request(read(3, 9)), 3), "all are full");
 }
 
+#[test]
+fn a_server_that_is_reached_late_is_not_left_aside() {
+    let mut node = Node::new(settings(), 3);
+    let first = sent_to(&node.request(read(1, 9))).unwrap();
+    let second = sent_to(&node.outcome(1, 0, first, Status::ConnectFailed)).unwrap();
+    node.outcome(1, 1, second, Status::Served);
+    assert_ne!(sent_to(&node.request(read(2, 9))), Some(first), "set aside");
+    node.event(Event::Probed { server: first, ok: true, took: 200 * MS, load: Load::default() });
+    assert_eq!(sent_to(&node.request(read(3, 9))), Some(first), "and let back");
+}
+
 #[test]
 fn a_failed_call_to_discovery_is_repeated_later_and_not_at_once() {
     let config = Settings { ask_discovery: true, ..settings() };
