Count a server's time from when an attempt is written, and tell in traces how a read went

Change: the node tells when an attempt waits for a connection and when it is written (Event::Connection); patience, service time and strain count from there. A read that waits for its connection may still be sent to the next server. The outcome line of a trace ends with the server's word on the read.

--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -468,6 +468,7 @@
             // Forced by the limit on sockets: there is no connection to send this on.
             return self.end(key, Status::NotSent);
         }
+        self.events.push_back(Event::Connection { request: key.0, attempt: key.1, up: false });
         // Half the time is far more than a connect takes: one that has not come by then is one of those that come
         // late or never, and the next has the same chance again.
         self.timers.push(Reverse((now + limit / 2, Due::Another(key.0, key.1))));
@@ -509,10 +510,13 @@
             Speech::Resp => caches::encode(&open.command, (open.ends - now).div_ceil(1_000)),
             Speech::Http => origin::encode(&open.command, &server.address.to_string()),
         };
-        attempt.conn = Some(conn);
+        let waited = attempt.conn.replace(conn).is_none();
         let server = attempt.server;
         if self.pool.start(conn, bytes) {
             self.trace.line(now, format_args!("send {} {} {server}", key.0, key.1));
+            if waited {
+                self.events.push_back(Event::Connection { request: key.0, attempt: key.1, up: true });
+            }
         } else {
             self.lost(key, conn, false);
         }
@@ -623,7 +627,8 @@
         open.out -= 1;
         let over = open.over || reply.status == Status::Served;
         let (now, server, status) = (self.clock.now(), attempt.server, reply.status);
-        self.trace.line(now, format_args!("outcome {} {} {server} {status:?}", key.0, key.1));
+        self.trace
+            .line(now, format_args!("outcome {} {} {server} {status:?} {:?}", key.0, key.1, reply.note));
         debug!(request = %open.command.id.escape_ascii(), attempt = key.1, server, ?status, "attempt ended");
         if let Some(value) = &reply.value {
             let mut answer = BytesMut::with_capacity(value.len() + 16);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -143,6 +143,7 @@
             Event::AnswerBegan { request, .. } | Event::ClientGone(request) => {
                 drop(self.held.remove(&request))
             }
+            Event::Connection { request, attempt, up } => self.connection(request, attempt, up),
             Event::Timer(_) => self.wakes.timer_came(),
             Event::Probed { server, ok: true, .. } => self.reached(server, out),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
@@ -501,7 +502,7 @@
         } else {
             self.gate.enter(call);
         }
-        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
+        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after, connecting: false });
         out.push(Action::Send { request: id, server, give_up_after: 0 });
         true
     }
@@ -682,11 +683,28 @@
         }
     }
 
+    /// A server's time counts from when an attempt is written: how long the way there took tells nothing of its load.
+    fn connection(&mut self, id: RequestId, attempt: u16, up: bool) {
+        let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
+        f.connecting = !up;
+        if up {
+            f.sent = self.now;
+            let patience = f.slow_after;
+            self.wake(patience, Wake::Patience(id, attempt));
+        }
+    }
+
     /// An attempt has had no answer for long: a sign of overload, and against silent and hanging servers a
     /// strike when the server has answered nothing since.
     fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
         let Some(&f) = self.flights.get(&(id, attempt)) else { return };
         let (age, patience) = (self.now - f.sent, f.slow_after + 1);
+        if f.connecting {
+            return self.hedge(id, f.server, out);
+        }
+        if age < f.slow_after {
+            return; // It was written later than sent, and is looked at again.
+        }
         // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
         self.strain.add(if age < f.aim { 0.5 } else { 0.0 }, if age < patience * 3 / 2 { 1.0 } else { 0.0 });
         if age < patience * 3 / 2 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -335,6 +335,16 @@
     Request(Request),
     /// An attempt ended.
     Outcome(Outcome),
+    /// An attempt waits for a connection (`up` is false), or waits no more and is being written. Where nothing is
+    /// told of it, an attempt is written when it is sent.
+    Connection {
+        /// Its request.
+        request: RequestId,
+        /// Number of the attempt.
+        attempt: u16,
+        /// Whether it has its connection now.
+        up: bool,
+    },
     /// A streamed answer began; the attempt belongs to the client now.
     AnswerBegan {
         /// Its request.
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,8 @@
     pub aim: Micros,
     /// It is slow when it has been out for this long.
     pub slow_after: Micros,
+    /// It waits for a connection, which tells nothing of its server's load.
+    pub connecting: bool,
 }
 
 /// A server of the list, and what this balancer has seen of it.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -6,6 +6,14 @@
 use common::*;
 use spardeal::*;
 
+/// The server that a key goes to first; the request is served at once.
+fn place(node: &mut Node, key: Key) -> ServerId {
+    let id = 1_000_000 + node.actions.len() as RequestId;
+    let server = sent_to(&node.request(read(id, key))).unwrap();
+    node.outcome(id, 0, server, Status::Served);
+    server
+}
+
 #[test]
 fn a_key_follows_one_order_at_every_balancer_and_little_moves_when_a_server_goes() {
     let place = |servers: &[u32], key: Key, seed: u64| {
@@ -1136,6 +1144,30 @@
     assert_eq!(sent_to(&node.request(read(3, 9))), Some(first), "and let back");
 }
 
+#[test]
+fn the_wait_for_a_connection_is_not_taken_for_load_and_a_slow_answer_is() {
+    // The keys that go to server 1 first, of many, after some attempts at it that had their answer late.
+    let left_after = |connecting: bool| {
+        let mut node = Node::new(Settings { may_duplicate: false, ..settings() }, 3);
+        let keys: Vec<Key> = (1..).filter(|key| place(&mut node, *key) == 1).take(20).collect();
+        for (id, key) in (1..=10).zip(&keys) {
+            let to = sent_to(&node.request(read(id, *key))).unwrap();
+            if connecting {
+                node.event(Event::Connection { request: id, attempt: 0, up: false });
+            }
+            node.pass(700 * MS);
+            if connecting {
+                node.event(Event::Connection { request: id, attempt: 0, up: true });
+            }
+            node.pass(20 * MS);
+            node.outcome(id, 0, to, Status::Served);
+        }
+        keys.iter().filter(|key| place(&mut node, **key) == 1).count()
+    };
+    assert_eq!(left_after(true), 20, "it keeps all of its keys");
+    assert!(left_after(false) < 20, "one that answers so late is left fewer");
+}
+
 #[test]
 fn a_failed_call_to_discovery_is_repeated_later_and_not_at_once() {
     let config = Settings { ask_discovery: true, ..settings() };
