--- a/crates/standing/src/journal.rs
+++ b/crates/standing/src/journal.rs
@@ -32,6 +32,8 @@
     pub argv: Vec<String>,
     /// Whether it ran to its end.
     pub ok: bool,
+    /// The deployment that was played.
+    pub site: Option<String>,
     /// The days that were played, as `real:SITE:1:DAY,DAY[:quick]`.
     pub panel: Option<String>,
     /// What went wrong with the run itself.
--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -471,6 +471,21 @@
         }
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_pushed_watch_that_is_turned_away_is_opened_again_well_within_the_grace_of_a_drain() {
+        let refused = says(&["HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"]);
+        let (address, mut calls) = stand_in(vec![refused; 12]).await;
+        let (hub, _inputs) = mpsc::channel(8);
+        let mut discovery = Discovery::new(address, 5, hub);
+        discovery.follow();
+        let mut last = calls.recv().await.unwrap().0;
+        for call in 1..12 {
+            let at = calls.recv().await.unwrap().0;
+            assert!(at - last >= BACKOFF.0 && at - last <= BACKOFF.1, "call {call} after {:?}", at - last);
+            last = at;
+        }
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_half_open_call_does_not_hold_up_the_next() {
         let (address, mut calls) = stand_in(vec![Script::default(), says(&[HEAD, &chunk(INDENTED)])]).await;
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use crate::node::Input;
+use crate::node::{Clock, Input};
 use crate::{caches, origin};
 
 /// Names a connection; never used twice.
@@ -44,6 +44,8 @@
     Up,
     /// The answer to the request that it carried.
     Answer(Reply),
+    /// The time of the request that it was given was up before its first byte was written; it is free.
+    Unsent,
     /// It could not be opened or is lost; whether the last byte of its request may have been written.
     Lost { written: bool },
 }
@@ -55,6 +57,13 @@
     Http,
 }
 
+/// A request on its way to a connection.
+struct Job {
+    bytes: Bytes,
+    /// It may not be written from then on. The node may have stood still since it said so.
+    by: Micros,
+}
+
 /// What a connection is at.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum State {
@@ -71,7 +80,7 @@
 struct Conn {
     server: ServerId,
     address: SocketAddr,
-    jobs: mpsc::Sender<Bytes>,
+    jobs: mpsc::Sender<Job>,
     task: AbortHandle,
     state: State,
     carried: u64,
@@ -107,12 +116,13 @@
     in_time: Micros,
     patience: Micros,
     deployment: Arc<Deployment>,
+    clock: Clock,
     hub: mpsc::Sender<Input>,
 }
 
 impl Pool {
     /// A pool of at most `limit` connections.
-    pub fn new(limit: usize, deployment: Arc<Deployment>, hub: mpsc::Sender<Input>) -> Self {
+    pub fn new(limit: usize, deployment: Arc<Deployment>, clock: Clock, hub: mpsc::Sender<Input>) -> Self {
         // Before the server closes it: a request written to a closed connection ends as a reset, which may have
         // run and so may not be sent again. Not long before: one of many nodes meets a server every few seconds.
         let idle_limit = deployment.idle_close / 5 * 4;
@@ -120,7 +130,7 @@
         // What comes later than any request waits would be of use to none that is known of yet.
         let longest = deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let (conns, lines, patience) = (HashMap::new(), HashMap::new(), in_time.max(longest));
-        Pool { conns, lines, next: 1, limit, idle_limit, in_time, patience, deployment, hub }
+        Pool { conns, lines, next: 1, limit, idle_limit, in_time, patience, deployment, clock, hub }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
@@ -173,10 +183,10 @@
         let id = self.next;
         self.next += 1;
         let (jobs, take) = mpsc::channel(1);
-        let (hub, deployment) = (self.hub.clone(), self.deployment.clone());
+        let (hub, deployment, clock) = (self.hub.clone(), self.deployment.clone(), self.clock);
         let patience = Duration::from_micros(self.patience);
         let task = tokio::spawn(async move {
-            let mut link = Link { id, speech, deployment, jobs: take, hub };
+            let mut link = Link { id, speech, deployment, jobs: take, clock, hub };
             let news = link.run(address, patience).await;
             let _ = link.hub.send(Input::Conn(id, news)).await;
         });
@@ -246,11 +256,11 @@
         self.conns.get(&id).map_or(0, |conn| conn.carried)
     }
 
-    /// Hands a request to a connection that is up; `false` if it is lost already.
-    pub fn start(&mut self, id: ConnId, request: Bytes) -> bool {
+    /// Hands a request to a connection that is up, to be written before a time; `false` if it is lost already.
+    pub fn start(&mut self, id: ConnId, bytes: Bytes, by: Micros) -> bool {
         let Some(conn) = self.conns.get_mut(&id) else { return false };
         conn.carried += 1;
-        conn.jobs.try_send(request).is_ok()
+        conn.jobs.try_send(Job { bytes, by }).is_ok()
     }
 
     /// Closes a connection.
@@ -302,7 +312,8 @@
     id: ConnId,
     speech: Speech,
     deployment: Arc<Deployment>,
-    jobs: mpsc::Receiver<Bytes>,
+    jobs: mpsc::Receiver<Job>,
+    clock: Clock,
     hub: mpsc::Sender<Input>,
 }
 
@@ -330,7 +341,12 @@
                 job = self.jobs.recv() => job,
             };
             let Some(job) = job else { return News::Lost { written: false } };
-            if stream.write_all(&job).await.is_err() {
+            // Against a send after a request's end: the process may have been stopped since the node handed it on.
+            if self.clock.now() >= job.by {
+                news = News::Unsent;
+                continue;
+            }
+            if stream.write_all(&job.bytes).await.is_err() {
                 return News::Lost { written: false };
             }
             drop(job);
