--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -507,6 +507,7 @@
                 }
             }
             What::Continue(node) => {
+                self.shared.stage().rules.went_on(now, node);
                 self.nodes[node as usize].signal(Signal::SIGCONT);
                 self.news.push(format!("node {node} goes on"));
             }
@@ -707,6 +708,7 @@
                 let some = self.shared.stage().some(numbers, part);
                 for node in some {
                     self.nodes[node as usize].signal(Signal::SIGSTOP);
+                    self.shared.stage().rules.stopped(now, node);
                     self.at(now + us(lasts), What::Continue(node));
                 }
             }
--- a/crates/world/src/rules.rs
+++ b/crates/world/src/rules.rs
@@ -124,6 +124,8 @@
     told: BTreeMap<(NodeId, u32), Micros>,
     /// When it was known of servers that they are not ready.
     known: BTreeMap<u32, Micros>,
+    /// Since when nodes are stopped.
+    stopped: BTreeMap<NodeId, Micros>,
     breaks: Vec<Break>,
 }
 
@@ -212,6 +214,20 @@
         }
     }
 
+    /// A node's process is stopped: it learns nothing until it goes on.
+    pub fn stopped(&mut self, now: Micros, node: NodeId) {
+        self.stopped.insert(node, now);
+    }
+
+    /// A stopped node goes on: only now can it learn which clients left meanwhile.
+    pub fn went_on(&mut self, now: Micros, node: NodeId) {
+        let Some(since) = self.stopped.remove(&node) else { return };
+        let meanwhile = self.owed.iter_mut().filter(|(request, _)| request.0 == node);
+        for (_, owed) in meanwhile.filter(|(_, owed)| owed.ended.is_some_and(|ended| ended >= since)) {
+            owed.ended = Some(now);
+        }
+    }
+
     /// No attempt of a request is out any more and it has ended: it can be forgotten.
     pub fn forget(&mut self, request: Request) {
         if self.owed.get(&request).is_some_and(|owed| owed.ended.is_some()) {
@@ -239,6 +255,7 @@
 
     /// A node is killed: what it had is its clients' to ask again, and what it was told is forgotten.
     pub fn killed(&mut self, node: NodeId) {
+        self.stopped.remove(&node);
         self.owed.retain(|(owner, _), _| *owner != node);
         self.told.retain(|(owner, _), _| *owner != node);
     }
--- a/crates/world/tests/rules.rs
+++ b/crates/world/tests/rules.rs
@@ -35,6 +35,27 @@
     assert_eq!(broken(&killed), [], "its client asks again");
 }
 
+#[test]
+fn a_stopped_node_learns_of_its_clients_that_left_when_it_goes_on_and_not_before() {
+    let figures = Figures { answer_grace: 20_000, sent_grace: 50_000, ..Figures::default() };
+    for (sent, kept) in [(2 * SECOND + 49_999, true), (2 * SECOND + 50_000, false)] {
+        let mut all = Rules::new(figures.clone());
+        all.taken(R, SECOND, Effect::Pure);
+        all.stopped(SECOND / 2, 3);
+        all.client_gone(SECOND, R);
+        all.went_on(2 * SECOND, 3);
+        all.sent(sent, R, 0, 7);
+        assert_eq!(broken(&all).is_empty(), kept, "sent at {sent}");
+    }
+    let mut all = Rules::new(figures.clone());
+    all.taken(R, SECOND, Effect::Pure);
+    all.client_gone(SECOND, R);
+    all.stopped(3 * SECOND / 2, 3);
+    all.went_on(2 * SECOND, 3);
+    all.sent(2 * SECOND, R, 0, 7);
+    assert_eq!(broken(&all), [Broken::SentAfterEnd(R)], "it had left before");
+}
+
 #[test]
 fn a_request_whose_node_breaks_it_off_is_lost_at_once_and_only_once() {
     let mut all = rules();
