--- a/src/brain.rs
+++ b/src/brain.rs
@@ -683,7 +683,8 @@
         }
     }
 
-    /// A server's time counts from when an attempt is written: how long the way there took tells nothing of its load.
+    /// A server's time counts from when an attempt is written: how long the way there took tells nothing of
+    /// its load.
     fn connection(&mut self, id: RequestId, attempt: u16, up: bool) {
         let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
         f.connecting = !up;
