Pause before a pushed watch that ended at once is opened again

Found by reading the whole diff again: follow() opened a pushed watch anew without a pause after one that had ended well, so that an agent which ends each watch at once would be called without end.

A test for it fails without the change (a second call after 0 ns), another holds that an answer which never ends costs its own request only.

--- a/crates/standing/tests/margins.rs
+++ b/crates/standing/tests/margins.rs
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn a_cold_servers_load_is_told_as_a_multiple_of_what_it_can_do_over_all_nodes() {
+fn a_cold_servers_load_is_told_as_a_part_of_that_at_which_it_falls_over_all_nodes() {
     let begun = at(1_000);
     let list = server(0, 1, "Ready", 0) + &server(0, 2, "Ready", begun);
     // From the start of server 2 to two seconds on it can do (0.2 + 0.8 * 1 s / 20 s) * 10 a second: 4.8 in all.
--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -76,7 +76,8 @@
 /// The longest head of an answer.
 const MAX_HEAD: usize = 16 * 1024;
 
-/// The calls to discovery that are out: one watch and one whole list at most.
+/// The calls to discovery that are out: one watch and one whole list at most, each with a second connection while the
+/// first may be half open.
 pub struct Discovery {
     address: SocketAddr,
     /// Version of the list held.
@@ -170,14 +171,18 @@
         let call = async move {
             let mut pause = BACKOFF.0;
             loop {
-                match watch(address, &index, &hub).await {
-                    // It was there a moment ago.
-                    Ok(()) | Err(CallError::Silent) => pause = BACKOFF.0,
-                    Err(_) => {
-                        tokio::time::sleep(pause).await;
-                        pause = (pause * 2).min(BACKOFF.1);
+                pause = match watch(address, &index, &hub).await {
+                    // Its silence was waited for already.
+                    Err(CallError::Silent) => {
+                        pause = BACKOFF.0;
+                        continue;
                     }
-                }
+                    // It was there a moment ago; one that ends each watch at once is not called without a pause.
+                    Ok(()) => BACKOFF.0,
+                    Err(_) => pause,
+                };
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(BACKOFF.1);
             }
         };
         self.watch = Some(tokio::spawn(call).abort_handle());
@@ -472,17 +477,23 @@
     }
 
     #[tokio::test(start_paused = true)]
-    async fn a_pushed_watch_that_is_turned_away_is_opened_again_well_within_the_grace_of_a_drain() {
+    async fn a_pushed_watch_that_is_turned_away_or_ended_is_opened_again_soon_and_not_without_a_pause() {
         let refused = says(&["HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"]);
-        let (address, mut calls) = stand_in(vec![refused; 12]).await;
-        let (hub, _inputs) = mpsc::channel(8);
-        let mut discovery = Discovery::new(address, 5, hub);
-        discovery.follow();
-        let mut last = calls.recv().await.unwrap().0;
-        for call in 1..12 {
-            let at = calls.recv().await.unwrap().0;
-            assert!(at - last >= BACKOFF.0 && at - last <= BACKOFF.1, "call {call} after {:?}", at - last);
-            last = at;
+        for script in [refused, says(&[HEAD, "0\r\n\r\n"])] {
+            let (address, mut calls) = stand_in(vec![script; 12]).await;
+            let (hub, _inputs) = mpsc::channel(8);
+            let mut discovery = Discovery::new(address, 5, hub);
+            discovery.follow();
+            let mut last = calls.recv().await.unwrap().0;
+            for call in 1..12 {
+                let at = calls.recv().await.unwrap().0;
+                assert!(
+                    at - last >= BACKOFF.0 && at - last <= BACKOFF.1,
+                    "call {call} after {:?}",
+                    at - last
+                );
+                last = at;
+            }
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -356,7 +356,8 @@
     ClientGone(RequestId),
     /// A timer set by [`Action::Timer`] is due.
     Timer(u32),
-    /// The end of a probe.
+    /// The end of a probe; or, with `ok`, a connection that came up after the attempts that waited for it had given it
+    /// up, which shows as much.
     Probed {
         /// The server probed.
         server: ServerId,
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -190,6 +190,21 @@
     assert_ne!(cache.next().conn, cache.next().conn, "the connection of what was given up is not used again");
 }
 
+#[test]
+fn an_answer_that_never_ends_costs_its_own_request_and_no_other() {
+    let cache = cache(|words| match words[1].as_str() {
+        "aa" => Act::Say(b"*3\r\n$1000\r\nhalf a value".to_vec()),
+        key => Act::Say(hit(key)),
+    });
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, &pair(cache.address, origin.address));
+    let mut client = node.client();
+    let short = command(&["OBJ.GET", "aa", "1", "c=read,t=acme,d=300"]);
+    assert!(client.ask(&short).unwrap().starts_with('-'), "nothing of the half is passed on");
+    assert_eq!(client.ask(&get("bb", "2")).unwrap(), "bb");
+}
+
 #[test]
 fn kept_connections_to_a_machine_that_vanished_cost_one_request_and_no_more() {
     let (go, wait) = channel();
