Tell the origin the time that is left, as cache servers are told

Cache servers are told the time left (caches.rs, encode); the origin got the client's facts as they came (origin.rs, encode), and nearly all further attempts are fetches after a miss. Ruled out: repeats at cache servers, which tell the request's end less the time of the write (node.rs, write).

Change: both encoders write the time left, rounded down so that no attempt tells more.

--- a/src/bin/spardeal-node/caches.rs
+++ b/src/bin/spardeal-node/caches.rs
@@ -7,13 +7,18 @@
 use crate::resp::{self, Value};
 use crate::upstreams::{Broken, Reply};
 
-/// The command of a client as it goes on to a cache server: all unchanged but `d`, the time left now.
-pub fn encode(command: &Command, left_ms: u64) -> Bytes {
+/// The facts of a client's command as an attempt tells them: all unchanged but `d`, the time left now.
+pub fn facts(command: &Command, left_ms: u64) -> String {
     let facts = command.facts.split(',').map(|fact| match fact.split_once('=') {
         Some(("d", _)) => format!("d={left_ms}"),
         _ => fact.into(),
     });
-    let facts = facts.collect::<Vec<_>>().join(",");
+    facts.collect::<Vec<_>>().join(",")
+}
+
+/// The command of a client as it goes on to a cache server.
+pub fn encode(command: &Command, left_ms: u64) -> Bytes {
+    let facts = facts(command, left_ms);
     let name: &[u8] = if command.write { b"OBJ.SET" } else { b"OBJ.GET" };
     match &command.value {
         Some(value) => resp::command(&[name, &command.key, &command.id, facts.as_bytes(), value]),
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -506,9 +506,11 @@
         let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
         let open = self.open.get(&key.0).filter(|open| !open.over && now < open.ends);
         let (Some(server), Some(open)) = (server, open) else { return false };
+        // Rounded down: no attempt tells more time than is left.
+        let left_ms = ((open.ends - now) / 1_000).max(1);
         let bytes = match server.speech {
-            Speech::Resp => caches::encode(&open.command, (open.ends - now).div_ceil(1_000)),
-            Speech::Http => origin::encode(&open.command, &server.address.to_string()),
+            Speech::Resp => caches::encode(&open.command, left_ms),
+            Speech::Http => origin::encode(&open.command, &server.address.to_string(), left_ms),
         };
         let by = open.ends;
         let waited = attempt.conn.replace(conn).is_none();
--- a/src/bin/spardeal-node/origin.rs
+++ b/src/bin/spardeal-node/origin.rs
@@ -9,14 +9,14 @@
 use crate::resp::MAX_VALUE;
 use crate::upstreams::{Broken, Reply};
 
-/// The request for a client's command.
-pub fn encode(command: &Command, host: &str) -> Bytes {
+/// The request for a client's command. Like a cache server, the origin is told the time that is left.
+pub fn encode(command: &Command, host: &str, left_ms: u64) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
     out.put_slice(if command.write { b"PUT /" } else { b"GET /" });
     out.put_slice(&command.key);
     out.put_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nX-Correlation-Id: ").as_bytes());
     out.put_slice(&command.id);
-    out.put_slice(format!("\r\nX-Facts: {}\r\n", command.facts).as_bytes());
+    out.put_slice(format!("\r\nX-Facts: {}\r\n", caches::facts(command, left_ms)).as_bytes());
     let body: &[u8] = command.value.as_deref().unwrap_or(b"");
     if command.write {
         out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
