See a client leave in any state, and end connections between requests in order

Now input is read ahead (16 KiB), thrown away where the framing is lost (1 MiB), and beyond that the connection is asked for its end every 25 ms. A close that the machine itself can't see yet, as more lies before it than its buffers hold, stays unseen. - A request read together with its client's close was passed on; now the socket is read until it is empty first. A session that ends closes its channel before it tells the node, so that what is queued for it is not sent. - Connections between requests were dropped: what crossed that turned it into a reset. Now each has an orderly end (FIN, 0.1 s of reading), after the runtime has looked at its socket once more, so that what the machine has taken is served. - Notify kept a wake-up that nobody took, and not the longest idle one woke: a register of resting connections asks each once, and one whose next request crosses that passes it on. The listener asks only when somebody waits: it takes one connection beyond the table. A newcomer is refused only where nobody could be asked. - A request that waited for a slot had its time counted from when it got one; it counts from when it came. - The time of a client that takes nothing began anew with each event; and a client that never stops asking while the node ends was cut off by its exit: when the time is nearly up no further command is taken, and it gets its end.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -7,22 +7,36 @@
 use bytes::{Bytes, BytesMut};
 use spardeal::settings::Deployment;
 use spardeal::{Key, Micros};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::node::{Clock, Input};
 use crate::resp;
+use crate::resting::{Rest, Resting};
 
 /// Names a client's connection; never used twice.
 pub type ClientId = u64;
 
-/// Requests of one connection that are answered at the same time; more wait unread.
+/// Requests of one connection that are answered at the same time; more wait for one of them to be answered.
 pub const PIPELINE: usize = 64;
-/// While so much waits to be written to a client, nothing more is read from it.
+/// While so much waits to be written to a client, no further command of it is taken.
 const OUT_LIMIT: usize = 64 * 1024;
+/// While no command is taken, so much is read ahead all the same: behind it may lie the client's close, and the time
+/// of what waits counts from when it came.
+const READ_AHEAD: usize = 16 * 1024;
+/// Of a client whose framing is lost so much is read and thrown away while it is still owed answers.
+const DISCARD: usize = 1024 * 1024;
+/// A client of which nothing more is read is asked for its close this often.
+const LOOK: Duration = Duration::from_millis(25);
+/// Times of arrival that are kept apart; what comes beyond counts as come with the last of them.
+const ARRIVALS: usize = 64;
+/// What a client sends while its connection is being closed is read and thrown away for so long, as a close over
+/// unread input is a reset, which takes the last answer with it. Between requests what crossed the close has come soon,
+/// and the place, or the node's end, is waited for.
+const LINGER: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(100));
 /// A client that takes nothing of its answers for so long is cut off.
 const STALLED: Duration = Duration::from_secs(20);
 /// A newcomer that has sent no whole command, or a client that has left one half sent, for so long is cut off
@@ -46,8 +60,8 @@
     pub room: Arc<Semaphore>,
     /// How many of these are kept for refusals.
     pub refusals: usize,
-    /// Wakes the connection that has been idle for longest, to give its place up.
-    pub pressure: Notify,
+    /// The connections between two requests, of which one gives its place up where a newcomer needs it.
+    pub resting: Arc<Resting>,
     /// Requests that may still be taken; one counts until its answer is passed on, which bounds memory.
     pub open: Arc<Semaphore>,
 }
@@ -68,6 +82,15 @@
     Ready,
     /// It ends: connections are closed between requests.
     Draining,
+    /// Its time is nearly up: no further command is taken, so that none is without its answer when it is over.
+    Closing,
+}
+
+impl Phase {
+    /// Whether connections are closed between requests.
+    fn ends(self) -> bool {
+        matches!(self, Phase::Draining | Phase::Closing)
+    }
 }
 
 /// A command of a client.
@@ -110,28 +133,23 @@
     let mut phase = front.phase.clone();
     let mut next: ClientId = 0;
     loop {
-        // A table with no place left at all leaves newcomers waiting with the machine until one is free.
-        if front.room.available_permits() == 0 {
-            front.pressure.notify_one();
-        }
-        let Ok(permit) = front.room.clone().acquire_owned().await else { return };
-        let draining = *phase.borrow() == Phase::Draining;
+        let draining = phase.borrow_and_update().ends();
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
             () = tokio::time::sleep(Duration::from_millis(5)), if draining => return,
-            _ = phase.changed(), if !draining => continue,
+            Ok(()) = phase.changed(), if !draining => continue,
         };
         match accepted {
             Ok((stream, _)) => {
                 next += 1;
+                // One is taken beyond the table, from the reserve, as nothing else tells that somebody waits; where
+                // no place is left at all, the others wait with the machine until one is.
+                let Some(permit) = place(&front).await else { return };
                 // Against requests lost in a full table: the machine has taken a newcomer's request before the
-                // node has. An idle connection makes room for it; where all are busy it is refused at once.
-                let crowded = front.crowded();
-                if crowded {
-                    front.pressure.notify_one();
-                }
-                tokio::spawn(serve(stream, front.clone(), next, crowded, permit));
+                // node has. A resting connection makes room for it; where all are busy it is refused at once.
+                let refused = front.crowded() && !front.resting.ask();
+                tokio::spawn(serve(stream, front.clone(), next, refused, permit));
             }
             // Out of descriptors, or the client has left: neither ends the node.
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
@@ -139,6 +157,23 @@
     }
 }
 
+/// A place in the table, for which a resting connection is asked where there is none; `None` where there are no
+/// places any more.
+async fn place(front: &Front) -> Option<OwnedSemaphorePermit> {
+    if let Ok(permit) = front.room.clone().try_acquire_owned() {
+        return Some(permit);
+    }
+    loop {
+        front.resting.ask_or_wait();
+        // One that was asked may be slow to go, or its next request crossed the question.
+        let asked = LINGER.1 * 2;
+        if let Ok(permit) = tokio::time::timeout(asked, front.room.clone().acquire_owned()).await {
+            front.resting.satisfied();
+            return permit.ok();
+        }
+    }
+}
+
 /// Why a connection of a client ends.
 #[derive(Debug, PartialEq)]
 enum Ended {
@@ -148,6 +183,35 @@
     Closed,
 }
 
+/// When the bytes came that are read and not taken yet: how many, and the time.
+#[derive(Default)]
+struct Arrivals(VecDeque<(usize, Micros)>);
+
+impl Arrivals {
+    fn add(&mut self, bytes: usize, at: Micros) {
+        let full = self.0.len() >= ARRIVALS;
+        match self.0.back_mut() {
+            Some((before, then)) if full || at < *then + 1_000 => *before += bytes,
+            _ => self.0.push_back((bytes, at)),
+        }
+    }
+
+    /// Takes bytes off the front; when the last of them came.
+    fn take(&mut self, mut bytes: usize) -> Option<Micros> {
+        let mut last = None;
+        while bytes > 0
+            && let Some((there, at)) = self.0.front_mut()
+        {
+            let part = bytes.min(*there);
+            (*there, bytes, last) = (*there - part, bytes - part, Some(*at));
+            if *there == 0 {
+                self.0.pop_front();
+            }
+        }
+        last
+    }
+}
+
 async fn serve(
     stream: TcpStream,
     front: Arc<Front>,
@@ -163,6 +227,8 @@
         answers,
         answered,
         input: BytesMut::new(),
+        arrivals: Arrivals::default(),
+        discarded: 0,
         output: BytesMut::new(),
         slots: VecDeque::new(),
         first: 0,
@@ -173,15 +239,17 @@
     };
     let ended = session.run().await;
     if ended == Ended::Gone {
+        // First: whoever is about to send for this client sees it at once, whatever is queued before the news.
+        session.answered.close();
         let _ = session.front.hub.send(Input::ClientGone(client)).await;
-    } else if session.broken {
-        linger(&mut session.stream).await;
+    } else {
+        linger(&mut session.stream, if session.broken { LINGER.0 } else { LINGER.1 }).await;
     }
 }
 
-/// Reads on for a moment after the last answer: a close with input unread would reset the connection and
-/// could take the answer away from the client.
-async fn linger(stream: &mut TcpStream) {
+/// Ends a connection in order: its last answer goes out whole, and then its end. What crosses that is read and thrown
+/// away: a close with input unread would reset the connection and could take the answer away from the client.
+async fn linger(stream: &mut TcpStream, most: Duration) {
     let _ = stream.shutdown().await;
     let mut sink = [0u8; 4096];
     let rest = async {
@@ -191,7 +259,7 @@
             }
         }
     };
-    let _ = tokio::time::timeout(Duration::from_millis(500), rest).await;
+    let _ = tokio::time::timeout(most, rest).await;
 }
 
 /// The place of one answer; `None` while it is owed. The permit counts it among the open requests.
@@ -203,6 +271,9 @@
     answers: mpsc::Sender<(u64, Bytes)>,
     answered: mpsc::Receiver<(u64, Bytes)>,
     input: BytesMut,
+    arrivals: Arrivals,
+    /// Bytes thrown away since the framing was lost.
+    discarded: usize,
     output: BytesMut,
     /// Answers in the order of their commands.
     slots: VecDeque<Slot>,
@@ -210,7 +281,7 @@
     first: u64,
     /// Since when the client has owed a whole command; `None` where it owes none.
     owed_since: Option<Instant>,
-    /// The framing of the input is lost: nothing more is read.
+    /// The framing of the input is lost: nothing more of it is taken.
     broken: bool,
     /// It came when there were only places for refusals left.
     late: bool,
@@ -221,26 +292,21 @@
     async fn run(&mut self) -> Ended {
         let mut phase = self.front.phase.clone();
         let fresh_until = Instant::now() + FRESH;
+        let mut rest: Option<Rest> = None;
+        // When the client last took something of what waits to be written to it.
+        let mut took_at = Instant::now();
         loop {
-            while !self.broken && self.slots.len() < PIPELINE && self.output.len() < OUT_LIMIT {
-                match resp::take_command(&mut self.input) {
-                    Ok(Some(words)) => self.command(words).await,
-                    Ok(None) => break,
-                    Err(resp::Malformed(what)) => {
-                        self.answer_now(format!("-ERR protocol error: {what}\r\n"));
-                        self.broken = true;
-                    }
-                }
-            }
+            // A client whose input never ends must not keep the others waiting.
+            tokio::task::coop::consume_budget().await;
+            let now = *phase.borrow_and_update();
+            self.take_commands(now).await;
             while self.output.len() < OUT_LIMIT && self.slots.front().is_some_and(|slot| slot.0.is_some()) {
                 let answer = self.slots.pop_front().and_then(|slot| slot.0).unwrap_or_default();
                 self.first += 1;
                 self.output.extend_from_slice(&answer);
             }
             let owes = !self.slots.is_empty() || !self.output.is_empty();
-            let draining = *phase.borrow() == Phase::Draining;
-            let reading = !self.broken && self.slots.len() < PIPELINE && self.output.len() < OUT_LIMIT;
-            if !owes && self.broken {
+            if !owes && (self.broken || now == Phase::Closing) {
                 return Ended::Closed;
             }
             let between = !owes && self.input.is_empty();
@@ -254,6 +320,7 @@
                 match self.stream.try_write(&self.output) {
                     Ok(count) => {
                         let _ = self.output.split_to(count);
+                        took_at = Instant::now();
                         continue;
                     }
                     Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -263,8 +330,20 @@
             if self.output.is_empty() {
                 // The room that a large answer took is given back.
                 self.output = BytesMut::new();
+                took_at = Instant::now();
             }
-            tokio::select! {
+            let reading = self.reads(now);
+            if !reading && self.ended_unread().await {
+                return Ended::Gone;
+            }
+            let rests = between && self.first > 0;
+            if rests && rest.is_none() {
+                rest = Some(self.front.resting.begin());
+            } else if !rests {
+                rest = None;
+            }
+            let ends = now.ends();
+            let closes = tokio::select! {
                 biased;
                 answer = self.answered.recv() => {
                     if let Some((slot, bytes)) = answer
@@ -272,42 +351,119 @@
                     {
                         place.0 = Some(bytes);
                     }
+                    false
                 }
                 ready = self.stream.readable(), if reading => {
-                    if ready.is_err() {
+                    if ready.is_err() || self.read(now).is_err() {
                         return Ended::Gone;
                     }
-                    self.input.reserve(4096);
-                    match self.stream.try_read_buf(&mut self.input) {
-                        Ok(0) => return Ended::Gone,
-                        Ok(_) => {}
-                        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-                        Err(_) => return Ended::Gone,
-                    }
+                    false
                 }
                 ready = self.stream.writable(), if !self.output.is_empty() => {
                     if ready.is_err() {
                         return Ended::Gone;
                     }
+                    false
                 }
-                _ = phase.changed(), if !draining => {}
-                () = tokio::time::sleep_until(fresh_until), if draining && between && self.first == 0 =>
-                    return Ended::Closed,
-                () = std::future::ready(()), if draining && between && self.first > 0 => return Ended::Closed,
-                () = self.front.pressure.notified(), if between && self.first > 0 => return Ended::Closed,
-                () = tokio::time::sleep(STALLED), if !self.output.is_empty() => return Ended::Gone,
+                Ok(()) = phase.changed() => false,
+                () = tokio::time::sleep_until(fresh_until), if ends && between && self.first == 0 => true,
+                () = std::future::ready(()), if ends && rests => true,
+                () = async { if let Some(rest) = &mut rest { rest.asked().await } }, if rest.is_some() => true,
+                () = tokio::time::sleep_until(took_at + STALLED), if !self.output.is_empty() =>
+                    return Ended::Gone,
+                () = tokio::time::sleep(LOOK), if !reading => false,
                 () = async { tokio::time::sleep_until(cut_off.unwrap_or_else(Instant::now)).await },
                     if cut_off.is_some() => return Ended::Closed,
+            };
+            if closes {
+                // What the machine has taken by now is served still: the runtime looks for it once more.
+                tokio::task::yield_now().await;
+                if self.read(now).is_err() {
+                    return Ended::Gone;
+                }
+                if self.input.is_empty() {
+                    rest.take().into_iter().for_each(Rest::closes);
+                    return Ended::Closed;
+                }
+            }
+        }
+    }
+
+    /// Whether commands are taken now.
+    fn takes(&self, phase: Phase) -> bool {
+        !self.broken
+            && phase != Phase::Closing
+            && self.slots.len() < PIPELINE
+            && self.output.len() < OUT_LIMIT
+    }
+
+    /// Whether input is read now.
+    fn reads(&self, phase: Phase) -> bool {
+        match self.broken {
+            true => self.discarded < DISCARD,
+            false => self.takes(phase) || self.input.len() < READ_AHEAD,
+        }
+    }
+
+    /// Takes the commands that are whole.
+    async fn take_commands(&mut self, phase: Phase) {
+        while self.takes(phase) {
+            let before = self.input.len();
+            match resp::take_command(&mut self.input) {
+                Ok(Some(words)) => {
+                    let came = self.arrivals.take(before - self.input.len());
+                    let at = came.unwrap_or_else(|| self.front.clock.now());
+                    self.command(words, at).await;
+                }
+                Ok(None) => break,
+                Err(resp::Malformed(what)) => {
+                    self.answer_now(format!("-ERR protocol error: {what}\r\n"));
+                    self.broken = true;
+                    (self.input, self.arrivals) = (BytesMut::new(), Arrivals::default());
+                }
             }
         }
     }
 
+    /// Reads what has come; an error where the client has gone, whatever it had sent before: nobody waits for that.
+    fn read(&mut self, phase: Phase) -> Result<(), Ended> {
+        while self.reads(phase) {
+            self.input.reserve(4096);
+            match self.stream.try_read_buf(&mut self.input) {
+                Ok(0) => return Err(Ended::Gone),
+                Ok(count) if self.broken => {
+                    self.discarded += count;
+                    self.input.clear();
+                }
+                Ok(count) => {
+                    self.arrivals.add(count, self.front.clock.now());
+                    // More than one command holds: the rest is read when this has been looked at.
+                    if self.input.len() > resp::MAX_COMMAND {
+                        break;
+                    }
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
+                Err(_) => return Err(Ended::Gone),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a client of which nothing is read has closed its connection behind what lies there unread.
+    async fn ended_unread(&self) -> bool {
+        tokio::select! {
+            biased;
+            ready = self.stream.ready(Interest::READABLE) => ready.map_or(true, |ready| ready.is_read_closed()),
+            () = std::future::ready(()) => false,
+        }
+    }
+
     fn answer_now(&mut self, answer: impl Into<Bytes>) {
         self.slots.push_back(Slot(Some(answer.into()), None));
     }
 
-    async fn command(&mut self, words: Vec<Bytes>) {
-        let at = self.front.clock.now();
+    /// Takes a command that came at a time.
+    async fn command(&mut self, words: Vec<Bytes>, at: Micros) {
         let name = words.first().map(|name| name.to_ascii_uppercase()).unwrap_or_default();
         let command = match name.as_slice() {
             b"PING" => {
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -9,6 +9,7 @@
 mod node;
 mod origin;
 mod resp;
+mod resting;
 mod trace;
 mod upstreams;
 
@@ -17,7 +18,7 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use spardeal_config::{Layers, logging};
 use tracing::{info, warn};
@@ -54,7 +55,7 @@
         phase,
         room: room.clone(),
         refusals: (part / 8).max(1),
-        pressure: Notify::new(),
+        resting: Arc::default(),
         open,
     };
     tokio::spawn(clients::listen(listener, Arc::new(front)));
@@ -77,7 +78,7 @@
         }
         let _ = signals.send(Input::Terminate).await;
     });
-    // All places: the listener has given its own back when it ended, and a client's may have answers to write.
+    // All places: a client's may have answers to write.
     let idle = move || room.available_permits() >= part;
     Node::new(config, deployment, clock, hub, part, trace).run(inputs, phase_set, idle).await;
     Ok(())
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -99,6 +99,8 @@
     Sweep,
     /// Connections of clients are closed from now on.
     Drain,
+    /// No further command is taken.
+    Close,
     /// Whether all is answered is looked at.
     Ended,
 }
@@ -224,6 +226,7 @@
                 let Some(Reverse((_, due))) = self.timers.pop() else { break };
                 match due {
                     Due::Drain => drop(phase.send(Phase::Draining)),
+                    Due::Close => drop(phase.send(Phase::Closing)),
                     Due::Ended => {
                         let late = self.ends_at.is_some_and(|at| now >= at);
                         if late || (self.open.values().all(|open| open.over) && idle()) {
@@ -272,6 +275,7 @@
                 self.answered_by = ends_at.min(now + longest.min(KILLED.0) + KILLED.1) - WRITE_OUT;
                 self.timers.push(Reverse((now + ACCEPT_ON, Due::Drain)));
                 self.timers.push(Reverse((now + ACCEPT_ON + 20_000, Due::Ended)));
+                self.timers.push(Reverse((self.answered_by.max(now + ACCEPT_ON), Due::Close)));
             }
             Input::Terminate => {}
         }
@@ -313,7 +317,7 @@
                 self.pool.sweep(now);
                 self.timers.push(Reverse((now + SWEEP, Due::Sweep)));
             }
-            Due::Drain | Due::Ended => {}
+            Due::Drain | Due::Close | Due::Ended => {}
         }
     }
 
--- a/src/bin/spardeal-node/resp.rs
+++ b/src/bin/spardeal-node/resp.rs
@@ -7,7 +7,7 @@
 pub const MAX_VALUE: usize = 64 * 1024;
 /// The longest command: a value, and beside it more than its other words may take. Without it a client could
 /// have the node hold a value for each word of a command that is refused in the end.
-const MAX_COMMAND: usize = MAX_VALUE + 4 * 1024;
+pub const MAX_COMMAND: usize = MAX_VALUE + 4 * 1024;
 /// Words in a command, and elements in an answer, at most.
 const MAX_WORDS: usize = 16;
 /// The longest line that states a length.
