Write nothing for a client that left, a server that drains or a time that is over

Read line by line (node.rs, upstreams.rs), proven by tests on sockets: - Between the node's word and the first byte only the request's end was looked at again. A client's leave, a cancel or a drain in between went unheeded, by a standstill of the process for as long as that took. Now what was handed over can be withdrawn, and a connection that is 50 ms late asks the node once more, at no cost of an attempt. - A request whose client left went on waiting for a connection; it leaves the queue at once. One whose client's session has ended is not sent, though the news of that is queued behind it. - A value that was cancelled half written went on to be written whole, as its connection was kept for its answer: it could run beside the attempt after it. Its connection is closed. - The timer of an earlier request given up on a connection ended a later one's wait; the timers of an earlier wait for a connection ended the next. Each carries the time that it belongs to. - A loop that has not turned for 50 ms looks at its sockets first, and takes closes and lists before what asks for sends. - What waits for a server that moves gets a connection to its new address at once, not after half of the time-out. Ruled out: a repeat of a keyed write past its window. The module repeats no write that may have run (a test holds that).

--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::discovery::{Discovery, Listing};
 use crate::trace::Trace;
-use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech, State};
+use crate::upstreams::{AttemptKey, ConnId, News, Pool, Progress, Reply, Speech, State};
 use crate::{caches, origin, resp};
 
 /// What reaches the loop.
@@ -45,6 +45,13 @@
     Terminate,
 }
 
+impl Input {
+    /// Whether it may forbid what others ask for, and asks for nothing itself.
+    fn forbids(&self) -> bool {
+        matches!(self, Input::ClientGone(_) | Input::List(..))
+    }
+}
+
 /// The node's one clock: Unix time in microseconds at the start, and steady from there on.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -80,6 +87,8 @@
 /// Before its end, and before it may be killed, a node has this long to write out its last answers.
 const WRITE_OUT: Micros = 100_000;
 const SWEEP: Micros = 1_000_000;
+/// A loop that has not turned for so long looks at its sockets before it goes on.
+const STOOD_STILL: Micros = 50_000;
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -87,10 +96,10 @@
     Policy(u32),
     /// An attempt is given up.
     Attempt(RequestId, u16),
-    /// An attempt that still waits for a connection has another opened.
-    Another(RequestId, u16),
-    /// An attempt that still waits for a connection waits no more.
-    Unconnected(RequestId, u16),
+    /// An attempt that still waits for a connection, since when, has another opened.
+    Another(RequestId, u16, Micros),
+    /// An attempt that still waits for a connection, since when, waits no more.
+    Unconnected(RequestId, u16, Micros),
     /// The answer to an attempt that was given up has not come; when the attempt was sent.
     Late(ConnId, Micros),
     /// A client's time is up.
@@ -130,6 +139,8 @@
     sent: Micros,
     /// The connection that carries it; `None` while it waits for one.
     conn: Option<ConnId>,
+    /// Since when it waits, or waited last.
+    waits_since: Micros,
 }
 
 /// The node.
@@ -211,7 +222,13 @@
         }
         self.timers.push(Reverse((self.clock.now() + SWEEP, Due::Sweep)));
         let mut ready = false;
+        let (mut looked, mut arrived) = (self.clock.now(), None);
         loop {
+            if self.clock.now() - looked > STOOD_STILL {
+                self.catch_up(&mut inputs, &mut arrived).await;
+            }
+            looked = self.clock.now();
+            arrived.take().into_iter().for_each(|input| self.input(input));
             if !ready && self.servers.values().any(|s| s.condition == Condition::Ready) {
                 ready = true;
                 phase.send_if_modified(|p| {
@@ -241,7 +258,7 @@
             tokio::select! {
                 biased;
                 input = inputs.recv() => match input {
-                    Some(input) => self.input(input),
+                    Some(input) => arrived = Some(input),
                     None => return,
                 },
                 () = tokio::time::sleep_until(self.clock.instant(next)) => {}
@@ -249,19 +266,23 @@
         }
     }
 
+    /// The node slept, or its process stood still: what has come to its sockets meanwhile is taken in before anything
+    /// that was queued or due goes on, and of that what forbids sends before what asks for them.
+    async fn catch_up(&mut self, inputs: &mut mpsc::Receiver<Input>, arrived: &mut Option<Input>) {
+        // Once for the sockets to be looked at, and once each for the tasks that bytes go through on their way here.
+        for _ in 0..3 {
+            tokio::task::yield_now().await;
+        }
+        let mut all: Vec<_> = arrived.take().into_iter().collect();
+        all.extend(std::iter::from_fn(|| inputs.try_recv().ok()));
+        let (first, rest): (Vec<_>, Vec<_>) = all.into_iter().partition(Input::forbids);
+        first.into_iter().chain(rest).for_each(|input| self.input(input));
+    }
+
     fn input(&mut self, input: Input) {
         match input {
             Input::Asked(asked) => self.asked(*asked),
-            Input::ClientGone(client) => {
-                let mine =
-                    |(id, open): (&RequestId, &Open)| (open.client == client && !open.over).then_some(*id);
-                let gone: Vec<_> = self.open.iter().filter_map(mine).collect();
-                for id in gone {
-                    self.trace.line(self.clock.now(), format_args!("end {id} gone 0"));
-                    self.close_request(id);
-                    self.tell(Event::ClientGone(id));
-                }
-            }
+            Input::ClientGone(client) => self.client_gone(client),
             Input::Conn(conn, news) => self.conn(conn, news),
             Input::List(listing) => self.list(listing, None),
             Input::ListFailed => self.unheard(ListKind::Failed),
@@ -288,21 +309,24 @@
                 self.give_up((id, number), Status::TimedOut);
                 self.run_events();
             }
-            Due::Another(id, number) => {
-                let server = self.waits((id, number)).map(|attempt| attempt.server);
+            Due::Another(id, number, since) => {
+                let server = self.waits((id, number), since);
                 if let Some(to) = server.and_then(|server| self.target(server)) {
                     self.pool.open(to, now);
                 }
             }
-            Due::Unconnected(id, number) => {
-                if let Some(server) = self.waits((id, number)).map(|attempt| attempt.server) {
+            Due::Unconnected(id, number, since) => {
+                if let Some(server) = self.waits((id, number), since) {
                     self.pool.leave(server, (id, number));
                     self.end((id, number), Status::ConnectFailed);
                     self.run_events();
                 }
             }
             Due::Late(conn, sent) => {
-                if let Some((server, State::Late)) = self.pool.state(conn) {
+                // Of another that was given up on this connection since, the time is not over.
+                if let Some((server, State::Late(of))) = self.pool.state(conn)
+                    && of == sent
+                {
                     self.abort(conn, server, sent);
                 }
             }
@@ -373,8 +397,45 @@
 
     // Requests.
 
+    /// A client has closed its connection: nothing is sent for it any more, from whatever queue.
+    fn client_gone(&mut self, client: ClientId) {
+        let mine = |(id, open): (&RequestId, &Open)| (open.client == client && !open.over).then_some(*id);
+        let gone: Vec<_> = self.open.iter().filter_map(mine).collect();
+        for id in gone {
+            self.trace.line(self.clock.now(), format_args!("end {id} gone 0"));
+            let attempts = self.open.get(&id).map_or(0, |open| open.sent);
+            self.close_request(id);
+            // Before the attempts end, so that the module makes no others.
+            self.events.push_back(Event::ClientGone(id));
+            for number in 0..attempts {
+                let _ = self.unsend((id, number));
+            }
+            self.run_events();
+        }
+    }
+
+    /// Ends an attempt whose last byte is not written, so that it never will be; what is written goes on.
+    fn unsend(&mut self, key: AttemptKey) -> bool {
+        let Some(attempt) = self.attempts.get(&key) else { return false };
+        let (server, sent, conn) = (attempt.server, attempt.sent, attempt.conn);
+        match conn.map(|conn| (conn, self.pool.withdraw(conn))) {
+            // It was never sent, and what is being opened may serve the next.
+            None => self.pool.leave(server, key),
+            // The connection says when it has seen that, and is free then.
+            Some((conn, Progress::Handed | Progress::Withdrawn)) => drop(self.pool.abandon(conn, sent)),
+            // The server has part of it, and must not get the rest.
+            Some((conn, Progress::Writing)) => self.pool.close(conn),
+            Some((_, Progress::Written)) => return false,
+        }
+        self.end(key, Status::NotSent);
+        true
+    }
+
     fn asked(&mut self, asked: Asked) {
         let Asked { command, at, client, slot, answers } = asked;
+        if answers.is_closed() {
+            return; // Its client has gone, and the news of that waits behind it.
+        }
         let id = self.next;
         self.next += 1;
         // What the request waited within the node is part of its time.
@@ -442,12 +503,13 @@
         let allowed =
             !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && now < open.ends;
         let limit = if give_up_after == 0 { open.ends } else { open.ends.min(now + give_up_after) };
+        let attempt = Attempt { server, sent: now, conn: None, waits_since: now };
         let Some(to) = self.target(server).filter(|_| allowed) else {
-            self.attempts.insert(key, Attempt { server, sent: now, conn: None });
+            self.attempts.insert(key, attempt);
             return self.end(key, Status::NotSent);
         };
         let conn = self.pool.reuse(server, key, now);
-        self.attempts.insert(key, Attempt { server, sent: now, conn });
+        self.attempts.insert(key, Attempt { conn, ..attempt });
         self.timers.push(Reverse((limit, Due::Attempt(id, key.1))));
         match conn {
             Some(conn) => self.carry(key, conn),
@@ -460,9 +522,10 @@
         self.servers.get(&server).map(|s| (server, s.address, s.speech))
     }
 
-    /// An attempt that waits for a connection.
-    fn waits(&self, key: AttemptKey) -> Option<&Attempt> {
-        self.attempts.get(&key).filter(|attempt| attempt.conn.is_none())
+    /// The server of an attempt that waits for a connection still, since a time.
+    fn waits(&self, key: AttemptKey, since: Micros) -> Option<ServerId> {
+        let waits = |attempt: &&Attempt| attempt.conn.is_none() && attempt.waits_since == since;
+        self.attempts.get(&key).filter(waits).map(|attempt| attempt.server)
     }
 
     /// Has an attempt wait for the first connection that comes up or becomes free.
@@ -472,16 +535,19 @@
             // Forced by the limit on sockets: there is no connection to send this on.
             return self.end(key, Status::NotSent);
         }
+        if let Some(attempt) = self.attempts.get_mut(&key) {
+            attempt.waits_since = now;
+        }
         self.events.push_back(Event::Connection { request: key.0, attempt: key.1, up: false });
         // Half the time is far more than a connect takes: one that has not come by then is one of those that come
         // late or never, and the next has the same chance again.
-        self.timers.push(Reverse((now + limit / 2, Due::Another(key.0, key.1))));
-        self.timers.push(Reverse((now + limit, Due::Unconnected(key.0, key.1))));
+        self.timers.push(Reverse((now + limit / 2, Due::Another(key.0, key.1, now))));
+        self.timers.push(Reverse((now + limit, Due::Unconnected(key.0, key.1, now))));
     }
 
     /// Hands an attempt to its connection, which is up; an attempt that may not be sent any more leaves it to the next.
     fn carry(&mut self, key: AttemptKey, conn: ConnId) {
-        if !self.write(key, conn) {
+        if !self.write(key, conn, false) {
             self.end(key, Status::NotSent);
             self.free(conn);
         }
@@ -494,21 +560,23 @@
         let ready = self.servers.get(&server).filter(|s| s.condition == Condition::Ready);
         let address = ready.map(|s| s.address);
         while let Some(key) = self.pool.hand_on(conn, address, self.clock.now()) {
-            if self.write(key, conn) {
+            if self.write(key, conn, false) {
                 return;
             }
             self.end(key, Status::NotSent);
         }
     }
 
-    /// Writes an attempt to its connection; `false` where it may not be sent any more.
-    fn write(&mut self, key: AttemptKey, conn: ConnId) -> bool {
+    /// Writes an attempt to its connection, which may have asked about it again; `false` where it may not be sent any
+    /// more.
+    fn write(&mut self, key: AttemptKey, conn: ConnId, asked: bool) -> bool {
         let now = self.clock.now();
         let Some(attempt) = self.attempts.get_mut(&key) else { return false };
         // Against a send after a drain or an end: between the module's word and the first byte the attempt
         // waited for its connection, and meanwhile its server may have left or its client gone.
         let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
-        let open = self.open.get(&key.0).filter(|open| !open.over && now < open.ends);
+        let wanted = |open: &&Open| !open.over && now < open.ends && !open.answers.is_closed();
+        let open = self.open.get(&key.0).filter(wanted);
         let (Some(server), Some(open)) = (server, open) else { return false };
         // Rounded down: no attempt tells more time than is left.
         let left_ms = ((open.ends - now) / 1_000).max(1);
@@ -519,8 +587,10 @@
         let by = open.ends;
         let waited = attempt.conn.replace(conn).is_none();
         let server = attempt.server;
-        if self.pool.start(conn, bytes, by) {
-            self.trace.line(now, format_args!("send {} {} {server}", key.0, key.1));
+        if self.pool.start(conn, bytes, by, asked) {
+            if !asked {
+                self.trace.line(now, format_args!("send {} {} {server}", key.0, key.1));
+            }
             if waited {
                 self.events.push_back(Event::Connection { request: key.0, attempt: key.1, up: true });
             }
@@ -553,7 +623,13 @@
                 self.end(key, Status::NotSent);
                 self.free(conn);
             }
-            (News::Unsent, State::Late) => self.free(conn),
+            (News::Stale, State::Busy(key)) => {
+                if !self.write(key, conn, true) {
+                    self.end(key, Status::NotSent);
+                    self.free(conn);
+                }
+            }
+            (News::Unsent | News::Stale, State::Late(_)) => self.free(conn),
             // What was given up has its answer after all: of no more interest, but the machine is there.
             (News::Answer(reply), _) => self.free_or_close(conn, reply.keep),
             (News::Lost { written }, State::Busy(key)) => self.lost(key, conn, written),
@@ -565,7 +641,7 @@
                     self.end(key, Status::ConnectFailed);
                 }
             }
-            (News::Up | News::Unsent, _) => {}
+            (News::Up | News::Unsent | News::Stale, _) => {}
         }
         self.run_events();
     }
@@ -598,16 +674,14 @@
     /// Stops waiting for an attempt. Its connection is closed, unless the answer is hardly due yet: a client
     /// in a hurry must not cost those after it the handshake of a new connection, nor the box.
     fn give_up(&mut self, key: AttemptKey, status: Status) {
+        if self.unsend(key) {
+            return;
+        }
         let Some(attempt) = self.attempts.get(&key) else { return };
-        let (server, sent) = (attempt.server, attempt.sent);
-        let Some(conn) = attempt.conn else {
-            // It was never sent, and what is being opened may serve the next.
-            self.pool.leave(server, key);
-            return self.end(key, Status::NotSent);
-        };
+        let (server, sent, Some(conn)) = (attempt.server, attempt.sent, attempt.conn) else { return };
         let class = self.open.get(&key.0).map_or(0, |open| open.command.class);
         let due = sent + self.deployment.settings.classes[class].aim;
-        if self.clock.now() < due && self.pool.abandon(conn) {
+        if self.clock.now() < due && self.pool.abandon(conn, sent) {
             self.timers.push(Reverse((due, Due::Late(conn, sent))));
         } else {
             self.abort(conn, server, sent);
@@ -694,9 +768,17 @@
             lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
             let heard = self.servers.get(&id).map_or(0, |server| server.heard);
             let before = self.servers.insert(id, Server { address, speech, condition, heard });
-            if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
+            let moved = before.is_some_and(|before| before.address != address);
+            if condition != Condition::Ready || moved {
                 self.pool.close_idle(id);
             }
+            if condition == Condition::Ready && moved {
+                // What is being opened to the old address is of no use to what waits.
+                let waiting = self.pool.waiting(id).len();
+                for _ in 0..waiting {
+                    let _ = self.pool.open((id, address, speech), now);
+                }
+            }
         }
         let unready = |line: &&ServerLine| line.condition != Condition::Ready;
         let mut unready: Vec<_> = lines.iter().filter(unready).map(|line| line.id).collect();
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -44,8 +45,11 @@
     Up,
     /// The answer to the request that it carried.
     Answer(Reply),
-    /// The time of the request that it was given was up before its first byte was written; it is free.
+    /// The request that it was given was withdrawn, or its time was up, before its first byte was written; it is free.
     Unsent,
+    /// The process stood still between the node's word and the first byte, which was not written: what came meanwhile
+    /// may forbid it.
+    Stale,
     /// It could not be opened or is lost; whether the last byte of its request may have been written.
     Lost { written: bool },
 }
@@ -62,8 +66,48 @@
     bytes: Bytes,
     /// It may not be written from then on. The node may have stood still since it said so.
     by: Micros,
+    /// The node is asked again before it is written later than this.
+    stale_at: Micros,
+    progress: Arc<Shared>,
 }
 
+/// How far a request has come on its connection. Only the connection's task goes on, and only the node withdraws.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// Not a byte is written.
+    Handed,
+    /// The last byte is not written yet.
+    Writing,
+    /// All is written.
+    Written,
+    /// The node wants it no more; not a byte was written, and none will be.
+    Withdrawn,
+}
+
+/// The same, shared between the node and the connection's task.
+struct Shared(AtomicU8);
+
+impl Shared {
+    const ALL: [Progress; 4] = [Progress::Handed, Progress::Writing, Progress::Written, Progress::Withdrawn];
+
+    fn new() -> Arc<Self> {
+        Arc::new(Shared(AtomicU8::new(Progress::Handed as u8)))
+    }
+
+    fn get(&self) -> Progress {
+        Self::ALL[usize::from(self.0.load(Ordering::Acquire)) % Self::ALL.len()]
+    }
+
+    /// From one to the next; `false` where the other side was first.
+    fn step(&self, from: Progress, to: Progress) -> bool {
+        self.0.compare_exchange(from as u8, to as u8, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+}
+
+/// A request that is not written so long after the node said so is asked about again: a client that has left, or a
+/// drain, is known to the node within half of the tenth of a second that the operators allow for it.
+const STALE: Micros = 50_000;
+
 /// What a connection is at.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum State {
@@ -71,8 +115,8 @@
     Opening(Micros),
     /// It carries an attempt.
     Busy(AttemptKey),
-    /// What it carried was given up, and its answer may still come.
-    Late,
+    /// What it carried was given up, and its answer may still come; when that was sent.
+    Late(Micros),
     /// It owes nothing, since when.
     Idle(Micros),
 }
@@ -84,6 +128,8 @@
     task: AbortHandle,
     state: State,
     carried: u64,
+    /// How far the request is that it was given last.
+    progress: Arc<Shared>,
 }
 
 impl Drop for Conn {
@@ -191,7 +237,8 @@
             let _ = link.hub.send(Input::Conn(id, news)).await;
         });
         let (task, state) = (task.abort_handle(), State::Opening(now));
-        self.conns.insert(id, Conn { server, address, jobs, task, state, carried: 0 });
+        self.conns
+            .insert(id, Conn { server, address, jobs, task, state, carried: 0, progress: Shared::new() });
         self.lines.entry(server).or_default().opening.push_back(id);
         true
     }
@@ -246,9 +293,24 @@
         self.lines.get(&server).map(|line| line.waiting.iter().copied().collect()).unwrap_or_default()
     }
 
-    /// Leaves a connection without its attempt until the answer comes; `false` if there is none to leave.
-    pub fn abandon(&mut self, id: ConnId) -> bool {
-        self.conns.get_mut(&id).map(|conn| conn.state = State::Late).is_some()
+    /// Leaves a connection without its attempt, sent at a time, until the answer comes; `false` if there is none to
+    /// leave.
+    pub fn abandon(&mut self, id: ConnId, sent: Micros) -> bool {
+        self.conns.get_mut(&id).map(|conn| conn.state = State::Late(sent)).is_some()
+    }
+
+    /// How far the request has come that a connection was given last.
+    pub fn progress(&self, id: ConnId) -> Progress {
+        self.conns.get(&id).map_or(Progress::Written, |conn| conn.progress.get())
+    }
+
+    /// Withdraws the request that a connection was given, if not a byte of it is written; how far it had come.
+    pub fn withdraw(&mut self, id: ConnId) -> Progress {
+        let conn = self.conns.get(&id);
+        match conn.is_some_and(|conn| conn.progress.step(Progress::Handed, Progress::Withdrawn)) {
+            true => Progress::Handed,
+            false => self.progress(id),
+        }
     }
 
     /// How many requests a connection has been given.
@@ -256,11 +318,14 @@
         self.conns.get(&id).map_or(0, |conn| conn.carried)
     }
 
-    /// Hands a request to a connection that is up, to be written before a time; `false` if it is lost already.
-    pub fn start(&mut self, id: ConnId, bytes: Bytes, by: Micros) -> bool {
+    /// Hands a request to a connection that is up, to be written before a time; `false` if it is lost already. Where
+    /// the node was asked about it once, it is not asked again: it would never go on a machine that is always late.
+    pub fn start(&mut self, id: ConnId, bytes: Bytes, by: Micros, asked: bool) -> bool {
+        let stale_at = if asked { by } else { self.clock.now() + STALE };
         let Some(conn) = self.conns.get_mut(&id) else { return false };
-        conn.carried += 1;
-        conn.jobs.try_send(Job { bytes, by }).is_ok()
+        conn.carried += u64::from(!asked);
+        conn.progress = Shared::new();
+        conn.jobs.try_send(Job { bytes, by, stale_at, progress: conn.progress.clone() }).is_ok()
     }
 
     /// Closes a connection.
@@ -300,7 +365,7 @@
         let oldest = self.conns.iter().filter_map(|(id, conn)| match conn.state {
             State::Idle(since) => Some((0, since, *id)),
             State::Opening(since) if now >= since + self.in_time => Some((1, since, *id)),
-            State::Late => Some((2, 0, *id)),
+            State::Late(sent) => Some((2, sent, *id)),
             _ => None,
         });
         oldest.min().into_iter().for_each(|(.., id)| self.close(id));
@@ -342,13 +407,21 @@
             };
             let Some(job) = job else { return News::Lost { written: false } };
             // Against a send after a request's end: the process may have been stopped since the node handed it on.
-            if self.clock.now() >= job.by {
+            let now = self.clock.now();
+            if now < job.by && now >= job.stale_at {
+                // What came meanwhile is taken in first.
+                tokio::task::yield_now().await;
+                news = News::Stale;
+                continue;
+            }
+            if now >= job.by || !job.progress.step(Progress::Handed, Progress::Writing) {
                 news = News::Unsent;
                 continue;
             }
             if stream.write_all(&job.bytes).await.is_err() {
                 return News::Lost { written: false };
             }
+            job.progress.step(Progress::Writing, Progress::Written);
             drop(job);
             let reply = loop {
                 let decoded = match self.speech {
--- a/tests/parts/node.rs
+++ b/tests/parts/node.rs
@@ -43,7 +43,8 @@
             known: Listing::default(),
             deployment: deployment.clone(),
         };
-        let mut node = Node::new(config, Arc::new(deployment), Clock::start(), hub, 16, Trace::new(false));
+        let mut node =
+            Node::new(config, Arc::new(deployment), Clock::start(), hub, 16, Trace::new(false));
         node.list(known, Some(ListKind::Full));
         let (answer_to, answers) = mpsc::channel(16);
         Driven { node, inputs, cache, answer_to, answers }
@@ -176,7 +177,8 @@
     let hasty = all.ask("1d");
     let (mut stream, _) = all.cache.accept().await.unwrap();
     let late = tokio::time::timeout(LONG, all.inputs.recv()).await.unwrap().unwrap();
-    all.node.due(Due::Unconnected(hasty, 0), all.node.clock.now());
+    let since = all.node.attempts[&(hasty, 0)].waits_since;
+    all.node.due(Due::Unconnected(hasty, 0, since), all.node.clock.now());
     assert_eq!(all.answers.try_recv().unwrap().0, hasty, "refused, as there is no other server");
     let up = all.node.clock.now() + 1_000;
     while all.node.clock.now() < up {
@@ -199,7 +201,7 @@
     // The process is stopped after the node has handed a request on, until its time is up.
     let (server, now) = (*all.node.servers.keys().next().unwrap(), all.node.clock.now());
     let conn = all.node.pool.reuse(server, (9, 0), now).unwrap();
-    assert!(all.node.pool.start(conn, Bytes::from_static(b"too late"), now));
+    assert!(all.node.pool.start(conn, Bytes::from_static(b"too late"), now, false));
     all.step().await;
     let next = all.ask("2d");
     read(&mut stream, "2d").await;
@@ -246,10 +248,196 @@
         all.node.give_up((late, 0), Status::TimedOut);
         if !overdue {
             let (server, _) = all.node.servers.iter().next().unwrap();
-            assert_eq!(all.node.pool.state(1), Some((*server, State::Late)));
+            assert_eq!(all.node.pool.state(1), Some((*server, State::Late(sent))));
             all.node.due(Due::Late(1, sent), sent + AIM);
         }
         assert_eq!(all.node.pool.state(1), None);
         assert_eq!(stream.read(&mut [0; 8]).await.unwrap(), 0, "closed");
     }
 }
+
+// Crossings: what a client's leave, a drain or a standstill meets on the way to a server.
+
+impl Driven {
+    /// Asks, and has a connection that rests afterwards.
+    async fn warmed() -> (Self, TcpStream) {
+        let mut all = Driven::new().await;
+        all.ask("0d");
+        let (mut stream, _) = all.cache.accept().await.unwrap();
+        all.step().await;
+        read(&mut stream, "0d").await;
+        stream.write_all(VALUE).await.unwrap();
+        all.step().await;
+        all.answers.try_recv().unwrap();
+        (all, stream)
+    }
+
+    /// The process is stopped for longer than the node's word holds: no task of it gets on.
+    fn stand_still(&self) {
+        std::thread::sleep(Duration::from_micros(STOOD_STILL + 10_000));
+    }
+
+    /// Nothing more comes on a connection than one request.
+    async fn only(&mut self, stream: &mut TcpStream, id: &'static str) {
+        self.ask(id);
+        read(stream, id).await;
+        stream.write_all(VALUE).await.unwrap();
+        self.step().await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_whose_client_leaves_while_it_waits_for_a_connection_is_never_written() {
+    let mut all = Driven::new().await;
+    all.ask("1d");
+    let (mut stream, _) = all.cache.accept().await.unwrap();
+    all.node.input(Input::ClientGone(1));
+    assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0), "its place is free at once");
+    assert!(all.node.pool.waiting(*all.node.servers.keys().next().unwrap()).is_empty());
+    all.step().await; // The connection is up.
+    all.only(&mut stream, "2d").await;
+}
+
+#[tokio::test]
+async fn a_request_whose_client_leaves_between_the_nodes_word_and_the_first_byte_is_never_written() {
+    let (mut all, mut stream) = Driven::warmed().await;
+    all.ask("1d"); // Handed to the connection that rests, which has not run yet.
+    all.node.input(Input::ClientGone(1));
+    assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0));
+    all.step().await; // The connection has seen that, and is free.
+    all.only(&mut stream, "2d").await;
+}
+
+#[tokio::test]
+async fn a_request_that_is_queued_when_its_client_has_gone_is_not_taken() {
+    let mut all = Driven::new().await;
+    let (answers, gone) = mpsc::channel(1);
+    drop(gone);
+    let at = all.node.clock.now();
+    let command = Command { key: "aa".into(), time_left: AIM, ..Command::default() };
+    all.node.input(Input::Asked(Box::new(Asked { command, at, client: 2, slot: 0, answers })));
+    assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0));
+}
+
+#[tokio::test]
+async fn a_request_whose_client_has_gone_is_not_written_though_the_news_of_it_is_queued_behind() {
+    let mut all = Driven::new().await;
+    all.ask("1d");
+    let (mut stream, _) = all.cache.accept().await.unwrap();
+    // Its session has ended; the node has not been told yet.
+    all.answers.close();
+    all.step().await; // The connection is up.
+    let (answer_to, answers) = mpsc::channel(16);
+    (all.answer_to, all.answers) = (answer_to, answers);
+    all.only(&mut stream, "2d").await;
+}
+
+#[tokio::test]
+async fn what_is_cancelled_before_its_first_byte_is_never_written_and_costs_no_connection() {
+    let (mut all, mut stream) = Driven::warmed().await;
+    let hasty = all.ask("1d");
+    all.node.give_up((hasty, 0), Status::Cancelled);
+    all.node.close_request(hasty);
+    all.step().await;
+    all.only(&mut stream, "2d").await;
+}
+
+#[tokio::test]
+async fn after_a_standstill_a_drain_that_came_meanwhile_stops_what_was_about_to_be_written() {
+    let (mut all, mut stream) = Driven::warmed().await;
+    let waits = all.ask("1d");
+    all.stand_still();
+    let endpoints = vec![endpoint(&all.cache, "leaving")];
+    all.node.list(Listing { index: 2, snapshot: false, endpoints }, None);
+    all.step().await; // The connection asks again.
+    let (slot, answer) = all.answers.try_recv().unwrap();
+    assert!(slot == waits && answer.starts_with(b"-BUSY"), "{answer:?}");
+    let mut seen = Vec::new();
+    assert_eq!(stream.read_to_end(&mut seen).await.unwrap(), 0, "{seen:?}");
+}
+
+#[tokio::test]
+async fn after_a_standstill_what_may_still_be_sent_is_sent_once_and_costs_no_attempt() {
+    let (mut all, mut stream) = Driven::warmed().await;
+    let waits = all.ask("1d");
+    all.stand_still();
+    all.step().await; // The connection asks again.
+    assert_eq!(all.node.open[&waits].sent, 1);
+    read(&mut stream, "1d").await;
+    stream.write_all(VALUE).await.unwrap();
+    all.step().await;
+    assert_eq!(all.answers.try_recv().unwrap().0, waits);
+    // On a machine that is always late it goes on all the same: it is asked about once.
+    let late = all.ask("2d");
+    all.stand_still();
+    let again = tokio::time::timeout(LONG, all.inputs.recv()).await.unwrap().unwrap();
+    all.node.input(again);
+    all.stand_still();
+    read(&mut stream, "2d").await;
+    stream.write_all(VALUE).await.unwrap();
+    all.step().await;
+    assert_eq!(all.answers.try_recv().unwrap().0, late);
+}
+
+#[tokio::test]
+async fn a_value_that_is_cancelled_half_written_never_becomes_whole() {
+    let (mut all, mut stream) = Driven::warmed().await;
+    let (number, at) = (all.node.next, all.node.clock.now());
+    // More than the machine's buffers hold: the server takes nothing.
+    let value = Some(Bytes::from(vec![b'v'; 64 * 1024 * 1024]));
+    let command = Command { key: "aa".into(), id: "1d".into(), value, time_left: AIM, ..Command::default() };
+    let answers = all.answer_to.clone();
+    all.node.asked(Asked { command, at, client: 1, slot: number, answers });
+    let conn = all.node.attempts[&(number, 0)].conn.unwrap();
+    while all.node.pool.progress(conn) != Progress::Writing {
+        tokio::task::yield_now().await;
+    }
+    all.node.input(Input::ClientGone(1));
+    assert_eq!((all.node.attempts.len(), all.node.pool.state(conn)), (0, None));
+    let mut seen = Vec::new();
+    let _ = stream.read_to_end(&mut seen).await;
+    assert!(!seen.ends_with(b"v\r\n"), "{} bytes of it came", seen.len());
+}
+
+#[tokio::test]
+async fn the_time_of_an_earlier_request_that_was_given_up_ends_no_later_one_on_the_same_connection() {
+    let (mut all, mut stream) = Driven::warmed().await;
+    let first = all.ask("1d");
+    read(&mut stream, "1d").await;
+    let sent = all.node.attempts[&(first, 0)].sent;
+    all.node.give_up((first, 0), Status::Cancelled);
+    all.node.close_request(first);
+    stream.write_all(VALUE).await.unwrap();
+    all.step().await; // Late, but there: the connection goes on.
+    let second = all.ask("2d");
+    read(&mut stream, "2d").await;
+    all.node.attempts.get_mut(&(second, 0)).unwrap().sent = sent + 1;
+    all.node.give_up((second, 0), Status::Cancelled);
+    let conn = all.node.pool.state(1).map(|(_, state)| state);
+    all.node.due(Due::Late(1, sent), sent + AIM);
+    assert_eq!((conn, all.node.pool.state(1).is_some()), (Some(State::Late(sent + 1)), true));
+}
+
+#[tokio::test]
+async fn what_waits_for_a_connection_to_a_server_that_moves_gets_one_at_its_new_address_at_once() {
+    let mut all = Driven::new().await;
+    all.ask("1d");
+    let moved = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let endpoints = vec![Endpoint { since_ms: 5, ..endpoint(&moved, "active") }];
+    all.node.list(Listing { index: 2, snapshot: false, endpoints }, None);
+    let (mut stream, _) = moved.accept().await.unwrap();
+    // Both are up, in whatever order: the one to the old address carries nothing.
+    while all.answers.is_empty() {
+        let mut seen = [0; 1024];
+        tokio::select! {
+            input = all.inputs.recv() => all.node.input(input.unwrap()),
+            count = stream.read(&mut seen) => {
+                assert!(count.unwrap() > 0);
+                stream.write_all(VALUE).await.unwrap();
+            }
+        }
+    }
+    assert_eq!(all.answers.try_recv().unwrap().1, &b"$1\r\nv\r\n"[..]);
+    let (mut old, _) = all.cache.accept().await.unwrap();
+    assert_eq!(old.read(&mut [0; 8]).await.unwrap(), 0, "closed, and nothing was written to it");
+}
