Mark what calls to discovery bring, and hear of changes with a quarter to spare

Read line by line (discovery.rs, node.rs, brain.rs), proven by tests: - Lists, failures and silences carried no mark of their call: what an ended watch, or the discovery before SIGHUP, had queued was taken for news of the present one, and an old version was sent to the new discovery. Each carries its call now: a number, the address it was made to, and the version held when it began. - A whole list asked for before a change and read after it undid the change. It is dropped if something newer has come since its call. A version that goes back where nothing newer came is another matter: discovery lost its state; a whole list is taken, a change is taken and the whole list asked for. - The module's timer for a new watch ended one that had been opened since, when discovery moved. - Silence of 3 s and 2.5 s for a half open call left 0.5 s of six: 2.4 s and 2.1 s. A connect that does not come up has a second beside it after 0.3 s. The longest pause after a failed call was 3.75 s, or more where the settings allow more, beside a call's own two seconds: 2.4 s at most now. Not forced by a test: the second connect, as loopback loses no packet.

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -57,17 +57,21 @@
     1.0
 }
 
-const CONNECT: Duration = Duration::from_secs(1);
+/// A connection that is not up by the first is made anew beside it, as a lost packet is sent again after a second only;
+/// by the second the call has failed.
+const CONNECT: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
 /// Calls wait in turn at discovery, by the operators' terms for 2 s: one that has not begun its answer after this is
 /// taken for half open, and a second is made beside it. Whichever answers first is used, since a call that waits
 /// longer than that elsewhere would lose its place if it were ended.
-const HALF_OPEN: Duration = Duration::from_millis(2_500);
+const HALF_OPEN: Duration = Duration::from_millis(2_100);
+/// The agent that pushes lists is on this machine and answers at once, or is silent.
+const AGENT_HALF_OPEN: Duration = Duration::from_millis(300);
 /// No call is given longer than this to begin its answer.
 const ANSWER: Duration = Duration::from_secs(5);
 /// A watch brings a line every two seconds: one that is silent for longer is dead. What it had to tell counts
-/// as told after six seconds, so that there must be time left to ask anew. A list that has begun must be whole within
-/// the same time, however its bytes drip.
-const SILENCE: Duration = Duration::from_secs(3);
+/// as told after six seconds, so that there must be time left to ask anew: with a call that is half open as well, three
+/// quarters of it are used up. A list that has begun must be whole within the same time, however its bytes drip.
+const SILENCE: Duration = Duration::from_millis(2_400);
 /// Pauses before a watch on pushed lists is opened again. The agent is on this machine, so that asking costs nothing,
 /// and what it learns at a return counts as told at once: a longer pause would use up the grace of a drain.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
@@ -76,14 +80,55 @@
 /// The longest head of an answer.
 const MAX_HEAD: usize = 16 * 1024;
 
-/// The calls to discovery that are out: one watch and one whole list at most, each with a second connection while the
-/// first may be half open.
-pub struct Discovery {
+/// What a call to discovery was, for whoever takes what it brought out of a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// Names it; later calls have higher numbers.
+    number: u64,
+    /// Which of the addresses it was made to that discovery has had.
+    home: u64,
+    /// Version of the list that was held when it began.
+    held: u64,
+}
+
+/// What a list or a change is, by the call that brought it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It tells what is so now, as far as is known.
+    News,
+    /// It tells of an earlier time than what is held, or comes from where discovery was before.
+    Stale,
+    /// A change of an earlier version, though nothing newer has come since the call: discovery has lost its state.
+    WentBack,
+}
+
+/// What the calls that are out share with their owner.
+#[derive(Clone)]
+struct Calls {
     address: SocketAddr,
+    home: u64,
     /// Version of the list held.
     index: Arc<AtomicU64>,
+    next: Arc<AtomicU64>,
     hub: mpsc::Sender<Input>,
+    half_open: Duration,
+}
+
+impl Calls {
+    /// Begins a call: what marks all that it brings.
+    fn begin(&self) -> Call {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        Call { number, home: self.home, held: self.index.load(Ordering::Relaxed) }
+    }
+}
+
+/// The calls to discovery that are out: one watch and one whole list at most, each with a second connection while the
+/// first may be half open.
+pub struct Discovery {
+    calls: Calls,
     watch: Option<AbortHandle>,
+    /// The number of the watch that is open, where the module opens it.
+    watching: Option<u64>,
     /// Whether the watch is opened again by itself.
     follows: bool,
     fetch: Option<AbortHandle>,
@@ -92,72 +137,103 @@
 impl Discovery {
     /// Discovery at an address, where a list of a version is held.
     pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
-        let index = Arc::new(AtomicU64::new(index));
-        Discovery { address, index, hub, watch: None, follows: false, fetch: None }
-    }
-
-    /// Version of the list held.
-    pub fn index(&self) -> u64 {
-        self.index.load(Ordering::Relaxed)
+        let (index, next) = (Arc::new(AtomicU64::new(index)), Arc::default());
+        let calls = Calls { address, home: 0, index, next, hub, half_open: HALF_OPEN };
+        Discovery { calls, watch: None, watching: None, follows: false, fetch: None }
     }
 
     /// A list of a version is held now.
     pub fn held(&self, index: u64) {
-        self.index.store(index, Ordering::Relaxed);
+        self.calls.index.store(index, Ordering::Relaxed);
+    }
+
+    /// What a list is, by the call that brought it: events of two calls can cross on their way here.
+    pub fn judge(&self, call: &Call, listing: &Listing) -> Verdict {
+        let held = self.calls.index.load(Ordering::Relaxed);
+        match call.home == self.calls.home {
+            true if listing.index >= held => Verdict::News,
+            // Nothing newer has come since it was asked for: discovery began anew, with versions of its own.
+            true if call.held == held && listing.snapshot => Verdict::News,
+            true if call.held == held => Verdict::WentBack,
+            _ => Verdict::Stale,
+        }
+    }
+
+    /// Whether a call that has ended was the watch of now, which it is no more.
+    pub fn ended(&mut self, call: &Call) -> bool {
+        let current = self.watching == Some(call.number);
+        self.watching = self.watching.filter(|_| !current);
+        current
     }
 
     /// Discovery lives elsewhere from now on: what was asked of the old one is asked of the new one.
     pub fn moved(&mut self, address: SocketAddr) {
-        if address == self.address {
+        if address == self.calls.address {
             return;
         }
-        self.address = address;
+        self.calls.address = address;
+        self.calls.home += 1;
+        let fetches = self.fetch.as_ref().is_some_and(|fetch| !fetch.is_finished());
         // The versions of two discoveries can't be compared: the whole list is asked for.
+        self.begin_anew();
+        if fetches {
+            self.fetch();
+        }
+    }
+
+    /// Asks for the whole list on a new watch: what is held may be another discovery's.
+    pub fn begin_anew(&mut self) {
         self.held(0);
         if self.follows {
             self.follow();
         } else if self.watch.is_some() {
+            self.subscribe(false);
             self.subscribe(true);
         }
-        if self.fetch.as_ref().is_some_and(|fetch| !fetch.is_finished()) {
-            self.fetch();
-        }
     }
 
-    /// Begins the watch, anew if there is one, or ends it.
+    /// Begins the watch, unless it is open already, or ends it.
     pub fn subscribe(&mut self, on: bool) {
+        if on && self.watching.is_some() {
+            return; // It was opened since the module meant to, when discovery had moved.
+        }
         self.watch.take().inspect(AbortHandle::abort);
-        let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
+        self.watching = None;
+        if !on {
+            return;
+        }
+        let (calls, mark) = (self.calls.clone(), self.calls.begin());
+        self.watching = Some(mark.number);
         let call = async move {
             // The module is told how it ended, and says when to ask again.
-            let ended = match watch(address, &index, &hub).await {
+            let ended = match watch(&calls, mark).await {
                 Ok(()) => {
                     info!("discovery: the watch has ended");
-                    Input::ListFailed
+                    Input::ListFailed(mark)
                 }
                 Err(CallError::Silent) => {
                     warn!("discovery: {}", CallError::Silent);
-                    Input::ListSilent
+                    Input::ListSilent(mark)
                 }
                 Err(e) => {
                     warn!("discovery: {e}");
-                    Input::ListFailed
+                    Input::ListFailed(mark)
                 }
             };
-            let _ = hub.send(ended).await;
+            let _ = calls.hub.send(ended).await;
         };
-        self.watch = on.then(|| tokio::spawn(call).abort_handle());
+        self.watch = Some(tokio::spawn(call).abort_handle());
     }
 
     /// Asks for the whole list once.
     pub fn fetch(&mut self) {
         self.fetch.take().inspect(AbortHandle::abort);
-        let (address, hub) = (self.address, self.hub.clone());
+        let (calls, mark) = (self.calls.clone(), self.calls.begin());
         let call = async move {
-            let called = lists(address, "/v1/servers", &hub).await;
+            let called = lists(&calls, "/v1/servers", mark).await;
             if let Err(e) = called {
                 warn!("discovery: {e}");
-                let _ = hub.send(Input::ListFailed).await;
+                let _ = calls.hub.send(Input::ListFailed(mark)).await;
             }
         };
         self.fetch = Some(tokio::spawn(call).abort_handle());
@@ -167,11 +243,12 @@
     pub fn follow(&mut self) {
         self.follows = true;
         self.watch.take().inspect(AbortHandle::abort);
-        let (address, hub, index) = (self.address, self.hub.clone(), self.index.clone());
+        self.calls.half_open = AGENT_HALF_OPEN;
+        let calls = self.calls.clone();
         let call = async move {
             let mut pause = BACKOFF.0;
             loop {
-                pause = match watch(address, &index, &hub).await {
+                pause = match watch(&calls, calls.begin()).await {
                     // Its silence was waited for already.
                     Err(CallError::Silent) => {
                         pause = BACKOFF.0;
@@ -231,12 +308,12 @@
     }
 }
 
-async fn watch(address: SocketAddr, index: &AtomicU64, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
-    let path = match index.load(Ordering::Relaxed) {
+async fn watch(calls: &Calls, mark: Call) -> Result<(), CallError> {
+    let path = match mark.held {
         0 => "/v1/servers?watch=1".into(),
         held => format!("/v1/servers?watch=1&after={held}"),
     };
-    lists(address, &path, hub).await
+    lists(calls, &path, mark).await
 }
 
 /// An answer that has begun, with the task that moves its bytes.
@@ -254,9 +331,25 @@
     }
 }
 
+/// Opens a connection, with a second one beside a first that does not come up.
+async fn connect(address: SocketAddr) -> Result<TcpStream, CallError> {
+    let both = async {
+        let first = TcpStream::connect(address);
+        tokio::pin!(first);
+        if let Ok(stream) = timeout(CONNECT.0, &mut first).await {
+            return stream;
+        }
+        tokio::select! {
+            stream = &mut first => stream,
+            stream = TcpStream::connect(address) => stream,
+        }
+    };
+    Ok(timeout(CONNECT.1, both).await.map_err(|_| CallError::Unanswered)??)
+}
+
 /// Makes a call and waits for its answer's head. Dropped at any point, it leaves no connection behind.
 async fn call(address: SocketAddr, path: &str) -> Result<Answer, CallError> {
-    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| CallError::Unanswered)??;
+    let stream = connect(address).await?;
     let _ = stream.set_nodelay(true);
     let (mut send, conn) =
         http1::Builder::new().max_buf_size(MAX_HEAD).handshake(TokioIo::new(stream)).await?;
@@ -275,11 +368,12 @@
 
 /// The same, with a second call beside a first that may be half open. What failed first decides nothing while the
 /// other may still be answered.
-async fn answered(address: SocketAddr, path: &str) -> Result<Answer, CallError> {
+async fn answered(calls: &Calls, path: &str) -> Result<Answer, CallError> {
+    let address = calls.address;
     let both = async {
         let first = call(address, path);
         tokio::pin!(first);
-        if let Ok(answer) = timeout(HALF_OPEN, &mut first).await {
+        if let Ok(answer) = timeout(calls.half_open, &mut first).await {
             return answer;
         }
         tokio::select! {
@@ -288,12 +382,12 @@
             else => Err(CallError::Unanswered),
         }
     };
-    timeout(ANSWER, both).await.unwrap_or(Err(CallError::Unanswered))
+    timeout(ANSWER.min(calls.half_open * 3), both).await.unwrap_or(Err(CallError::Unanswered))
 }
 
 /// Makes a call and passes on each list of its answer, until the answer ends.
-async fn lists(address: SocketAddr, path: &str, hub: &mpsc::Sender<Input>) -> Result<(), CallError> {
-    let mut answer = answered(address, path).await?;
+async fn lists(calls: &Calls, path: &str, mark: Call) -> Result<(), CallError> {
+    let mut answer = answered(calls, path).await?;
     let mut lists = Lists::default();
     loop {
         let by = lists.since.unwrap_or_else(Instant::now) + SILENCE;
@@ -301,7 +395,7 @@
         let Some(frame) = frame else { return lists.end() };
         let Ok(data) = frame?.into_data() else { continue };
         for listing in lists.take(&data)? {
-            let _ = hub.send(Input::List(listing)).await;
+            let _ = calls.hub.send(Input::List(mark, listing)).await;
         }
     }
 }
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -19,7 +19,7 @@
 
 use crate::clients::{Asked, ClientId, Command, Phase};
 use crate::config::Config;
-use crate::discovery::{Discovery, Listing};
+use crate::discovery::{Call, Discovery, Listing, Verdict};
 use crate::trace::Trace;
 use crate::upstreams::{AttemptKey, ConnId, News, Pool, Progress, Reply, Speech, State};
 use crate::{caches, origin, resp};
@@ -33,12 +33,12 @@
     ClientGone(ClientId),
     /// News of a connection to a server.
     Conn(ConnId, News),
-    /// Discovery has sent a list or a change.
-    List(Listing),
+    /// Discovery has sent a list or a change, in answer to a call.
+    List(Call, Listing),
     /// A call to discovery failed, or the watch broke.
-    ListFailed,
+    ListFailed(Call),
     /// The watch was open and fell silent.
-    ListSilent,
+    ListSilent(Call),
     /// Discovery lives elsewhere from now on.
     Discovery(SocketAddr),
     /// The platform asks the node to end.
@@ -284,9 +284,18 @@
             Input::Asked(asked) => self.asked(*asked),
             Input::ClientGone(client) => self.client_gone(client),
             Input::Conn(conn, news) => self.conn(conn, news),
-            Input::List(listing) => self.list(listing, None),
-            Input::ListFailed => self.unheard(ListKind::Failed),
-            Input::ListSilent => self.unheard(ListKind::Silent),
+            Input::List(call, listing) => match self.discovery.judge(&call, &listing) {
+                Verdict::Stale => {}
+                Verdict::News => self.list(listing, None),
+                // It is told all the same; what else is different there only the whole list says.
+                Verdict::WentBack => {
+                    self.list(listing, None);
+                    self.discovery.begin_anew();
+                }
+            },
+            Input::ListFailed(call) if self.discovery.ended(&call) => self.unheard(ListKind::Failed),
+            Input::ListSilent(call) if self.discovery.ended(&call) => self.unheard(ListKind::Silent),
+            Input::ListFailed(_) | Input::ListSilent(_) => {} // Of a call that another has replaced.
             Input::Discovery(address) => self.discovery.moved(address),
             Input::Terminate if self.ends_at.is_none() => {
                 let now = self.clock.now();
@@ -740,9 +749,6 @@
 
     fn list(&mut self, listing: Listing, kind: Option<ListKind>) {
         let kind = kind.unwrap_or(if listing.snapshot { ListKind::Full } else { ListKind::Delta });
-        if kind == ListKind::Delta && listing.index < self.discovery.index() {
-            return; // Older than the list held.
-        }
         self.discovery.held(listing.index);
         let now = self.clock.now();
         let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -91,6 +91,8 @@
 /// The pause before discovery is asked again is doubled so often: a change counts as told after 6 s, whether
 /// it was heard of or not, and the longest pause must leave room for the call itself.
 const ASK_AGAIN: u32 = 2;
+/// Nor is it longer than this on the mean: the call that failed may have waited for 2 s of those six.
+const ASK_PAUSE: Micros = 1_600_000;
 /// Waits that differ by less than this part of the deadline are alike: the way to the node takes some of it.
 const ALIKE: f64 = 0.01;
 /// A class's usual wait is known by so many more votes for it than against, and held by the second at most.
@@ -816,7 +818,7 @@
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
         // Each call that waits in vain costs discovery as well: many begin with a long pause.
         let tries = self.subscribe_tries + u32::from(self.seldom > 1.0);
-        let base = (self.settings.ask_within / 16) << tries.min(ASK_AGAIN);
+        let base = ((self.settings.ask_within / 16) << tries.min(ASK_AGAIN)).min(ASK_PAUSE);
         self.subscribe_tries += 1;
         let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
         self.wake(delay, Wake::Subscribe);
