Read the configuration again when SIGHUP comes before the file is whole, also at the end

Read line by line (main.rs): a file that was being replaced when the signal came was told of and left, so that the old discovery was asked until the next SIGHUP; after SIGTERM the signal was not heeded any more, though the node still sends.

Change: after SIGHUP the file is read again over 1.6 s until it names another discovery; a file that can't be used is told of at the end of that. Signals are taken until the process ends.

--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -13,12 +13,15 @@
 mod trace;
 mod upstreams;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::Instant;
 
 use spardeal_config::{Layers, logging};
 use tracing::{info, warn};
@@ -35,6 +38,44 @@
 /// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
 const RESERVE: usize = 16;
 
+/// After SIGHUP the file is read again so long after it was read last, until it names another discovery: it may just
+/// be being replaced, and what discovery has to tell counts as told 4 s after the signal.
+const READ_AGAIN: [Duration; 6] = [
+    Duration::from_millis(20),
+    Duration::from_millis(50),
+    Duration::from_millis(100),
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+];
+
+/// What the signals that reach the process mean for the node.
+struct Signals {
+    hub: mpsc::Sender<Input>,
+    /// Where discovery was when the file was read last.
+    discovery: SocketAddr,
+}
+
+impl Signals {
+    /// Reads the configuration, which was read so often before since the signal; when to read it again, if ever.
+    async fn read(&mut self, times: usize) -> Option<(Instant, usize)> {
+        let again = READ_AGAIN.get(times).map(|after| (Instant::now() + *after, times + 1));
+        match config::discovery() {
+            Ok(address) if address != self.discovery => {
+                info!("discovery is at {address} now");
+                self.discovery = address;
+                let _ = self.hub.send(Input::Discovery(address)).await;
+                return None;
+            }
+            Ok(_) => {}
+            // Better the discovery that it has than none.
+            Err(e) if again.is_none() => warn!("the configuration stays as it was: {e}"),
+            Err(_) => {}
+        }
+        again
+    }
+}
+
 async fn run(config: Config, trace: Trace) -> std::io::Result<()> {
     let (hub, inputs) = mpsc::channel(INPUTS);
     let (phase_set, phase) = watch::channel(Phase::Starting);
@@ -59,24 +100,20 @@
         open,
     };
     tokio::spawn(clients::listen(listener, Arc::new(front)));
-    let signals = hub.clone();
+    let mut signals = Signals { hub: hub.clone(), discovery: config.discovery };
     tokio::spawn(async move {
         let [term, int] = &mut terms;
+        let mut reads = None;
         loop {
             tokio::select! {
-                _ = term.recv() => break,
-                _ = int.recv() => break,
-                _ = hangup.recv() => match config::discovery() {
-                    Ok(address) => {
-                        info!("discovery is at {address} now");
-                        let _ = signals.send(Input::Discovery(address)).await;
-                    }
-                    // Better the discovery that it has than none.
-                    Err(e) => warn!("the configuration stays as it was: {e}"),
-                },
+                _ = term.recv() => drop(signals.hub.send(Input::Terminate).await),
+                _ = int.recv() => drop(signals.hub.send(Input::Terminate).await),
+                // Also while the node ends: what it holds still must not go to a server that drains.
+                _ = hangup.recv() => reads = signals.read(0).await,
+                () = async { tokio::time::sleep_until(reads.map_or_else(Instant::now, |(at, _)| at)).await },
+                    if reads.is_some() => reads = signals.read(reads.map_or(0, |(_, times)| times)).await,
             }
         }
-        let _ = signals.send(Input::Terminate).await;
     });
     // All places: a client's may have answers to write.
     let idle = move || room.available_permits() >= part;
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1324,6 +1324,74 @@
     assert!(pauses.iter().max().unwrap() - pauses.iter().min().unwrap() > 100, "not in step: {pauses:?}");
 }
 
+// Crossings of a request's life with its client's leave, the window of its repeats and discovery's failures.
+
+#[test]
+fn a_client_that_leaves_takes_its_request_off_every_queue_timer_and_retry() {
+    let gone_sends = |node: &mut Node, id: RequestId| {
+        let mut actions = node.event(Event::ClientGone(id));
+        actions.extend(node.pass(5 * SECOND));
+        sends(&actions)
+    };
+    // Postponed at a gate that is shut: its place is free at once.
+    let mut node = Node::new(Settings { balancers: 100, ..settings() }, 3);
+    for id in 1..=40 {
+        node.request(write(id, 1));
+    }
+    let waits: Vec<_> = (1..=40)
+        .filter(|id| !node.actions.iter().any(|a| matches!(a, Action::Send { request, .. } if request == id)))
+        .collect();
+    assert!(!waits.is_empty(), "some wait for their turn at the origin");
+    let before = node.actions.len();
+    for id in &waits {
+        node.event(Event::ClientGone(*id));
+    }
+    for id in (1..=40).filter(|id| !waits.contains(id)) {
+        node.outcome(id, 0, ORIGIN, Status::Served);
+    }
+    node.pass(5 * SECOND);
+    assert_eq!(sends(&node.actions[before..]), 0, "none of those that left is sent");
+
+    // Between two attempts: the first has failed, or was a miss, after its client left.
+    for status in [Status::Full, Status::NotSent, Status::ConnectFailed, Status::Miss, Status::Reset] {
+        let mut node = Node::new(settings(), 3);
+        let to = sent_to(&node.request(read(1, 7))).unwrap();
+        node.event(Event::ClientGone(1));
+        let mut after = node.outcome(1, 0, to, status);
+        after.extend(node.pass(5 * SECOND));
+        assert_eq!(sends(&after), 0, "{status:?}");
+    }
+
+    // Waiting long for its answer, when a second copy would be sent; and with the copy out.
+    for copy_out in [false, true] {
+        let mut node = Node::new(Settings { balancers: 100, may_duplicate: true, ..settings() }, 20);
+        let first = sent_to(&node.request(read(1, 7))).unwrap();
+        if copy_out {
+            assert_eq!(sends(&node.pass(350 * MS)), 1, "a second copy");
+        }
+        assert_eq!(gone_sends(&mut node, 1), 0);
+        let mut after = node.outcome(1, 0, first, Status::Miss);
+        after.extend(node.pass(5 * SECOND));
+        assert_eq!(sends(&after), 0, "copy out: {copy_out}");
+    }
+}
+
+#[test]
+fn a_write_that_may_have_run_is_not_sent_again_at_any_moment_of_its_window_or_after_it() {
+    for (class, status) in [1, 2].into_iter().flat_map(|class| {
+        [Status::Reset, Status::Error, Status::TimedOut, Status::Cancelled].map(|status| (class, status))
+    }) {
+        for late in [0, 100 * MS, 180 * MS, 189 * MS, 190 * MS, 199 * MS, 200 * MS, 250 * MS] {
+            let mut node = Node::new(settings(), 3);
+            assert_eq!(sends(&node.request(write(1, class))), 1);
+            let mut after = node.pass(late);
+            after.extend(node.outcome(1, 0, ORIGIN, status));
+            after.extend(node.pass(SECOND));
+            assert_eq!(sends(&after), 0, "class {class}, {status:?} after {late}");
+        }
+    }
+}
+
 #[test]
 fn discovery_is_asked_again_in_time_for_what_counts_as_told_however_long_the_settings_allow() {
     // A call that failed may have waited two seconds; a quarter of the six is to spare.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! The real node over loopback sockets: one test for each failure that must not happen.
 #![allow(missing_docs)]
 
+mod crossings;
 mod stand_in;
 
 use std::io::Write;
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -18,6 +18,10 @@
     SayAfter(Receiver<()>, Vec<u8>),
     /// Answers with these bytes and ends the connection.
     SayAndClose(Vec<u8>),
+    /// Answers with these bytes and resets the connection.
+    SayAndReset(Vec<u8>),
+    /// Answers with these bytes, and with the same again once something comes through the channel.
+    SayTwice(Vec<u8>, Receiver<()>),
     /// Ends the connection.
     Close,
     /// Says nothing, and keeps the connection.
@@ -89,6 +93,17 @@
                 (bytes, false)
             }
             Act::SayAndClose(bytes) => (bytes, true),
+            Act::SayAndReset(bytes) => {
+                let _ = out.write_all(&bytes);
+                // Dropped with this, it is a reset.
+                let _ = socket2::SockRef::from(&out).set_linger(Some(Duration::ZERO));
+                return;
+            }
+            Act::SayTwice(bytes, wait) => {
+                let _ = out.write_all(&bytes);
+                let _ = wait.recv_timeout(LONG);
+                (bytes, false)
+            }
             Act::Close => (Vec::new(), true),
             Act::Hang => (Vec::new(), false),
         };
@@ -259,7 +274,13 @@
         Node::start_in(discovery, known, 256, "", &settings)
     }
 
-    fn start_in(discovery: SocketAddr, known: &str, sockets: usize, before: &str, settings: &str) -> Node {
+    pub fn start_in(
+        discovery: SocketAddr,
+        known: &str,
+        sockets: usize,
+        before: &str,
+        settings: &str,
+    ) -> Node {
         let text = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets}}},"known":{known},"settings":{}}}"#,
             settings
@@ -298,7 +319,13 @@
         self.signal("HUP");
     }
 
-    fn signal(&self, name: &str) {
+    /// Writes its configuration, some text of the first one replaced by another and cut off after a part of it.
+    pub fn write_config(&self, from: &str, to: &str, part: f64) {
+        let text = self.config.1.replace(from, to);
+        std::fs::write(&self.config.0, &text[..(text.len() as f64 * part) as usize]).unwrap();
+    }
+
+    pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().unwrap().success());
     }
