--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,84 @@
+//! What CI passes over: exactly the tests that KNOWN-RED.txt lists, as long as they exist and fail.
+#![allow(missing_docs)]
+
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// Stands in for cargo: knows three tests, of which `part::broken` fails, and says what it was asked for.
+const CARGO: &str = r#"#!/bin/sh
+echo "asked: $*"
+case "$*" in
+*"--skip part::broken"*) echo "test part::whole ... ok"; exit 0 ;;
+*"--exact part::broken"*) echo "test part::broken ... FAILED"; exit 101 ;;
+*"--exact part::whole"*) echo "test part::whole ... ok"; exit 0 ;;
+*"--exact"*) echo "running 0 tests"; exit 0 ;;
+*) echo "test part::broken ... FAILED"; exit 101 ;;
+esac
+"#;
+
+struct Ci(PathBuf);
+
+impl Ci {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("spardeal-known-red-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let cargo = folder.join("cargo");
+        std::fs::write(&cargo, CARGO).unwrap();
+        std::fs::set_permissions(&cargo, std::fs::Permissions::from_mode(0o755)).unwrap();
+        Ci(folder)
+    }
+
+    /// Whether CI's tests pass with a list, and what was said.
+    fn run(&self, list: Option<&str>) -> (bool, String) {
+        let file = self.0.join("list");
+        let _ = std::fs::remove_file(&file);
+        list.iter().for_each(|text| std::fs::write(&file, text).unwrap());
+        let path = format!("{}:{}", self.0.display(), std::env::var("PATH").unwrap_or_default());
+        let script = Path::new(env!("CARGO_MANIFEST_DIR")).join(".ci/test");
+        let done = Command::new(script).env("PATH", path).env("KNOWN_RED", &file).output().unwrap();
+        let said = [done.stdout, done.stderr].concat();
+        (done.status.success(), String::from_utf8_lossy(&said).into_owned())
+    }
+}
+
+impl Drop for Ci {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn without_a_list_or_with_an_empty_one_every_test_must_pass() {
+    let ci = Ci::new("none");
+    for list in [None, Some("")] {
+        let (passed, said) = ci.run(list);
+        assert!(
+            !passed && !said.contains("--skip") && said.contains("asked: test --locked --workspace"),
+            "{said}"
+        );
+    }
+}
+
+#[test]
+fn a_listed_test_that_fails_is_passed_over_by_its_whole_name_and_printed() {
+    let ci = Ci::new("listed");
+    let (passed, said) = ci.run(Some("part::broken, the fault and where it is, 25\n"));
+    assert!(passed && said.contains("part::broken, the fault"), "{said}");
+    assert!(said.contains("asked: test --locked --workspace -- --exact --skip part::broken"), "{said}");
+}
+
+#[test]
+fn a_listed_test_that_passes_or_does_not_exist_fails_the_run_and_so_does_a_list_that_is_malformed_or_long() {
+    let ci = Ci::new("wrong");
+    for (list, why) in [
+        ("part::whole, a cause, 25\n", "passes"),
+        ("part::nowhere, a cause, 25\n", "no test is named"),
+        ("part::broken\n", "each line must be"),
+        ("part::broken, 25\n", "each line must be"),
+        ("a, b, 1\na, b, 1\na, b, 1\na, b, 1\n", "three at most"),
+    ] {
+        let (passed, said) = ci.run(Some(list));
+        assert!(!passed && said.contains(why), "{list:?}: {said}");
+    }
+}
