Say in which file a configuration can't be used, and where in it

Need: malformed configuration gets one clear error with what, where and what would do; the file was not named.

Change: errors of its JSON and of its settings name the file, beside line and column as before. The test of bad configurations asks for both.

--- a/src/bin/spardeal-node/config.rs
+++ b/src/bin/spardeal-node/config.rs
@@ -32,11 +32,11 @@
     /// The file can't be read.
     File(String, std::io::Error),
     /// It is not what it should be.
-    Json(serde_json::Error),
+    Json(String, serde_json::Error),
     /// A field has no usable value.
     Field(&'static str, String),
     /// The settings can't be used.
-    Settings(String),
+    Settings(String, String),
 }
 
 impl std::fmt::Display for ConfigError {
@@ -44,9 +44,11 @@
         match self {
             ConfigError::Unset(name) => write!(f, "{name} is not set"),
             ConfigError::File(path, e) => write!(f, "cannot read {path}: {e}"),
-            ConfigError::Json(e) => write!(f, "unreadable configuration: {e}"),
+            ConfigError::Json(path, e) => {
+                write!(f, "{path} is no configuration: {e}; write it whole, as JSON")
+            }
             ConfigError::Field(name, value) => write!(f, "unusable {name} in the configuration: {value:?}"),
-            ConfigError::Settings(e) => write!(f, "{e}"),
+            ConfigError::Settings(path, e) => write!(f, "{e} ({path})"),
         }
     }
 }
@@ -94,26 +96,30 @@
 
 impl File {
     /// Reads the file that the environment names.
-    fn read() -> Result<File, ConfigError> {
+    fn read() -> Result<(String, File), ConfigError> {
         let path = var("ROUTER_CONFIG").ok_or(ConfigError::Unset("ROUTER_CONFIG"))?;
-        let text = std::fs::read(&path).map_err(|e| ConfigError::File(path, e))?;
-        serde_json::from_slice(&text).map_err(ConfigError::Json)
+        let text = std::fs::read(&path).map_err(|e| ConfigError::File(path.clone(), e))?;
+        match serde_json::from_slice(&text) {
+            Ok(file) => Ok((path, file)),
+            Err(e) => Err(ConfigError::Json(path, e)),
+        }
     }
 }
 
 /// Where the configuration file has discovery now. The variable beside it is as old as the process.
 pub fn discovery() -> Result<SocketAddr, ConfigError> {
-    address("discovery", File::read()?.discovery)
+    address("discovery", File::read()?.1.discovery)
 }
 
 impl Config {
     /// Reads the configuration that the environment names.
     pub fn from_env() -> Result<Config, ConfigError> {
-        let file = File::read()?;
+        let (path, file) = File::read()?;
         let settings = file.settings.ok_or_else(|| ConfigError::Field("settings", String::new()))?;
-        let deployment = settings::read(settings.get().as_bytes()).map_err(ConfigError::Settings)?;
+        let deployment = settings::read(settings.get().as_bytes());
+        let deployment = deployment.map_err(|e| ConfigError::Settings(path.clone(), e))?;
         if deployment.classes.is_empty() {
-            return Err(ConfigError::Settings("the settings name no class of requests".into()));
+            return Err(ConfigError::Settings(path, "the settings name no class of requests".into()));
         }
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(ConfigError::Field("limits.sockets", file.limits.sockets.to_string()));
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -485,6 +485,11 @@
         let said = String::from_utf8_lossy(&done.stderr).into_owned();
         assert_eq!((done.status.code(), said.lines().count()), (Some(2), 1), "{text:?}: {said}");
         assert!(!said.contains("panicked"), "{said}");
+        // What is no JSON of the right form is told with the file and the place in it.
+        if matches!(text, Some("{" | r#"{"settings":{"classes":3}}"#)) {
+            let file = path.as_ref().unwrap().display().to_string();
+            assert!(said.contains(&file) && said.contains("line 1 column"), "{said}");
+        }
     }
     drop(listener);
 }
