Name protocols, responses, events, wait queues and time-outs by the field's words

Need: where the code had words of its own for a standard concept it takes the field's: Speech is Protocol, Reply Response, News ConnEvent, Broken ProtocolError, Line WaitQueue and patience open_timeout (upstreams.rs), Open PendingRequest and heard last_seen (node.rs), Front Frontend and PATIENCE COMMAND_TIMEOUT (clients.rs).

Change: names only.

--- a/src/bin/spardeal-node/caches.rs
+++ b/src/bin/spardeal-node/caches.rs
@@ -5,7 +5,7 @@
 
 use crate::clients::Command;
 use crate::resp::{self, Value};
-use crate::upstreams::{Broken, Reply};
+use crate::upstreams::{ProtocolError, Response};
 
 /// The facts of a client's command as an attempt tells them: all unchanged but `d`, the time left now.
 pub fn facts(command: &Command, left_ms: u64) -> String {
@@ -27,9 +27,10 @@
 }
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there.
-pub fn decode(buffer: &mut BytesMut, load_names: &[String]) -> Result<Option<Reply>, Broken> {
-    let Some(value) = resp::take_value(buffer).map_err(|_| Broken)? else { return Ok(None) };
-    let reply = |status| Reply { status, note: Note::None, load: Load::default(), value: None, keep: true };
+pub fn decode(buffer: &mut BytesMut, load_names: &[String]) -> Result<Option<Response>, ProtocolError> {
+    let Some(value) = resp::take_value(buffer).map_err(|_| ProtocolError)? else { return Ok(None) };
+    let response =
+        |status| Response { status, note: Note::None, load: Load::default(), value: None, keep: true };
     Ok(Some(match value {
         Value::Array(items) => {
             let text = |at: usize| match items.get(at) {
@@ -39,20 +40,20 @@
             let (note, load) = (note(text(1)), load(text(2), load_names));
             match items.first() {
                 Some(Value::Bulk(Some(value))) => {
-                    Reply { note, load, value: Some(value.clone()), ..reply(Status::Served) }
+                    Response { note, load, value: Some(value.clone()), ..response(Status::Served) }
                 }
-                Some(Value::Bulk(None)) => Reply { note, load, ..reply(Status::Miss) },
-                _ => return Err(Broken),
+                Some(Value::Bulk(None)) => Response { note, load, ..response(Status::Miss) },
+                _ => return Err(ProtocolError),
             }
         }
         Value::Error(line) => {
             let line = std::str::from_utf8(&line).unwrap_or("");
             let status = if line.split(' ').next() == Some("BUSY") { Status::Full } else { Status::Error };
             let last = line.rsplit(' ').next().unwrap_or("");
-            Reply { load: load(last, load_names), ..reply(status) }
+            Response { load: load(last, load_names), ..response(status) }
         }
         // Nothing of the protocol: what this connection brings next can't be matched to anything.
-        _ => return Err(Broken),
+        _ => return Err(ProtocolError),
     }))
 }
 
--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -42,7 +42,7 @@
 /// A newcomer that has sent no whole command, or a client that has left one half sent, for so long is cut off
 /// however it trickles: it holds one of few places. A silent peer is owed its close within 3 s; what it may
 /// have waited to be taken is left off.
-const PATIENCE: Duration = Duration::from_millis(2_500);
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A node that ends closes a connection between requests, a new one only after this long: its first request is on its
 /// way, and closed without an answer it counts as refused.
 const FRESH: Duration = Duration::from_millis(250);
@@ -50,7 +50,7 @@
 const MAX_WORD: usize = 512;
 
 /// What all connections of clients share.
-pub struct Front {
+pub struct Frontend {
     pub deployment: Arc<Deployment>,
     pub clock: Clock,
     pub hub: mpsc::Sender<Input>,
@@ -66,7 +66,7 @@
     pub open: Arc<Semaphore>,
 }
 
-impl Front {
+impl Frontend {
     /// Whether only places for refusals are left.
     fn crowded(&self) -> bool {
         self.room.available_permits() < self.refusals
@@ -129,7 +129,7 @@
 }
 
 /// Takes connections until the node drains, then those that the machine has already taken.
-pub async fn listen(listener: TcpListener, front: Arc<Front>) {
+pub async fn listen(listener: TcpListener, front: Arc<Frontend>) {
     let mut phase = front.phase.clone();
     let mut next: ClientId = 0;
     loop {
@@ -159,7 +159,7 @@
 
 /// A place in the table, for which a resting connection is asked where there is none; `None` where there are no
 /// places any more.
-async fn place(front: &Front) -> Option<OwnedSemaphorePermit> {
+async fn place(front: &Frontend) -> Option<OwnedSemaphorePermit> {
     if let Ok(permit) = front.room.clone().try_acquire_owned() {
         return Some(permit);
     }
@@ -214,7 +214,7 @@
 
 async fn serve(
     stream: TcpStream,
-    front: Arc<Front>,
+    front: Arc<Frontend>,
     client: ClientId,
     late: bool,
     _permit: OwnedSemaphorePermit,
@@ -285,7 +285,7 @@
     broken: bool,
     /// It came when there were only places for refusals left.
     late: bool,
-    front: Arc<Front>,
+    front: Arc<Frontend>,
 }
 
 impl Session {
@@ -315,7 +315,7 @@
             } else {
                 self.owed_since = None;
             }
-            let cut_off = self.owed_since.map(|since| since + PATIENCE);
+            let cut_off = self.owed_since.map(|since| since + COMMAND_TIMEOUT);
             if !self.output.is_empty() {
                 match self.stream.try_write(&self.output) {
                     Ok(count) => {
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -26,7 +26,7 @@
 use spardeal_config::{Layers, logging};
 use tracing::{info, warn};
 
-use clients::{Front, Phase};
+use clients::{Frontend, Phase};
 use config::Config;
 use node::{Clock, Input, Node};
 use trace::Trace;
@@ -89,7 +89,7 @@
     info!("listening on {}", listener.local_addr()?);
     let deployment = Arc::new(config.deployment.clone());
     let open = Arc::new(Semaphore::new(deployment.max_open.min(MAX_OPEN)));
-    let front = Front {
+    let front = Frontend {
         deployment: deployment.clone(),
         clock,
         hub: hub.clone(),
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::discovery::{Call, Discovery, Listing, Verdict};
 use crate::trace::Trace;
-use crate::upstreams::{AttemptKey, ConnId, News, Pool, Progress, Reply, Speech, State};
+use crate::upstreams::{AttemptKey, ConnEvent, ConnId, Pool, Progress, Protocol, Response, State};
 use crate::{caches, origin, resp};
 
 /// What reaches the loop.
@@ -31,8 +31,8 @@
     Asked(Box<Asked>),
     /// A client has closed its connection.
     ClientGone(ClientId),
-    /// News of a connection to a server.
-    Conn(ConnId, News),
+    /// What a connection to a server tells.
+    Conn(ConnId, ConnEvent),
     /// Discovery has sent a list or a change, in answer to a call.
     List(Call, Listing),
     /// A call to discovery failed, or the watch broke.
@@ -116,13 +116,13 @@
 
 struct Server {
     address: SocketAddr,
-    speech: Speech,
+    protocol: Protocol,
     condition: Condition,
     /// When it last answered anything.
-    heard: Micros,
+    last_seen: Micros,
 }
 
-struct Open {
+struct PendingRequest {
     command: Command,
     client: ClientId,
     slot: u64,
@@ -150,7 +150,7 @@
     policy: Policy,
     events: VecDeque<Event>,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
-    open: HashMap<RequestId, Open>,
+    open: HashMap<RequestId, PendingRequest>,
     attempts: HashMap<AttemptKey, Attempt>,
     next: RequestId,
     servers: HashMap<ServerId, Server>,
@@ -408,7 +408,8 @@
 
     /// A client has closed its connection: nothing is sent for it any more, from whatever queue.
     fn client_gone(&mut self, client: ClientId) {
-        let mine = |(id, open): (&RequestId, &Open)| (open.client == client && !open.over).then_some(*id);
+        let mine =
+            |(id, open): (&RequestId, &PendingRequest)| (open.client == client && !open.over).then_some(*id);
         let gone: Vec<_> = self.open.iter().filter_map(mine).collect();
         for id in gone {
             self.trace.line(self.clock.now(), format_args!("end {id} gone 0"));
@@ -470,7 +471,7 @@
                 command.id.escape_ascii()
             ),
         );
-        let open = Open { command, client, slot, answers, ends, sent: 0, out: 0, over: false };
+        let open = PendingRequest { command, client, slot, answers, ends, sent: 0, out: 0, over: false };
         self.open.insert(id, open);
         self.timers.push(Reverse((ends, Due::Deadline(id))));
         self.tell(Event::Request(request));
@@ -527,8 +528,8 @@
     }
 
     /// Where a server is reached.
-    fn target(&self, server: ServerId) -> Option<(ServerId, SocketAddr, Speech)> {
-        self.servers.get(&server).map(|s| (server, s.address, s.speech))
+    fn target(&self, server: ServerId) -> Option<(ServerId, SocketAddr, Protocol)> {
+        self.servers.get(&server).map(|s| (server, s.address, s.protocol))
     }
 
     /// The server of an attempt that waits for a connection still, since a time.
@@ -538,7 +539,7 @@
     }
 
     /// Has an attempt wait for the first connection that comes up or becomes free.
-    fn wait(&mut self, key: AttemptKey, to: (ServerId, SocketAddr, Speech)) {
+    fn wait(&mut self, key: AttemptKey, to: (ServerId, SocketAddr, Protocol)) {
         let (now, limit) = (self.clock.now(), self.deployment.connect_timeout.max(1_000));
         if !self.pool.wait(to, key, now) {
             // Forced by the limit on sockets: there is no connection to send this on.
@@ -584,14 +585,14 @@
         // Against a send after a drain or an end: between the module's word and the first byte the attempt
         // waited for its connection, and meanwhile its server may have left or its client gone.
         let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
-        let wanted = |open: &&Open| !open.over && now < open.ends && !open.answers.is_closed();
+        let wanted = |open: &&PendingRequest| !open.over && now < open.ends && !open.answers.is_closed();
         let open = self.open.get(&key.0).filter(wanted);
         let (Some(server), Some(open)) = (server, open) else { return false };
         // Rounded down: no attempt tells more time than is left.
         let left_ms = ((open.ends - now) / 1_000).max(1);
-        let bytes = match server.speech {
-            Speech::Resp => caches::encode(&open.command, left_ms),
-            Speech::Http => origin::encode(&open.command, &server.address.to_string(), left_ms),
+        let bytes = match server.protocol {
+            Protocol::Resp => caches::encode(&open.command, left_ms),
+            Protocol::Http => origin::encode(&open.command, &server.address.to_string(), left_ms),
         };
         let by = open.ends;
         let waited = attempt.conn.replace(conn).is_none();
@@ -609,14 +610,14 @@
         true
     }
 
-    fn conn(&mut self, conn: ConnId, news: News) {
+    fn conn(&mut self, conn: ConnId, news: ConnEvent) {
         let now = self.clock.now();
         let Some((server, state)) = self.pool.state(conn) else { return };
-        if matches!(news, News::Answer(_)) {
-            self.servers.get_mut(&server).into_iter().for_each(|s| s.heard = now);
+        if matches!(news, ConnEvent::Answer(_)) {
+            self.servers.get_mut(&server).into_iter().for_each(|s| s.last_seen = now);
         }
         match (news, state) {
-            (News::Up, State::Opening(since)) => {
+            (ConnEvent::Up, State::Opening(since)) => {
                 self.free(conn);
                 // What waited for it in vain has been told that there was no connection.
                 if self.pool.overdue(since, now) {
@@ -624,25 +625,25 @@
                     self.events.push_back(Event::Probed { server, ok, took, load });
                 }
             }
-            (News::Answer(reply), State::Busy(key)) => {
-                self.free_or_close(conn, reply.keep);
-                self.end_with(key, reply);
+            (ConnEvent::Answer(response), State::Busy(key)) => {
+                self.free_or_close(conn, response.keep);
+                self.end_with(key, response);
             }
-            (News::Unsent, State::Busy(key)) => {
+            (ConnEvent::Unsent, State::Busy(key)) => {
                 self.end(key, Status::NotSent);
                 self.free(conn);
             }
-            (News::Stale, State::Busy(key)) => {
+            (ConnEvent::Stale, State::Busy(key)) => {
                 if !self.write(key, conn, true) {
                     self.end(key, Status::NotSent);
                     self.free(conn);
                 }
             }
-            (News::Unsent | News::Stale, State::Late(_)) => self.free(conn),
+            (ConnEvent::Unsent | ConnEvent::Stale, State::Late(_)) => self.free(conn),
             // What was given up has its answer after all: of no more interest, but the machine is there.
-            (News::Answer(reply), _) => self.free_or_close(conn, reply.keep),
-            (News::Lost { written }, State::Busy(key)) => self.lost(key, conn, written),
-            (News::Lost { .. }, _) => {
+            (ConnEvent::Answer(response), _) => self.free_or_close(conn, response.keep),
+            (ConnEvent::Lost { written }, State::Busy(key)) => self.lost(key, conn, written),
+            (ConnEvent::Lost { .. }, _) => {
                 self.pool.close(conn);
                 // Refused, or the machine is gone: what waits has one chance less.
                 if let (State::Opening(_), Some(key)) = (state, self.pool.hopeless(server, now)) {
@@ -650,7 +651,7 @@
                     self.end(key, Status::ConnectFailed);
                 }
             }
-            (News::Up | News::Unsent | News::Stale, _) => {}
+            (ConnEvent::Up | ConnEvent::Unsent | ConnEvent::Stale, _) => {}
         }
         self.run_events();
     }
@@ -703,7 +704,7 @@
         self.pool.close(conn);
         // Against a machine that vanished: its kept connections stay open and silent, and each would cost
         // a request its whole time. A fresh one tells within the time-out of a connect.
-        if self.servers.get(&server).is_some_and(|server| server.heard < sent) {
+        if self.servers.get(&server).is_some_and(|server| server.last_seen < sent) {
             self.pool.close_idle(server);
         }
     }
@@ -711,21 +712,21 @@
     fn end(&mut self, key: AttemptKey, status: Status) {
         self.end_with(
             key,
-            Reply { status, note: Note::None, load: Load::default(), value: None, keep: false },
+            Response { status, note: Note::None, load: Load::default(), value: None, keep: false },
         );
     }
 
     /// An attempt has its outcome: the first that serves answers the client, and the module is told.
-    fn end_with(&mut self, key: AttemptKey, reply: Reply) {
+    fn end_with(&mut self, key: AttemptKey, response: Response) {
         let Some(attempt) = self.attempts.remove(&key) else { return };
         let Some(open) = self.open.get_mut(&key.0) else { return };
         open.out -= 1;
-        let over = open.over || reply.status == Status::Served;
-        let (now, server, status) = (self.clock.now(), attempt.server, reply.status);
+        let over = open.over || response.status == Status::Served;
+        let (now, server, status) = (self.clock.now(), attempt.server, response.status);
         self.trace
-            .line(now, format_args!("outcome {} {} {server} {status:?} {:?}", key.0, key.1, reply.note));
+            .line(now, format_args!("outcome {} {} {server} {status:?} {:?}", key.0, key.1, response.note));
         debug!(request = %open.command.id.escape_ascii(), attempt = key.1, server, ?status, "attempt ended");
-        if let Some(value) = &reply.value {
+        if let Some(value) = &response.value {
             let mut answer = BytesMut::with_capacity(value.len() + 16);
             resp::put_bulk(&mut answer, value);
             self.answer(key.0, answer.freeze());
@@ -737,11 +738,11 @@
             request: key.0,
             attempt: key.1,
             server: attempt.server,
-            status: reply.status,
+            status: response.status,
             over,
-            note: reply.note,
+            note: response.note,
             took: self.clock.now() - attempt.sent,
-            load: reply.load,
+            load: response.load,
         }));
     }
 
@@ -763,17 +764,17 @@
             let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
             let Some(address) = address else { continue };
             let kind = place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
-            let speech = match self.deployment.settings.origin_kind == Some(kind) {
-                true => Speech::Http,
-                false => Speech::Resp,
+            let protocol = match self.deployment.settings.origin_kind == Some(kind) {
+                true => Protocol::Http,
+                false => Protocol::Resp,
             };
             // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
             let started = if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(now) };
             let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
             let cell = entry.group;
             lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
-            let heard = self.servers.get(&id).map_or(0, |server| server.heard);
-            let before = self.servers.insert(id, Server { address, speech, condition, heard });
+            let last_seen = self.servers.get(&id).map_or(0, |server| server.last_seen);
+            let before = self.servers.insert(id, Server { address, protocol, condition, last_seen });
             let moved = before.is_some_and(|before| before.address != address);
             if condition != Condition::Ready || moved {
                 self.pool.close_idle(id);
@@ -782,7 +783,7 @@
                 // What is being opened to the old address is of no use to what waits.
                 let waiting = self.pool.waiting(id).len();
                 for _ in 0..waiting {
-                    let _ = self.pool.open((id, address, speech), now);
+                    let _ = self.pool.open((id, address, protocol), now);
                 }
             }
         }
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -25,11 +25,11 @@
 
 /// What a server sent can't be understood; the connection is of no more use.
 #[derive(Debug, PartialEq, Clone, Copy)]
-pub struct Broken;
+pub struct ProtocolError;
 
 /// An answer of a server.
 #[derive(Debug, PartialEq)]
-pub struct Reply {
+pub struct Response {
     pub status: Status,
     pub note: Note,
     pub load: Load,
@@ -40,11 +40,11 @@
 
 /// What a connection tells the node.
 #[derive(Debug)]
-pub enum News {
+pub enum ConnEvent {
     /// It is up, and nothing has been written to it.
     Up,
     /// The answer to the request that it carried.
-    Answer(Reply),
+    Answer(Response),
     /// The request that it was given was withdrawn, or its time was up, before its first byte was written; it is free.
     Unsent,
     /// The process stood still between the node's word and the first byte, which was not written: what came meanwhile
@@ -56,7 +56,7 @@
 
 /// What is spoken with a server.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Speech {
+pub enum Protocol {
     Resp,
     Http,
 }
@@ -141,7 +141,7 @@
 
 /// What a server has beside its busy connections.
 #[derive(Default)]
-struct Line {
+struct WaitQueue {
     /// Idle connections, the one used last at the end.
     idle: Vec<ConnId>,
     /// Those being opened, oldest first.
@@ -154,13 +154,13 @@
 /// All connections to servers.
 pub struct Pool {
     conns: HashMap<ConnId, Conn>,
-    lines: HashMap<ServerId, Line>,
+    queues: HashMap<ServerId, WaitQueue>,
     next: ConnId,
     limit: usize,
     idle_limit: Micros,
     /// A connection that is up by then is in time; one that is not may still come for this long in all.
     in_time: Micros,
-    patience: Micros,
+    open_timeout: Micros,
     deployment: Arc<Deployment>,
     clock: Clock,
     hub: mpsc::Sender<Input>,
@@ -175,14 +175,14 @@
         let in_time = deployment.connect_timeout.max(1_000);
         // What comes later than any request waits would be of use to none that is known of yet.
         let longest = deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-        let (conns, lines, patience) = (HashMap::new(), HashMap::new(), in_time.max(longest));
-        Pool { conns, lines, next: 1, limit, idle_limit, in_time, patience, deployment, clock, hub }
+        let (conns, queues, open_timeout) = (HashMap::new(), HashMap::new(), in_time.max(longest));
+        Pool { conns, queues, next: 1, limit, idle_limit, in_time, open_timeout, deployment, clock, hub }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
     pub fn reuse(&mut self, server: ServerId, attempt: AttemptKey, now: Micros) -> Option<ConnId> {
         loop {
-            let id = self.lines.get_mut(&server)?.idle.pop()?;
+            let id = self.queues.get_mut(&server)?.idle.pop()?;
             let Some(conn) = self.conns.get_mut(&id) else { continue };
             let State::Idle(since) = conn.state else { continue };
             if now < since + self.idle_limit && !conn.jobs.is_closed() {
@@ -193,12 +193,12 @@
         }
     }
 
-    /// Puts an attempt in line for a connection, one more than there are on their way; `false` where the table of
+    /// Puts an attempt in the queue for a connection, one more than there are on their way; `false` where the table of
     /// sockets is full and none is on its way.
-    pub fn wait(&mut self, to: (ServerId, SocketAddr, Speech), attempt: AttemptKey, now: Micros) -> bool {
-        let line = self.lines.entry(to.0).or_default();
-        line.waiting.push_back(attempt);
-        if line.waiting.len() <= self.in_time(to.0, now) || self.open(to, now) {
+    pub fn wait(&mut self, to: (ServerId, SocketAddr, Protocol), attempt: AttemptKey, now: Micros) -> bool {
+        let queue = self.queues.entry(to.0).or_default();
+        queue.waiting.push_back(attempt);
+        if queue.waiting.len() <= self.in_time(to.0, now) || self.open(to, now) {
             return true;
         }
         let hope = self.in_time(to.0, now) > 0;
@@ -210,16 +210,20 @@
 
     /// How many connections to a server are being opened that may still come up in time.
     fn in_time(&self, server: ServerId, now: Micros) -> usize {
-        let Some(line) = self.lines.get(&server) else { return 0 };
+        let Some(queue) = self.queues.get(&server) else { return 0 };
         let fresh = |id: &&ConnId| {
             let state = self.conns.get(id).map(|conn| conn.state);
             matches!(state, Some(State::Opening(since)) if now < since + self.in_time)
         };
-        line.opening.iter().rev().take_while(fresh).count()
+        queue.opening.iter().rev().take_while(fresh).count()
     }
 
     /// Begins to open a connection; `false` where the table is full.
-    pub fn open(&mut self, (server, address, speech): (ServerId, SocketAddr, Speech), now: Micros) -> bool {
+    pub fn open(
+        &mut self,
+        (server, address, protocol): (ServerId, SocketAddr, Protocol),
+        now: Micros,
+    ) -> bool {
         if self.conns.len() >= self.limit {
             self.drop_one_spare(now);
         }
@@ -230,16 +234,16 @@
         self.next += 1;
         let (jobs, take) = mpsc::channel(1);
         let (hub, deployment, clock) = (self.hub.clone(), self.deployment.clone(), self.clock);
-        let patience = Duration::from_micros(self.patience);
+        let open_timeout = Duration::from_micros(self.open_timeout);
         let task = tokio::spawn(async move {
-            let mut link = Link { id, speech, deployment, jobs: take, clock, hub };
-            let news = link.run(address, patience).await;
-            let _ = link.hub.send(Input::Conn(id, news)).await;
+            let mut link = Link { id, protocol, deployment, jobs: take, clock, hub };
+            let event = link.run(address, open_timeout).await;
+            let _ = link.hub.send(Input::Conn(id, event)).await;
         });
         let (task, state) = (task.abort_handle(), State::Opening(now));
         self.conns
             .insert(id, Conn { server, address, jobs, task, state, carried: 0, progress: Shared::new() });
-        self.lines.entry(server).or_default().opening.push_back(id);
+        self.queues.entry(server).or_default().opening.push_back(id);
         true
     }
 
@@ -255,8 +259,8 @@
 
     /// The attempt that has waited for longest for a connection to a server, where more wait than may still come up.
     pub fn hopeless(&self, server: ServerId, now: Micros) -> Option<AttemptKey> {
-        let line = self.lines.get(&server)?;
-        line.waiting.front().filter(|_| line.waiting.len() > self.in_time(server, now)).copied()
+        let queue = self.queues.get(&server)?;
+        queue.waiting.front().filter(|_| queue.waiting.len() > self.in_time(server, now)).copied()
     }
 
     /// Gives a connection that owes nothing to the attempt that has waited for longest; without one it is idle.
@@ -267,13 +271,13 @@
             self.close(id);
             return None;
         }
-        let line = self.lines.entry(conn.server).or_default();
-        line.opening.retain(|other| *other != id);
-        let next = line.waiting.pop_front();
+        let queue = self.queues.entry(conn.server).or_default();
+        queue.opening.retain(|other| *other != id);
+        let next = queue.waiting.pop_front();
         conn.state = match next {
             Some(attempt) => State::Busy(attempt),
             None => {
-                line.idle.push(id);
+                queue.idle.push(id);
                 State::Idle(now)
             }
         };
@@ -282,15 +286,15 @@
 
     /// An attempt waits for a connection no more.
     pub fn leave(&mut self, server: ServerId, attempt: AttemptKey) {
-        self.lines
+        self.queues
             .get_mut(&server)
             .into_iter()
-            .for_each(|line| line.waiting.retain(|other| *other != attempt));
+            .for_each(|queue| queue.waiting.retain(|other| *other != attempt));
     }
 
     /// The attempts that wait for a connection to a server.
     pub fn waiting(&self, server: ServerId) -> Vec<AttemptKey> {
-        self.lines.get(&server).map(|line| line.waiting.iter().copied().collect()).unwrap_or_default()
+        self.queues.get(&server).map(|queue| queue.waiting.iter().copied().collect()).unwrap_or_default()
     }
 
     /// Leaves a connection without its attempt, sent at a time, until the answer comes; `false` if there is none to
@@ -331,24 +335,25 @@
     /// Closes a connection.
     pub fn close(&mut self, id: ConnId) {
         if let Some(conn) = self.conns.remove(&id)
-            && let Some(line) = self.lines.get_mut(&conn.server)
+            && let Some(queue) = self.queues.get_mut(&conn.server)
         {
-            line.idle.retain(|other| *other != id);
-            line.opening.retain(|other| *other != id);
+            queue.idle.retain(|other| *other != id);
+            queue.opening.retain(|other| *other != id);
         }
     }
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&mut self, server: ServerId) {
-        let idle = self.lines.get_mut(&server).map(|line| std::mem::take(&mut line.idle)).unwrap_or_default();
+        let idle =
+            self.queues.get_mut(&server).map(|queue| std::mem::take(&mut queue.idle)).unwrap_or_default();
         idle.iter().for_each(|id| drop(self.conns.remove(id)));
     }
 
     /// Closes what has been idle for long.
     pub fn sweep(&mut self, now: Micros) {
         let (conns, limit) = (&mut self.conns, self.idle_limit);
-        self.lines.retain(|_, line| {
-            line.idle.retain(|id| {
+        self.queues.retain(|_, queue| {
+            queue.idle.retain(|id| {
                 let idle = conns.get(id).map(|conn| conn.state);
                 let keep = matches!(idle, Some(State::Idle(since)) if now < since + limit);
                 if !keep {
@@ -356,7 +361,7 @@
                 }
                 keep
             });
-            !(line.idle.is_empty() && line.opening.is_empty() && line.waiting.is_empty())
+            !(queue.idle.is_empty() && queue.opening.is_empty() && queue.waiting.is_empty())
         });
     }
 
@@ -375,7 +380,7 @@
 /// One connection, in its task.
 struct Link {
     id: ConnId,
-    speech: Speech,
+    protocol: Protocol,
     deployment: Arc<Deployment>,
     jobs: mpsc::Receiver<Job>,
     clock: Clock,
@@ -384,66 +389,66 @@
 
 impl Link {
     /// Opens the connection and carries one request after the other, until it is lost.
-    async fn run(&mut self, address: SocketAddr, patience: Duration) -> News {
+    async fn run(&mut self, address: SocketAddr, open_timeout: Duration) -> ConnEvent {
         // A machine that vanished answers nothing: the connect has a time-out of its own. It is longer than that of
         // the attempts which wait for it, as a connection that comes up late shows that the server is there.
-        let Ok(Ok(mut stream)) = tokio::time::timeout(patience, TcpStream::connect(address)).await else {
-            return News::Lost { written: false };
+        let Ok(Ok(mut stream)) = tokio::time::timeout(open_timeout, TcpStream::connect(address)).await else {
+            return ConnEvent::Lost { written: false };
         };
         let _ = stream.set_nodelay(true);
         let mut buffer = BytesMut::new();
-        let mut news = News::Up;
+        let mut event = ConnEvent::Up;
         loop {
-            if self.hub.send(Input::Conn(self.id, news)).await.is_err() {
-                return News::Lost { written: false };
+            if self.hub.send(Input::Conn(self.id, event)).await.is_err() {
+                return ConnEvent::Lost { written: false };
             }
             buffer.reserve(2048);
             let job = tokio::select! {
                 // First: a connection that the server has ended is not written to, so that its request
                 // surely never ran.
                 biased;
-                _ = stream.read_buf(&mut buffer) => return News::Lost { written: false },
+                _ = stream.read_buf(&mut buffer) => return ConnEvent::Lost { written: false },
                 job = self.jobs.recv() => job,
             };
-            let Some(job) = job else { return News::Lost { written: false } };
+            let Some(job) = job else { return ConnEvent::Lost { written: false } };
             // Against a send after a request's end: the process may have been stopped since the node handed it on.
             let now = self.clock.now();
             if now < job.by && now >= job.stale_at {
                 // What came meanwhile is taken in first.
                 tokio::task::yield_now().await;
-                news = News::Stale;
+                event = ConnEvent::Stale;
                 continue;
             }
             if now >= job.by || !job.progress.step(Progress::Handed, Progress::Writing) {
-                news = News::Unsent;
+                event = ConnEvent::Unsent;
                 continue;
             }
             if stream.write_all(&job.bytes).await.is_err() {
-                return News::Lost { written: false };
+                return ConnEvent::Lost { written: false };
             }
             job.progress.step(Progress::Writing, Progress::Written);
             drop(job);
-            let reply = loop {
-                let decoded = match self.speech {
-                    Speech::Resp => caches::decode(&mut buffer, &self.deployment.load_names),
-                    Speech::Http => origin::decode(&mut buffer, &self.deployment.load_names),
+            let response = loop {
+                let decoded = match self.protocol {
+                    Protocol::Resp => caches::decode(&mut buffer, &self.deployment.load_names),
+                    Protocol::Http => origin::decode(&mut buffer, &self.deployment.load_names),
                 };
                 match decoded {
-                    Ok(Some(reply)) => break reply,
+                    Ok(Some(response)) => break response,
                     Ok(None) => {}
-                    Err(Broken) => return News::Lost { written: true },
+                    Err(ProtocolError) => return ConnEvent::Lost { written: true },
                 }
                 buffer.reserve(2048);
                 if !matches!(stream.read_buf(&mut buffer).await, Ok(count) if count > 0) {
-                    return News::Lost { written: true };
+                    return ConnEvent::Lost { written: true };
                 }
             };
             // Bytes beyond the answer belong to no request: nothing after them could be matched.
-            let keep = reply.keep && buffer.is_empty();
+            let keep = response.keep && buffer.is_empty();
             buffer = BytesMut::new();
-            news = News::Answer(Reply { keep, ..reply });
+            event = ConnEvent::Answer(Response { keep, ..response });
             if !keep {
-                return news;
+                return event;
             }
         }
     }
--- a/tests/parts/clients.rs
+++ b/tests/parts/clients.rs
@@ -5,7 +5,7 @@
 /// What is round a client's connection: its inputs to the node, the places, and where the node stands.
 struct Around {
     inputs: mpsc::Receiver<Input>,
-    front: Arc<Front>,
+    front: Arc<Frontend>,
     phase: watch::Sender<Phase>,
 }
 
@@ -14,7 +14,7 @@
     let (hub, inputs) = mpsc::channel(16);
     let (set_phase, phase) = watch::channel(Phase::Ready);
     let deployment = spardeal::settings::read(br#"{"classes":[{"name":"read"}]}"#).unwrap();
-    let front = Arc::new(Front {
+    let front = Arc::new(Frontend {
         deployment: Arc::new(deployment),
         clock: Clock::start(),
         hub,
