Name programs and packages by what they do, all members of one workspace

The operators' engineers take over and asked for names of the field. spardeal becomes routing-policy (decisions), cache-router (the program in service, now a library with a thin binary), simulator-adapter and routerctl; config, world, lab and standing become router-config, cluster-model, testbed and acceptance. All lie in crates/; the default members are what the deploy file's build needs. The deploy file keeps its keys. Experiments still build nodes of commits from before the renaming.

--- a/crates/standing/src/sources.rs
+++ b/crates/acceptance/src/sources.rs
@@ -37,10 +37,8 @@
     node: Vec<String>,
 }
 
-/// Where the module and all programs live.
-const SOURCES: &str = "src";
-/// The simulator's adapter; no fleet day plays it.
-const ADAPTER: &str = "src/bin/spardeal-drill/";
+/// What the policy is made of, the files that the deploy file names as such included.
+const POLICY_CRATE: &str = "crates/routing-policy/src";
 
 /// The sources in the working tree that decide how a node acts.
 #[derive(Debug)]
@@ -76,9 +74,9 @@
             toml::from_str(&text).map_err(|e| SourceError::Deploy { path, message: e.to_string() })?;
         let policy = hashed(root, &deploy.policy)?;
         let node = hashed(root, &deploy.node)?;
-        let mut rest = hashed(root, &[SOURCES.to_string()])?;
+        let mut rest = hashed(root, &[POLICY_CRATE.to_string()])?;
         let listed: BTreeSet<_> = policy.iter().chain(&node).map(|f| f.path.clone()).collect();
-        rest.retain(|f| !listed.contains(&f.path) && !f.path.starts_with(ADAPTER));
+        rest.retain(|f| !listed.contains(&f.path));
         Ok(Sources { root: root.into(), policy, node, rest })
     }
 
--- a/src/bin/spardeal-node/caches.rs
+++ b/crates/cache-router/src/caches.rs
@@ -1,7 +1,7 @@
 //! What is said to cache servers and what their answers mean.
 
 use bytes::{Bytes, BytesMut};
-use spardeal::{Load, Note, Status};
+use routing_policy::{Load, Note, Status};
 
 use crate::clients::Command;
 use crate::resp::{self, Value};
--- a/src/bin/spardeal-node/clients.rs
+++ b/crates/cache-router/src/clients.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use spardeal::settings::Deployment;
-use spardeal::{Key, Micros};
+use routing_policy::settings::Deployment;
+use routing_policy::{Key, Micros};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
@@ -51,8 +51,11 @@
 
 /// What all connections of clients share.
 pub struct Frontend {
+    /// The settings of the deployment.
     pub deployment: Arc<Deployment>,
+    /// The router's clock.
     pub clock: Clock,
+    /// The event loop.
     pub hub: mpsc::Sender<Input>,
     /// Where the node stands.
     pub phase: watch::Receiver<Phase>,
@@ -96,16 +99,27 @@
 /// A command of a client.
 #[derive(Debug, Clone, Default)]
 pub struct Command {
+    /// Whether it writes.
     pub write: bool,
+    /// The key, as the client wrote it.
     pub key: Bytes,
+    /// The request's id, as the client wrote it.
     pub id: Bytes,
+    /// The list of facts, as the client wrote it.
     pub facts: String,
+    /// What a write stores.
     pub value: Option<Bytes>,
+    /// Position of its class in the settings.
     pub class: usize,
+    /// Position of its tenant in the settings; 0 where there are none.
     pub tenant: usize,
+    /// How long the client waits, microseconds.
     pub time_left: Micros,
+    /// Whether the client said that it repeats an earlier request.
     pub repeat: bool,
+    /// Expected work, where told.
     pub cost: Option<Micros>,
+    /// Size of the value in bytes, 0 where not told.
     pub size: f32,
 }
 
@@ -121,10 +135,15 @@
 /// A command on its way to the node, and where its answer goes.
 #[derive(Debug)]
 pub struct Asked {
+    /// The command.
     pub command: Command,
+    /// When its last byte arrived.
     pub at: Micros,
+    /// The connection that it came on.
     pub client: ClientId,
+    /// The place of its answer among those of the connection.
     pub slot: u64,
+    /// Where its answer goes.
     pub answers: mpsc::Sender<(u64, Bytes)>,
 }
 
@@ -543,5 +562,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/parts/clients.rs"]
+#[path = "../tests/parts/clients.rs"]
 mod tests;
--- a/src/bin/spardeal-node/config.rs
+++ b/crates/cache-router/src/config.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
+use routing_policy::settings::{self, Deployment};
 use serde::Deserialize;
-use spardeal::settings::{self, Deployment};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::discovery::Listing;
--- a/src/bin/spardeal-node/discovery.rs
+++ b/crates/cache-router/src/discovery.rs
@@ -37,18 +37,26 @@
 /// A server of the list.
 #[derive(Deserialize, Debug)]
 pub struct Endpoint {
+    /// The name, which stays over restarts.
     pub name: String,
+    /// Where it is reached, `ip:port`.
     #[serde(default)]
     pub address: String,
+    /// Name of its zone.
     #[serde(default)]
     pub zone: String,
+    /// Name of its machine kind.
     #[serde(default, rename = "type")]
     pub kind: String,
+    /// Its cell, a group that shares which requests with an idempotency key it has seen.
     #[serde(default)]
     pub group: u16,
+    /// Whether it is active, draining or gone, in discovery's words.
     pub status: String,
+    /// Its weight.
     #[serde(default = "one")]
     pub weight: f32,
+    /// When its process started, Unix milliseconds; 0 where not known.
     #[serde(default)]
     pub since_ms: u64,
 }
@@ -446,5 +454,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/parts/discovery.rs"]
+#[path = "../tests/parts/discovery.rs"]
 mod tests;
--- a/src/bin/spardeal-node/http.rs
+++ b/crates/cache-router/src/http.rs
@@ -123,5 +123,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/parts/http.rs"]
+#[path = "../tests/parts/http.rs"]
 mod tests;
--- /dev/null
+++ b/crates/cache-router/src/lib.rs
@@ -0,0 +1,13 @@
+//! The parts of the router in service, as a library: `main.rs` is a thin program over it, and tests reach each part.
+
+pub mod caches;
+pub mod clients;
+pub mod config;
+pub mod discovery;
+pub mod http;
+pub mod node;
+pub mod origin;
+pub mod resp;
+pub mod resting;
+pub mod trace;
+pub mod upstreams;
--- a/src/bin/spardeal-node/main.rs
+++ b/crates/cache-router/src/main.rs
@@ -1,18 +1,6 @@
 //! One node: clients on one side, cache servers, the origin and discovery on the other, the decision module
 //! between them.
 
-mod caches;
-mod clients;
-mod config;
-mod discovery;
-mod http;
-mod node;
-mod origin;
-mod resp;
-mod resting;
-mod trace;
-mod upstreams;
-
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -23,13 +11,13 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 
-use spardeal_config::{Layers, logging};
+use router_config::{Layers, logging};
 use tracing::{info, warn};
 
-use clients::{Frontend, Phase};
-use config::Config;
-use node::{Clock, Input, Node};
-use trace::Trace;
+use cache_router::clients::{Frontend, Phase};
+use cache_router::config::Config;
+use cache_router::node::{Clock, Input, Node};
+use cache_router::trace::Trace;
 
 /// What waits between the connections and the node's loop.
 const INPUTS: usize = 1024;
@@ -60,7 +48,7 @@
     /// Reads the configuration, which was read so often before since the signal; when to read it again, if ever.
     async fn read(&mut self, times: usize) -> Option<(Instant, usize)> {
         let again = READ_AGAIN.get(times).map(|after| (Instant::now() + *after, times + 1));
-        match config::discovery() {
+        match cache_router::config::discovery() {
             Ok(address) if address != self.discovery => {
                 info!("discovery is at {address} now");
                 self.discovery = address;
@@ -99,7 +87,7 @@
         resting: Arc::default(),
         open,
     };
-    tokio::spawn(clients::listen(listener, Arc::new(front)));
+    tokio::spawn(cache_router::clients::listen(listener, Arc::new(front)));
     let mut signals = Signals { hub: hub.clone(), discovery: config.discovery };
     tokio::spawn(async move {
         let [term, int] = &mut terms;
@@ -123,7 +111,7 @@
 
 /// Says why the node does not start, in one line and whatever the level of the log is.
 fn refuse(why: impl std::fmt::Display) -> ExitCode {
-    eprintln!("spardeal-node: {why}");
+    eprintln!("cache-router: {why}");
     ExitCode::from(2)
 }
 
--- a/src/bin/spardeal-node/node.rs
+++ b/crates/cache-router/src/node.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
-use spardeal::settings::Deployment;
-use spardeal::{
+use routing_policy::settings::Deployment;
+use routing_policy::{
     Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
     ServerLine, Status,
 };
@@ -828,5 +828,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/parts/node.rs"]
+#[path = "../tests/parts/node.rs"]
 mod tests;
--- a/src/bin/spardeal-node/origin.rs
+++ b/crates/cache-router/src/origin.rs
@@ -1,7 +1,7 @@
 //! What is said to the origin, in HTTP/1.1, and what its answers mean.
 
 use bytes::{BufMut, Bytes, BytesMut};
-use spardeal::Status;
+use routing_policy::Status;
 
 use crate::caches;
 use crate::clients::Command;
--- a/src/bin/spardeal-node/resp.rs
+++ b/crates/cache-router/src/resp.rs
@@ -174,5 +174,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/parts/resp.rs"]
+#[path = "../tests/parts/resp.rs"]
 mod tests;
--- a/src/bin/spardeal-node/resting.rs
+++ b/crates/cache-router/src/resting.rs
@@ -91,5 +91,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/parts/resting.rs"]
+#[path = "../tests/parts/resting.rs"]
 mod tests;
--- a/src/bin/spardeal-node/trace.rs
+++ b/crates/cache-router/src/trace.rs
@@ -4,7 +4,7 @@
 use std::fmt::Arguments;
 use std::io::Write;
 
-use spardeal::Micros;
+use routing_policy::Micros;
 
 /// Where the lines go, or nowhere.
 pub struct Trace {
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/crates/cache-router/src/upstreams.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use spardeal::settings::Deployment;
-use spardeal::{Load, Micros, Note, RequestId, ServerId, Status};
+use routing_policy::settings::Deployment;
+use routing_policy::{Load, Micros, Note, RequestId, ServerId, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -30,9 +30,13 @@
 /// An answer of a server.
 #[derive(Debug, PartialEq)]
 pub struct Response {
+    /// How the attempt ended.
     pub status: Status,
+    /// What the server said of the key.
     pub note: Note,
+    /// The load report that came along.
     pub load: Load,
+    /// What the client is sent.
     pub value: Option<Bytes>,
     /// Whether the connection can carry another request.
     pub keep: bool,
@@ -50,14 +54,19 @@
     /// The process stood still between the node's word and the first byte, which was not written: what came meanwhile
     /// may forbid it.
     Stale,
-    /// It could not be opened or is lost; whether the last byte of its request may have been written.
-    Lost { written: bool },
+    /// It could not be opened or is lost.
+    Lost {
+        /// Whether the last byte of its request may have been written.
+        written: bool,
+    },
 }
 
 /// What is spoken with a server.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Protocol {
+    /// RESP2, with cache servers.
     Resp,
+    /// HTTP/1.1, with the origin.
     Http,
 }
 
--- a/crates/world/tests/parts.rs
+++ b/crates/cluster-model/tests/parts.rs
@@ -1,16 +1,16 @@
 //! The parts of the world one by one: what each does under load, when it is cold, cut off or overbooked.
 #![allow(missing_docs)]
 
-use rand::Rng;
-use spardeal_world::list::{Call, Condition, Line, List, Spec as ListSpec, Told};
-use spardeal_world::machine::{Machine, Spec as MachineSpec};
-use spardeal_world::memory::Memory;
-use spardeal_world::network::{Network, Spec as NetworkSpec};
-use spardeal_world::origin::{
+use cluster_model::list::{Call, Condition, Line, List, Spec as ListSpec, Told};
+use cluster_model::machine::{Machine, Spec as MachineSpec};
+use cluster_model::memory::Memory;
+use cluster_model::network::{Network, Spec as NetworkSpec};
+use cluster_model::origin::{
     Answer as OriginAnswer, Fault, Origin, Spec as OriginSpec, Taken as OriginTaken,
 };
-use spardeal_world::server::{Answer, Ask, Cache, Spec as CacheSpec, Taken};
-use spardeal_world::{Micros, chance};
+use cluster_model::server::{Answer, Ask, Cache, Spec as CacheSpec, Taken};
+use cluster_model::{Micros, chance};
+use rand::Rng;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
--- a/crates/world/tests/rules.rs
+++ b/crates/cluster-model/tests/rules.rs
@@ -1,8 +1,8 @@
 //! Each rule broken on purpose is reported, and what keeps it is not.
 #![allow(missing_docs)]
 
-use spardeal_world::rules::{Broken, Effect, Figures, Rules};
-use spardeal_world::server::Fall;
+use cluster_model::rules::{Broken, Effect, Figures, Rules};
+use cluster_model::server::Fall;
 
 const R: (u32, u64) = (3, 17);
 const SECOND: u64 = 1_000_000;
--- a/crates/config/src/layers.rs
+++ b/crates/router-config/src/layers.rs
@@ -14,10 +14,10 @@
 use crate::locate;
 use crate::schema::Config;
 
-/// The variables of the environment that belong to the configuration: `SPARDEAL_LOG__LEVEL` is `log.level`.
-const PREFIX: &str = "SPARDEAL_";
+/// The variables of the environment that belong to the configuration: `CACHE_ROUTER_LOG__LEVEL` is `log.level`.
+const PREFIX: &str = "CACHE_ROUTER_";
 /// The variable that names the file; it is no key.
-const FILE: &str = "SPARDEAL_CONFIG";
+const FILE: &str = "CACHE_ROUTER_CONFIG";
 /// The longest file. A configuration is a page or two.
 const MAX_FILE: u64 = 1024 * 1024;
 
@@ -86,7 +86,7 @@
 }
 
 impl Layers {
-    /// The layers that this process was started with: the file that `SPARDEAL_CONFIG` names, if any, and the
+    /// The layers that this process was started with: the file that `CACHE_ROUTER_CONFIG` names, if any, and the
     /// variables beside it.
     pub fn from_env() -> Layers {
         // What is not Unicode can't be one of our keys.
--- a/crates/config/tests/logging.rs
+++ b/crates/router-config/tests/logging.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use spardeal_config::{Format, Level, Log, Repeat, Span, logging};
+use router_config::{Format, Level, Log, Repeat, Span, logging};
 use tracing_subscriber::fmt::MakeWriter;
 
 #[derive(Clone, Default)]
--- a/crates/cli/src/main.rs
+++ b/crates/routerctl/src/main.rs
@@ -1,4 +1,4 @@
-//! `spardeal`: parses the command line, calls the crate that does the work, prints what it returns. No logic of its
+//! `routerctl`: parses the command line, calls the crate that does the work, prints what it returns. No logic of its
 //! own.
 
 use std::cell::Cell;
@@ -9,24 +9,24 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use acceptance::duty::Verdict;
+use acceptance::journal::Journal;
+use acceptance::margins;
+use acceptance::sources::Sources;
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use spardeal_config::{ConfigError, Layers};
-use spardeal_lab::baseline::{self, Through};
-use spardeal_lab::experiment::{self, Experiment, Play, Step};
-use spardeal_lab::load::{self, Instantly, Load, Outcome};
-use spardeal_lab::sockets::{self, Options, Progress};
-use spardeal_lab::{Report, Scenario, page, program, virtual_time};
-use spardeal_standing::duty::Verdict;
-use spardeal_standing::journal::Journal;
-use spardeal_standing::margins;
-use spardeal_standing::sources::Sources;
+use router_config::{ConfigError, Layers};
+use testbed::baseline::{self, Through};
+use testbed::experiment::{self, Experiment, Play, Step};
+use testbed::load::{self, Instantly, Load, Outcome};
+use testbed::sockets::{self, Options, Progress};
+use testbed::{Report, Scenario, page, program, virtual_time};
 
-/// Tools round the spardeal node.
+/// Tools round the routerctl node.
 ///
 /// Exit codes: 0 it held, 1 it fell short, 2 wrong use or input.
 #[derive(Parser)]
-#[command(name = "spardeal", version, propagate_version = true)]
+#[command(name = "routerctl", version, propagate_version = true)]
 struct Arguments {
     #[command(subcommand)]
     command: Order,
@@ -35,7 +35,7 @@
 #[derive(Subcommand)]
 enum Order {
     /// Start a small fleet of real nodes before emulated servers, break things, and say what came of it
-    #[command(after_help = "Examples:\n  spardeal demo\n  spardeal demo --seed 7 --logs demo-logs")]
+    #[command(after_help = "Examples:\n  routerctl demo\n  routerctl demo --seed 7 --logs demo-logs")]
     Demo {
         /// Seed of all chance
         #[arg(long, default_value_t = 1)]
@@ -44,8 +44,8 @@
         sockets: Sockets,
     },
     /// Say whether a configuration file would do, and if not, what would
-    #[command(after_help = "Examples:\n  spardeal check spardeal.toml\n  \
-                            spardeal check spardeal.toml --set log.level=debug --show")]
+    #[command(after_help = "Examples:\n  routerctl check router.toml\n  \
+                            routerctl check router.toml --set log.level=debug --show")]
     Check {
         /// The file, TOML (docs/CONFIG.md)
         file: PathBuf,
@@ -57,7 +57,7 @@
         show: bool,
     },
     /// Tell in one line whether the standing fleet test holds for the sources as they are now
-    #[command(after_help = "Example:\n  spardeal standing")]
+    #[command(after_help = "Example:\n  routerctl standing")]
     Standing {
         /// Root of the repository
         #[arg(long, default_value = ".")]
@@ -67,7 +67,7 @@
         journal: Option<PathBuf>,
     },
     /// Tell how far plays stayed from the limits of the rules, from the traces of their nodes
-    #[command(after_help = "Example:\n  spardeal margins logs/join-11 logs/zone-11")]
+    #[command(after_help = "Example:\n  routerctl margins logs/join-11 logs/zone-11")]
     Margins {
         /// Folders of logs, one a play; the table names a play by its folder
         #[arg(required = true)]
@@ -80,7 +80,7 @@
     #[command(subcommand)]
     Lab(Lab),
     /// Print a completion script for a shell
-    #[command(after_help = "Example:\n  spardeal completions bash > /etc/bash_completion.d/spardeal")]
+    #[command(after_help = "Example:\n  routerctl completions bash > /etc/bash_completion.d/routerctl")]
     Completions {
         /// Which shell
         shell: clap_complete::Shell,
@@ -90,9 +90,9 @@
 #[derive(Subcommand)]
 enum Lab {
     /// Play a scenario and say what came of it: 0 where the rules were kept
-    #[command(after_help = "Examples:\n  spardeal lab run crates/lab/scenarios/storm.toml\n  \
-                            spardeal lab run crates/lab/scenarios/storm.toml --seed 7 --json report.json\n  \
-                            spardeal lab run crates/lab/scenarios/demo.toml --sockets")]
+    #[command(after_help = "Examples:\n  routerctl lab run crates/testbed/scenarios/storm.toml\n  \
+                            routerctl lab run crates/testbed/scenarios/storm.toml --seed 7 --json report.json\n  \
+                            routerctl lab run crates/testbed/scenarios/demo.toml --sockets")]
     Run {
         /// The scenario, TOML (docs/LAB.md)
         file: PathBuf,
@@ -110,7 +110,7 @@
     },
     /// Play what is missing of an experiment and report on it: 0 where all plays kept the rules
     #[command(
-        after_help = "Example:\n  spardeal lab experiment crates/lab/experiments/retries.toml --out target/retries"
+        after_help = "Example:\n  routerctl lab experiment crates/testbed/experiments/retries.toml --out target/retries"
     )]
     Experiment {
         /// The experiment, TOML (docs/LAB.md)
@@ -123,15 +123,15 @@
         threads: Option<u16>,
     },
     /// Compare the plays of an experiment's folder, as JSON lines and as one page
-    #[command(after_help = "Example:\n  spardeal lab report target/retries")]
+    #[command(after_help = "Example:\n  routerctl lab report target/retries")]
     Report {
         /// The folder
         folder: PathBuf,
     },
     /// Send requests at times of their own and measure what clients would wait: 0 where 99.9% were served
     #[command(
-        after_help = "Examples:\n  spardeal lab load --rate 20000\n  spardeal lab load --through --most\n  \
-                            spardeal lab load --to 127.0.0.1:6379 --rate 500 --lasts 30s"
+        after_help = "Examples:\n  routerctl lab load --rate 20000\n  routerctl lab load --through --most\n  \
+                            routerctl lab load --to 127.0.0.1:6379 --rate 500 --lasts 30s"
     )]
     Load(LoadArguments),
 }
@@ -141,10 +141,10 @@
     /// Send to a node or server that is there already
     #[arg(long, value_name = "ADDRESS", conflicts_with_all = ["through", "most"])]
     to: Option<SocketAddr>,
-    /// Send through a spardeal-node of its own as well, and show what it adds
+    /// Send through a cache-router of its own as well, and show what it adds
     #[arg(long)]
     through: bool,
-    /// The spardeal-node program [default: the one beside this program]
+    /// The cache-router program [default: the one beside this program]
     #[arg(long, value_name = "PROGRAM", requires = "through")]
     node: Option<PathBuf>,
     /// Find the most that is borne (99.9% served, 99 of 100 within 50 ms), then measure at parts of it
@@ -183,7 +183,7 @@
 
 #[derive(Args)]
 struct Sockets {
-    /// The spardeal-node program [default: the one beside this program]
+    /// The cache-router program [default: the one beside this program]
     #[arg(long, value_name = "PROGRAM")]
     node: Option<PathBuf>,
     /// Keep the nodes' configurations and logs in a folder
@@ -204,7 +204,7 @@
         Order::Lab(Lab::Report { folder }) => report(&folder),
         Order::Lab(Lab::Load(arguments)) => load(&arguments),
         Order::Completions { shell } => {
-            clap_complete::generate(shell, &mut Arguments::command(), "spardeal", &mut std::io::stdout());
+            clap_complete::generate(shell, &mut Arguments::command(), "routerctl", &mut std::io::stdout());
             Ok(true)
         }
     };
@@ -212,7 +212,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(e) => {
-            eprintln!("spardeal: {e}");
+            eprintln!("routerctl: {e}");
             ExitCode::from(2)
         }
     }
@@ -269,13 +269,13 @@
     let scenario = Scenario::read(&file)?;
     let servers: u32 = scenario.kind.iter().map(|kind| kind.servers).sum();
     println!(
-        "{} spardeal nodes on loopback before {servers} emulated cache servers, an origin and a list service; {} clients \
+        "{} routerctl nodes on loopback before {servers} emulated cache servers, an origin and a list service; {} clients \
          ask each second, for {}.",
         scenario.nodes, scenario.load.per_s, scenario.length
     );
     let report = on_sockets(&scenario, seed, sockets)?;
     println!("\n{report}");
-    println!("The same in virtual time, or with one thing changed: `spardeal lab run FILE` (docs/LAB.md).");
+    println!("The same in virtual time, or with one thing changed: `routerctl lab run FILE` (docs/LAB.md).");
     Ok(report.kept())
 }
 
@@ -458,7 +458,7 @@
 fn standing(root: PathBuf, journal: Option<PathBuf>) -> Held {
     let sources = Sources::read(&root)?;
     let journal = Journal::read(&journal.unwrap_or_else(|| root.join("journal")))?;
-    journal.skipped.iter().for_each(|line| eprintln!("spardeal: passed over {line}"));
+    journal.skipped.iter().for_each(|line| eprintln!("routerctl: passed over {line}"));
     let verdict = Verdict::of(&journal, &sources);
     println!("{verdict}");
     Ok(verdict.holds())
--- a/src/lib.rs
+++ b/crates/routing-policy/src/lib.rs
@@ -4,7 +4,7 @@
 //! to do ([`Action`]). It has no clock, no threads and no I/O: the node that embeds it owns the sockets.
 //!
 //! ```
-//! use spardeal::{Action, Condition, Event, ListKind, Policy, Request, ServerLine, Settings};
+//! use routing_policy::{Action, Condition, Event, ListKind, Policy, Request, ServerLine, Settings};
 //!
 //! let settings = Settings::default();
 //! let mut policy = Policy::new(settings, 42);
@@ -23,15 +23,10 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, server: 7 | 9, .. })));
 //! ```
 
-mod brain;
 pub mod interface;
+mod policy;
 pub mod settings;
 mod state;
 
 pub use interface::*;
 pub use state::Policy;
-
-/// Runs the example of the README as a test.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-pub struct Readme;
--- a/tests/common/mod.rs
+++ b/crates/routing-policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A node in miniature: drives a policy event by event and keeps what it answered.
 #![allow(dead_code, missing_docs)]
 
-use spardeal::*;
+use routing_policy::*;
 
 pub const ORIGIN_KIND: u16 = 1;
 pub const ORIGIN: ServerId = 1000;
--- a/tests/fleet.rs
+++ b/crates/routing-policy/tests/fleet.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 
 use common::*;
-use spardeal::*;
+use routing_policy::*;
 
 const SERVERS: u32 = 20;
 /// Requests a second over all balancers; a warm server bears its part of them.
--- a/tests/brain.rs
+++ b/crates/routing-policy/tests/policy.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::*;
-use spardeal::*;
+use routing_policy::*;
 
 /// The server that a key goes to first; the request is served at once.
 fn place(node: &mut Node, key: Key) -> ServerId {
--- a/tests/properties.rs
+++ b/crates/routing-policy/tests/properties.rs
@@ -8,7 +8,7 @@
 use common::{ORIGIN_KIND, take_due};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use spardeal::*;
+use routing_policy::*;
 
 #[derive(Debug, Clone)]
 enum Step {
--- a/src/bin/spardeal-drill/codec.rs
+++ b/crates/simulator-adapter/src/codec.rs
@@ -1,6 +1,6 @@
 //! Frames of the wire: batches of event records in, replies of action records out.
 
-use spardeal::{
+use routing_policy::{
     Action, Condition, ListKind, Load, Micros, Note, Outcome, Request, ServerId, ServerLine, Status,
 };
 
@@ -71,7 +71,7 @@
         number: u16,
     },
     /// Any other event of an instance.
-    Event(u16, spardeal::Event),
+    Event(u16, routing_policy::Event),
 }
 
 /// Reads event record `index` of the body of a frame with `records` records.
@@ -80,22 +80,22 @@
     let tail = &body[records * EVENT_SIZE..];
     let node = u16_at(r, 1);
     let event = match r[0] {
-        1 => spardeal::Event::ClientGone(u64_at(r, 3)),
-        2 => spardeal::Event::Timer(u32_at(r, 3)),
-        3 => spardeal::Event::Outcome(outcome(r)?),
-        4 => spardeal::Event::Request(request(r)),
+        1 => routing_policy::Event::ClientGone(u64_at(r, 3)),
+        2 => routing_policy::Event::Timer(u32_at(r, 3)),
+        3 => routing_policy::Event::Outcome(outcome(r)?),
+        4 => routing_policy::Event::Request(request(r)),
         5 => {
             let settings = tail_part(tail, r, 11, 1)?;
             return Ok(Record::Start { node, seed: u64_at(r, 3), settings });
         }
-        6 => spardeal::Event::Probed {
+        6 => routing_policy::Event::Probed {
             ok: u16_at(r, 3) == 200,
             took: u32_at(r, 5).into(),
             server: u32_at(r, 9),
             load: load(r, 13),
         },
         7 => return Ok(Record::Stop(node)),
-        8 => spardeal::Event::AnswerBegan { request: u64_at(r, 3), attempt: u16_at(r, 15) },
+        8 => routing_policy::Event::AnswerBegan { request: u64_at(r, 3), attempt: u16_at(r, 15) },
         9 => {
             let part = tail_part(tail, r, 3, LINE_SIZE)?;
             let lines = part.chunks_exact(LINE_SIZE).map(line).collect::<Result<_, _>>()?;
@@ -113,7 +113,7 @@
         }
         11 => {
             let bytes = tail_part(tail, r, 7, 1)?.to_vec();
-            spardeal::Event::PeerMessage { from: u32_at(r, 3), bytes }
+            routing_policy::Event::PeerMessage { from: u32_at(r, 3), bytes }
         }
         other => return Err(format!("unknown event code {other}")),
     };
@@ -316,5 +316,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/parts/codec.rs"]
+#[path = "../tests/parts/codec.rs"]
 mod tests;
--- a/src/bin/spardeal-drill/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 use codec::{BATCH_HEADER, BatchHeader, Record, Reply};
-use spardeal::{Action, Event, ListKind, Micros, Policy, ServerLine, settings};
+use routing_policy::{Action, Event, ListKind, Micros, Policy, ServerLine, settings};
 
 /// Numbered lists run from 0 to this, exclusive.
 const LISTS: usize = 16;
@@ -127,7 +127,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("spardeal-drill: {message}");
+            eprintln!("simulator-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/crates/lab/src/baseline.rs
+++ b/crates/testbed/src/baseline.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use spardeal_config::Span;
+use router_config::Span;
 use tokio::sync::oneshot;
 
 use crate::load::{Instantly, Load, Outcome, send};
--- a/crates/lab/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -4,11 +4,11 @@
 
 use std::collections::BTreeMap;
 
+use cluster_model::list::NodeId;
+use cluster_model::{Chance, Micros, chance};
 use hdrhistogram::Histogram;
 use rand::Rng;
 use rand_distr::{Distribution, Exp1, LogNormal, Zipf};
-use spardeal_world::list::NodeId;
-use spardeal_world::{Chance, Micros, chance};
 
 use crate::report::{Counts, End, Latency, OfClass, WINDOW};
 use crate::scenario::{Effect, Scenario};
--- a/crates/lab/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -3,9 +3,9 @@
 
 use std::collections::BTreeMap;
 
+use cluster_model::chance;
 use rand::Rng;
 use serde::Serialize;
-use spardeal_world::chance;
 
 use crate::experiment::{Experiment, Play};
 use crate::report::{Report, WINDOW};
--- a/crates/lab/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, mpsc};
 
+use router_config::ConfigError;
 use serde::{Deserialize, Serialize};
-use spardeal_config::ConfigError;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::program::{self, ProgramError};
@@ -104,7 +104,7 @@
     /// # Errors
     /// Where one of them can't be read or would not do.
     pub fn read(path: &Path) -> Result<Experiment, ExperimentError> {
-        let mut found: Experiment = spardeal_config::read_toml(path, &[], Experiment::impossible)?;
+        let mut found: Experiment = router_config::read_toml(path, &[], Experiment::impossible)?;
         let beside = path.parent().unwrap_or(Path::new(""));
         found.scenarios.iter_mut().for_each(|scenario| *scenario = beside.join(&*scenario));
         for variant in &mut found.variant {
@@ -194,6 +194,9 @@
     }
 }
 
+/// What the router's program was called in commits before its package had a folder of its own.
+const EARLIER_BINARY: &str = "spardeal-node";
+
 /// Builds the node of a commit in a work tree of its own, once.
 fn build(commit: &str, folder: &Path) -> Result<PathBuf, ProgramError> {
     let failed = |what: String| ProgramError::Build(format!(" at {commit}: {what}"));
@@ -209,7 +212,7 @@
     let name = String::from_utf8_lossy(&name).trim().to_string();
     // Cargo runs in the work tree: what is relative to this folder is not to that.
     let folder = folder.canonicalize().map_err(|e| failed(e.to_string()))?;
-    let program = folder.join("builds").join(format!("{name}-spardeal-node"));
+    let program = folder.join("builds").join(format!("{name}-cache-router"));
     if program.is_file() {
         return Ok(program);
     }
@@ -219,13 +222,14 @@
     let _ = std::fs::remove_dir_all(&tree);
     run(Command::new("git").args(["worktree", "prune"]))?;
     run(Command::new("git").args(["worktree", "add", "--detach", "--force"]).arg(&tree).arg(&name))?;
+    let binary = if tree.join("crates/cache-router").is_dir() { "cache-router" } else { EARLIER_BINARY };
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let built = run(Command::new(cargo)
-        .args(["build", "--release", "--locked", "--bin", "spardeal-node", "--target-dir"])
+        .args(["build", "--release", "--locked", "--bin", binary, "--target-dir"])
         .arg(folder.join("builds/target"))
         .current_dir(&tree));
     let copied = built.and_then(|_| {
-        let made = folder.join("builds/target/release/spardeal-node");
+        let made = folder.join("builds/target/release").join(binary);
         std::fs::copy(made, &program).map_err(|e| failed(e.to_string()))
     });
     let _ = run(Command::new("git").args(["worktree", "remove", "--force"]).arg(&tree));
--- a/crates/lab/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -12,11 +12,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use cluster_model::{Chance, chance};
 use hdrhistogram::Histogram;
 use rand_distr::{Distribution, Exp1, Zipf};
 use redis_protocol::resp2::decode::decode_bytes_mut;
 use redis_protocol::resp2::types::BytesFrame;
-use spardeal_world::{Chance, chance};
 
 use crate::sockets::clients::command;
 
--- a/crates/lab/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -1,4 +1,4 @@
-//! Where the `spardeal-node` program is that a play on sockets starts.
+//! Where the `cache-router` program is that a play on sockets starts.
 
 use std::ffi::OsStr;
 use std::path::{Path, PathBuf};
@@ -14,7 +14,7 @@
     #[error("cannot tell where this program is: {0}")]
     Lost(std::io::Error),
     /// It could not be built.
-    #[error("`cargo build` of spardeal-node failed{0}")]
+    #[error("`cargo build` of cache-router failed{0}")]
     Build(String),
 }
 
@@ -36,7 +36,7 @@
             {
                 build(&cargo, Path::new(&manifest), folder)?;
             }
-            folder.join("spardeal-node")
+            folder.join("cache-router")
         }
     };
     if program.is_file() { Ok(program) } else { Err(ProgramError::Missing(program)) }
@@ -44,11 +44,11 @@
 
 /// Builds it in the workspace that a manifest's folder belongs to, with the profile that a folder is for.
 fn build(cargo: &OsStr, manifest: &Path, folder: &Path) -> Result<(), ProgramError> {
-    let Some(root) = manifest.ancestors().find(|root| root.join("src/bin/spardeal-node").is_dir()) else {
+    let Some(root) = manifest.ancestors().find(|root| root.join("crates/cache-router").is_dir()) else {
         return Ok(());
     };
     let mut build = Command::new(cargo);
-    build.args(["build", "--quiet", "--locked", "--package", "spardeal", "--bin", "spardeal-node"]);
+    build.args(["build", "--quiet", "--locked", "--package", "cache-router"]);
     if folder.ends_with("release") {
         build.arg("--release");
     }
--- a/crates/lab/src/queue.rs
+++ b/crates/testbed/src/queue.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use spardeal_world::Micros;
+use cluster_model::Micros;
 
 struct Entry<W>(Micros, u64, W);
 
--- a/crates/lab/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -6,10 +6,10 @@
 use std::io::Write;
 use std::path::Path;
 
+use cluster_model::Micros;
+use cluster_model::rules::{Break, Rules};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use spardeal_world::Micros;
-use spardeal_world::rules::{Break, Rules};
 
 /// Length of a window, in microseconds.
 pub const WINDOW: Micros = 5_000_000;
--- a/crates/lab/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -3,8 +3,8 @@
 use std::fmt::{self, Display, Formatter};
 use std::path::{Path, PathBuf};
 
+use router_config::{ConfigError, Span};
 use serde::{Deserialize, Serialize};
-use spardeal_config::{ConfigError, Span};
 
 /// A scenario.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -517,7 +517,7 @@
 const MOST: (u32, u32, f64) = (2_000, 2_000, 50_000_000.0);
 
 impl Scenario {
-    /// The scenario of `spardeal demo`, as TOML.
+    /// The scenario of `routerctl demo`, as TOML.
     pub const DEMO: &str = include_str!("../scenarios/demo.toml");
 
     /// Reads a file.
@@ -533,7 +533,7 @@
     /// # Errors
     /// The same.
     pub fn read_with(path: &Path, set: &[(String, String)]) -> Result<Scenario, ConfigError> {
-        spardeal_config::read_toml(path, set, Scenario::impossible)
+        router_config::read_toml(path, set, Scenario::impossible)
     }
 
     /// The first value that is of the right kind and yet impossible: its key, and what would do.
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/testbed/src/sockets/mod.rs
@@ -1,4 +1,4 @@
-//! The driver on sockets: real `spardeal-node` processes on 127.0.0.0/8 before the same world as in virtual time. One
+//! The driver on sockets: real `cache-router` processes on 127.0.0.0/8 before the same world as in virtual time. One
 //! process holds cache servers, origin, list service and clients, each behind a door of its own ([`doors`]); between
 //! nodes and servers stand ways that can fail ([`link`]). Time is real: two plays of one seed draw the same clients and
 //! faults, and differ by what the machine makes of them.
@@ -17,12 +17,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cluster_model::list::{Condition, Line};
+use cluster_model::network::Breaks;
+use cluster_model::{Chance, Micros, chance};
 use nix::sys::signal::Signal;
 use rand::Rng;
-use spardeal::{ServerId, ServerLine};
-use spardeal_world::list::{Condition, Line};
-use spardeal_world::network::Breaks;
-use spardeal_world::{Chance, Micros, chance};
+use routing_policy::{ServerId, ServerLine};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -88,7 +88,7 @@
 
 /// What a play needs besides its scenario.
 pub struct Options<'a> {
-    /// The `spardeal-node` program.
+    /// The `cache-router` program.
     pub program: &'a Path,
     /// Where configurations and logs of the nodes go; it must be there.
     pub folder: &'a Path,
--- a/crates/lab/src/sockets/nodes.rs
+++ b/crates/testbed/src/sockets/nodes.rs
@@ -1,4 +1,4 @@
-//! Real `spardeal-node` processes: each with a configuration of its own in the play's folder, its log beside it. They
+//! Real `cache-router` processes: each with a configuration of its own in the play's folder, its log beside it. They
 //! are killed when their owner is dropped.
 
 use std::fs::File;
--- a/crates/lab/src/sockets/stage.rs
+++ b/crates/testbed/src/sockets/stage.rs
@@ -3,14 +3,14 @@
 
 use std::collections::BTreeMap;
 
+use cluster_model::list::{Call, Condition, Line, List, NodeId, Told};
+use cluster_model::machine::JobId;
+use cluster_model::network::{Fate, Network, Zone};
+use cluster_model::origin::{Answer as OriginAnswer, Origin, Taken as OriginTaken};
+use cluster_model::rules::{Figures, Rules};
+use cluster_model::server::{Answer, Ask, Cache, Taken};
+use cluster_model::{Chance, Micros, chance};
 use rand::seq::SliceRandom;
-use spardeal_world::list::{Call, Condition, Line, List, NodeId, Told};
-use spardeal_world::machine::JobId;
-use spardeal_world::network::{Fate, Network, Zone};
-use spardeal_world::origin::{Answer as OriginAnswer, Origin, Taken as OriginTaken};
-use spardeal_world::rules::{Figures, Rules};
-use spardeal_world::server::{Answer, Ask, Cache, Taken};
-use spardeal_world::{Chance, Micros, chance};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clients::{Client, Part, spread};
--- a/crates/lab/src/virtual_time.rs
+++ b/crates/testbed/src/virtual_time.rs
@@ -3,19 +3,19 @@
 
 use std::collections::BTreeMap;
 
+use cluster_model::list::{Call, Condition as Listed, Line, List, NodeId, Told};
+use cluster_model::machine::JobId;
+use cluster_model::network::{Breaks, Fate, Network, Zone};
+use cluster_model::origin::{Answer as OriginAnswer, Origin, Taken as OriginTaken};
+use cluster_model::rules::{Figures, Rules};
+use cluster_model::server::{Answer, Ask, Cache, Taken};
+use cluster_model::{Chance, Micros, chance};
 use rand::Rng;
 use rand::seq::SliceRandom;
-use spardeal::{
+use routing_policy::{
     Action, Condition, Event as ModuleEvent, ListKind, Policy, Request, RequestId, ServerId, ServerLine,
     Status,
 };
-use spardeal_world::list::{Call, Condition as Listed, Line, List, NodeId, Told};
-use spardeal_world::machine::JobId;
-use spardeal_world::network::{Breaks, Fate, Network, Zone};
-use spardeal_world::origin::{Answer as OriginAnswer, Origin, Taken as OriginTaken};
-use spardeal_world::rules::{Figures, Rules};
-use spardeal_world::server::{Answer, Ask, Cache, Taken};
-use spardeal_world::{Chance, Micros, chance};
 
 use crate::clients::{Clients, Part, Reply, spread};
 use crate::deployment::{self, MAX_ATTEMPTS, ORIGIN_SPREAD, outcome};
--- a/crates/lab/tests/experiments.rs
+++ b/crates/testbed/tests/experiments.rs
@@ -5,9 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use spardeal_lab::compare::{bootstrap, rank_correlation};
-use spardeal_lab::experiment::{Experiment, ExperimentError, results, run};
-use spardeal_lab::{Scenario, page};
+use testbed::compare::{bootstrap, rank_correlation};
+use testbed::experiment::{Experiment, ExperimentError, results, run};
+use testbed::{Scenario, page};
 
 /// A short calm day, the same with less load, and an experiment on both.
 fn experiment(folder: &Path) -> PathBuf {
--- a/crates/lab/tests/plays.rs
+++ b/crates/testbed/tests/plays.rs
@@ -5,11 +5,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use spardeal_config::Span;
-use spardeal_lab::report::Counts;
-use spardeal_lab::scenario::{Event, Failure, Front};
-use spardeal_lab::virtual_time::play;
-use spardeal_lab::{Report, Scenario};
+use router_config::Span;
+use testbed::report::Counts;
+use testbed::scenario::{Event, Failure, Front};
+use testbed::virtual_time::play;
+use testbed::{Report, Scenario};
 
 fn scenario(name: &str) -> Scenario {
     let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(format!("scenarios/{name}.toml"));
