--- a/crates/acceptance/src/duty.rs
+++ b/crates/acceptance/src/duty.rs
@@ -28,14 +28,23 @@
 
     /// Which of them an entry is, if any. A run that was cut off names no days and is none.
     fn of(entry: &Entry) -> Option<Score> {
-        let panel = entry.panel.as_deref().filter(|_| entry.cmd == "real-score")?;
+        let panel = entry
+            .panel
+            .as_deref()
+            .filter(|_| entry.cmd == "real-score")?;
         let (panel, quick) = match panel.strip_suffix(":quick") {
             Some(panel) => (panel, true),
             None => (panel, false),
         };
         let days: Vec<_> = panel.rsplit(':').next()?.split(',').collect();
-        let fleet = days.iter().all(|day| day.ends_with("+mass") || *day == "soak");
-        let named = entry.argv.windows(2).find(|pair| pair[0] == "--panel").map(|pair| pair[1].as_str());
+        let fleet = days
+            .iter()
+            .all(|day| day.ends_with("+mass") || *day == "soak");
+        let named = entry
+            .argv
+            .windows(2)
+            .find(|pair| pair[0] == "--panel")
+            .map(|pair| pair[1].as_str());
         match (fleet, named, quick) {
             (true, _, true) => Some(Score::Quick),
             (true, _, false) if days.len() > 1 => Some(Score::Full),
@@ -84,7 +93,10 @@
         match self {
             Finding::Holds(figure, id) => write!(f, "{figure:.3} ({id})"),
             Finding::Missing => write!(f, "missing for these sources"),
-            Finding::Untold(id) => write!(f, "not told ({id}: the commit that it was played on is not here)"),
+            Finding::Untold(id) => write!(
+                f,
+                "not told ({id}: the commit that it was played on is not here)"
+            ),
             Finding::Failed(id, why) => write!(f, "failed ({id}: {why})"),
             Finding::Fell(figure, id, before, then) => {
                 write!(f, "fell to {figure:.3} ({id}) from {before:.3} ({then})")
@@ -100,7 +112,11 @@
 impl Verdict {
     /// Judges a journal for the sources as they are.
     pub fn of(journal: &Journal, sources: &Sources) -> Verdict {
-        Verdict(Score::ALL.map(|score| (score, find(journal, sources, score))).into())
+        Verdict(
+            Score::ALL
+                .map(|score| (score, find(journal, sources, score)))
+                .into(),
+        )
     }
 
     /// Whether the duty holds.
@@ -111,7 +127,15 @@
 
 impl Display for Verdict {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "the standing duty {}", if self.holds() { "holds: " } else { "does not hold: " })?;
+        write!(
+            f,
+            "the standing duty {}",
+            if self.holds() {
+                "holds: "
+            } else {
+                "does not hold: "
+            }
+        )?;
         for (i, (score, finding)) in self.0.iter().enumerate() {
             write!(f, "{}{score} {finding}", if i == 0 { "" } else { "; " })?;
         }
@@ -122,9 +146,14 @@
 fn find(journal: &Journal, sources: &Sources, score: Score) -> Finding {
     // A deployment's figures say nothing of another's: the standing one is the one that the later panel was last
     // played on, which has that panel alone.
-    let standing = journal.entries.iter().rev().find(|e| Score::of(e) == Some(Score::Later));
+    let standing = journal
+        .entries
+        .iter()
+        .rev()
+        .find(|e| Score::of(e) == Some(Score::Later));
     let site = standing.map(|entry| &entry.site);
-    let of_site = |e: &&Entry| Score::of(e) == Some(score) && site.is_none_or(|site| e.site == *site);
+    let of_site =
+        |e: &&Entry| Score::of(e) == Some(score) && site.is_none_or(|site| e.site == *site);
     let played: Vec<_> = journal.entries.iter().filter(of_site).collect();
     let mut untold = None;
     let same = |entry: &&&Entry| match sources.compare(entry, score == Score::Brink) {
@@ -143,9 +172,15 @@
         Err(why) => return Finding::Failed(last.id.clone(), why),
     };
     let other = |e: &&&Entry| e.at < last.at && (&e.policy, &e.node) != (&last.policy, &last.node);
-    let before = played.iter().rev().filter(other).find_map(|e| Some((passed(score, e).ok()?, e.id.clone())));
+    let before = played
+        .iter()
+        .rev()
+        .filter(other)
+        .find_map(|e| Some((passed(score, e).ok()?, e.id.clone())));
     match before {
-        Some((then, id)) if figure < then - MAY_FALL => Finding::Fell(figure, last.id.clone(), then, id),
+        Some((then, id)) if figure < then - MAY_FALL => {
+            Finding::Fell(figure, last.id.clone(), then, id)
+        }
         _ => Finding::Holds(figure, last.id.clone()),
     }
 }
@@ -153,7 +188,10 @@
 /// The figure of a play, or why it does not count.
 fn passed(score: Score, entry: &Entry) -> Result<f64, String> {
     if !entry.ok {
-        return Err(entry.error.clone().unwrap_or_else(|| "the run was cut off".into()));
+        return Err(entry
+            .error
+            .clone()
+            .unwrap_or_else(|| "the run was cut off".into()));
     }
     if entry.edited_meanwhile {
         return Err("the sources changed while it ran".into());
--- a/crates/acceptance/src/journal.rs
+++ b/crates/acceptance/src/journal.rs
@@ -103,7 +103,10 @@
     /// # Errors
     /// Where the folder can't be listed.
     pub fn read(folder: &Path) -> Result<Journal, JournalError> {
-        let unreadable = |source| JournalError::Unreadable { path: folder.into(), source };
+        let unreadable = |source| JournalError::Unreadable {
+            path: folder.into(),
+            source,
+        };
         let mut journal = Journal::default();
         let mut paths = Vec::new();
         for file in std::fs::read_dir(folder).map_err(unreadable)? {
@@ -115,10 +118,14 @@
             let text = std::fs::read(&path).map_err(|e| e.to_string());
             match text.and_then(|text| serde_json::from_slice(&text).map_err(|e| e.to_string())) {
                 Ok(entry) => journal.entries.push(entry),
-                Err(e) => journal.skipped.push(format!("{}: no whole entry: {e}", path.display())),
+                Err(e) => journal
+                    .skipped
+                    .push(format!("{}: no whole entry: {e}", path.display())),
             }
         }
-        journal.entries.sort_by(|a, b| (a.at.first(), &a.id).cmp(&(b.at.first(), &b.id)));
+        journal
+            .entries
+            .sort_by(|a, b| (a.at.first(), &a.id).cmp(&(b.at.first(), &b.id)));
         Ok(journal)
     }
 }
--- a/crates/acceptance/src/margins.rs
+++ b/crates/acceptance/src/margins.rs
@@ -161,7 +161,11 @@
         let file = std::fs::File::open(path).map_err(unreadable(path))?;
         let mut lines = std::io::BufReader::new(file);
         let (mut process, mut bytes) = (Process::default(), Vec::new());
-        while lines.read_until(b'\n', &mut bytes).map_err(unreadable(path))? > 0 {
+        while lines
+            .read_until(b'\n', &mut bytes)
+            .map_err(unreadable(path))?
+            > 0
+        {
             play.line(&mut process, &String::from_utf8_lossy(&bytes));
             bytes.clear();
         }
@@ -192,7 +196,11 @@
         }
         if let Fact::Start(figures) = line.fact {
             self.process_ended(process);
-            *process = Process { node: figures.me, began: line.at, ..Process::default() };
+            *process = Process {
+                node: figures.me,
+                began: line.at,
+                ..Process::default()
+            };
             self.margins.figures = Some(figures);
         }
         process.last = line.at;
@@ -203,11 +211,18 @@
                 process.cached = cached;
             }
             Fact::Server(server) => {
-                process.whole.iter_mut().for_each(|(_, named)| named.push(server.id));
+                process
+                    .whole
+                    .iter_mut()
+                    .for_each(|(_, named)| named.push(server.id));
                 self.kinds.insert(server.id, server.kind);
                 if !process.cached {
-                    let heard =
-                        self.starts.entry(server.id).or_default().entry(server.started).or_insert(line.at);
+                    let heard = self
+                        .starts
+                        .entry(server.id)
+                        .or_default()
+                        .entry(server.started)
+                        .or_insert(line.at);
                     *heard = (*heard).min(line.at);
                     if server.ready {
                         self.returns.entry(server.id).or_default().push(line.at);
@@ -224,21 +239,40 @@
             Fact::Request { id, left, name, .. } => {
                 process.open.insert(id, (line.at + left, name.into()));
             }
-            Fact::Send { id, attempt, server } => {
+            Fact::Send {
+                id,
+                attempt,
+                server,
+            } => {
                 let (started, told) = process.list.get(&server).copied().unwrap_or_default();
                 process.out.insert((id, attempt), self.sends.len());
                 let (at, node) = (line.at, process.node);
-                self.sends.push(Send { at, server, node, started, told, answered: false });
+                self.sends.push(Send {
+                    at,
+                    server,
+                    node,
+                    started,
+                    told,
+                    answered: false,
+                });
             }
-            Fact::Outcome { id, attempt, server, status } => {
+            Fact::Outcome {
+                id,
+                attempt,
+                server,
+                status,
+            } => {
                 let send = process.out.remove(&(id, attempt));
                 match status {
                     "Served" | "Miss" | "Error" => {
-                        send.into_iter().for_each(|send| self.sends[send].answered = true);
+                        send.into_iter()
+                            .for_each(|send| self.sends[send].answered = true);
                         self.answers.entry(server).or_default().push(line.at);
                     }
                     // Work to a warm server, whoever still waits: but no proof that it could be done in time.
-                    "TimedOut" | "Cancelled" => self.answers.entry(server).or_default().push(line.at),
+                    "TimedOut" | "Cancelled" => {
+                        self.answers.entry(server).or_default().push(line.at)
+                    }
                     "Full" => self.full.entry(server).or_default().push(line.at),
                     _ => {}
                 }
@@ -246,7 +280,11 @@
             Fact::End { id, how, late } => {
                 let request = process.open.remove(&id);
                 *self.margins.ends.entry(how.into()).or_default() += 1;
-                let latest = self.margins.latest.as_ref().map_or(i64::MIN, |(late, _)| *late);
+                let latest = self
+                    .margins
+                    .latest
+                    .as_ref()
+                    .map_or(i64::MIN, |(late, _)| *late);
                 if let Some((_, name)) = request.filter(|_| how != "gone" && late > latest) {
                     self.margins.latest = Some((late, name));
                 }
@@ -257,20 +295,28 @@
     }
 
     fn list_ended(&mut self, process: &mut Process) {
-        let Some((at, named)) = process.whole.take() else { return };
+        let Some((at, named)) = process.whole.take() else {
+            return;
+        };
         let mut gone = Vec::new();
-        for (server, (_, told)) in process.list.iter_mut().filter(|(id, _)| !named.contains(id)) {
+        for (server, (_, told)) in process
+            .list
+            .iter_mut()
+            .filter(|(id, _)| !named.contains(id))
+        {
             if told.replace(told.unwrap_or(at)).is_none() {
                 gone.push(*server);
             }
         }
-        gone.into_iter().for_each(|server| self.left(process, server, at));
+        gone.into_iter()
+            .for_each(|server| self.left(process, server, at));
     }
 
     /// A process has heard that a server is not ready any more.
     fn left(&mut self, process: &Process, server: u32, at: Micros) {
         self.leaves.entry(server).or_default().push(at);
-        self.hearings.push((server, at, process.node, process.began));
+        self.hearings
+            .push((server, at, process.node, process.began));
     }
 
     /// What a process that was killed had open is its clients' to ask again; what one that went on left is lost.
@@ -291,7 +337,12 @@
             drain_grace: 0.0,
             origin_kind: -1,
         });
-        for times in [&mut self.returns, &mut self.leaves, &mut self.answers, &mut self.full] {
+        for times in [
+            &mut self.returns,
+            &mut self.leaves,
+            &mut self.answers,
+            &mut self.full,
+        ] {
             times.values_mut().for_each(|times| times.sort_unstable());
         }
         self.sends.sort_unstable_by_key(|send| send.at);
@@ -310,9 +361,16 @@
             // The first node to hear of it tells when discovery had it.
             let first = self.first_leave(send.server, send.at);
             let counts = first.and_then(|first| send.at.checked_sub(first + TOLD));
-            let Some(after) = heard.max(counts) else { continue };
+            let Some(after) = heard.max(counts) else {
+                continue;
+            };
             if worst.as_ref().is_none_or(|w| after > w.after) {
-                worst = Some(Drain { server: send.server, node: send.node, after, heard: heard >= counts });
+                worst = Some(Drain {
+                    server: send.server,
+                    node: send.node,
+                    after,
+                    heard: heard >= counts,
+                });
             }
         }
         worst
@@ -331,7 +389,9 @@
         // The news is void once it is back.
         let back = before(&self.returns, server, at);
         let leaves = self.leaves.get(&server)?;
-        leaves.get(leaves.partition_point(|left| *left <= back)).copied()
+        leaves
+            .get(leaves.partition_point(|left| *left <= back))
+            .copied()
     }
 
     /// The last start of a send's server before it, 0 where it runs since long ago, and whether the node knew of it
@@ -351,14 +411,26 @@
         let mut all: BTreeMap<i64, Vec<f64>> = BTreeMap::new();
         for (server, answers) in &self.answers {
             let kind = self.kinds.get(server).copied().unwrap_or(-1);
-            let (Some(first), Some(last)) = (answers.first(), answers.last()) else { continue };
-            let started =
-                self.starts.get(server).and_then(|starts| starts.keys().next_back()).copied().unwrap_or(0);
-            let warm = started + if started == 0 { 0 } else { figures.warm_up as Micros };
+            let (Some(first), Some(last)) = (answers.first(), answers.last()) else {
+                continue;
+            };
+            let started = self
+                .starts
+                .get(server)
+                .and_then(|starts| starts.keys().next_back())
+                .copied()
+                .unwrap_or(0);
+            let warm = started
+                + if started == 0 {
+                    0
+                } else {
+                    figures.warm_up as Micros
+                };
             let mut from = warm.max(*first);
             while from + window <= *last {
                 let count = |times: &[Micros]| {
-                    times.partition_point(|at| *at < from + window) - times.partition_point(|at| *at < from)
+                    times.partition_point(|at| *at < from + window)
+                        - times.partition_point(|at| *at < from)
                 };
                 let rate = count(answers) as f64 * 1e6 / window as f64;
                 let away = self.full.get(server).map_or(0, |full| count(full));
@@ -376,9 +448,11 @@
         };
         all.iter_mut()
             .filter(|(kind, _)| **kind != figures.origin_kind)
-            .map(|(kind, rates)| match busy.get_mut(kind).filter(|busy| busy.len() >= BUSY_WINDOWS) {
-                Some(busy) => (*kind, (place(busy, 0.5), true)),
-                None => (*kind, (place(rates, SEEN), false)),
+            .map(|(kind, rates)| {
+                match busy.get_mut(kind).filter(|busy| busy.len() >= BUSY_WINDOWS) {
+                    Some(busy) => (*kind, (place(busy, 0.5), true)),
+                    None => (*kind, (place(rates, SEEN), false)),
+                }
             })
             .collect()
     }
@@ -386,11 +460,15 @@
     fn worst_cold(&self, figures: &Figures) -> Option<Cold> {
         let window = figures.fall_after as Micros;
         let mut sends: HashMap<u32, Vec<&Send>> = HashMap::new();
-        self.sends.iter().for_each(|send| sends.entry(send.server).or_default().push(send));
+        self.sends
+            .iter()
+            .for_each(|send| sends.entry(send.server).or_default().push(send));
         let mut worst: Option<Cold> = None;
         for (server, sends) in &sends {
             let kind = self.kinds.get(server).copied().unwrap_or(-1);
-            let Some((capacity, _)) = self.margins.capacity.get(&kind) else { continue };
+            let Some((capacity, _)) = self.margins.capacity.get(&kind) else {
+                continue;
+            };
             for (last, send) in sends.iter().enumerate() {
                 let (start, _) = self.start(send);
                 let age = send.at.saturating_sub(start);
@@ -405,13 +483,28 @@
                 let least = capacity * warmth * window as f64 / 1e6;
                 let attempts = last + 1 - first;
                 // And it could do what it answered.
-                let answered = sends[first..=last].iter().filter(|send| send.answered).count();
-                let load = attempts as f64 / falls_at(figures.fall_multiple * least.max(answered as f64));
+                let answered = sends[first..=last]
+                    .iter()
+                    .filter(|send| send.answered)
+                    .count();
+                let load =
+                    attempts as f64 / falls_at(figures.fall_multiple * least.max(answered as f64));
                 if worst.as_ref().is_none_or(|w| load > w.load) {
-                    let knew = sends[first..=last].iter().filter(|send| self.start(send).1).count();
+                    let knew = sends[first..=last]
+                        .iter()
+                        .filter(|send| self.start(send).1)
+                        .count();
                     // The rule is broken by those who knew: where they sent less than two thirds it is not.
                     if knew * 3 >= attempts * 2 {
-                        worst = Some(Cold { server: *server, kind, age, attempts, knew, answered, load });
+                        worst = Some(Cold {
+                            server: *server,
+                            kind,
+                            age,
+                            attempts,
+                            knew,
+                            answered,
+                            load,
+                        });
                     }
                 }
             }
@@ -423,7 +516,10 @@
 /// The last of some times that is not after another, 0 where there is none.
 fn before(times: &HashMap<u32, Vec<Micros>>, server: u32, at: Micros) -> Micros {
     let times = times.get(&server).map_or(&[][..], Vec::as_slice);
-    times[..times.partition_point(|time| *time <= at)].last().copied().unwrap_or(0)
+    times[..times.partition_point(|time| *time <= at)]
+        .last()
+        .copied()
+        .unwrap_or(0)
 }
 
 /// A cold server falls when it gets more than this in the time that the settings name, by the page on the fleet days:
@@ -440,16 +536,29 @@
 impl Margins {
     /// The play's figures beside their limits: name, figure, limit, unit, and the part of the limit that is left.
     fn rows(&self) -> Vec<(&'static str, f64, f64, &'static str, f64)> {
-        let Some(figures) = &self.figures else { return Vec::new() };
+        let Some(figures) = &self.figures else {
+            return Vec::new();
+        };
         let grace = (figures.drain_grace as Micros + SLACK) as f64 / 1e6;
-        let cold = self.cold.as_ref().map(|cold| ("cold server", cold.load, 1.0, "of its fall"));
-        let drain = self.drain.as_ref().map_or(0.0, |drain| drain.after as f64 / 1e6);
+        let cold = self
+            .cold
+            .as_ref()
+            .map(|cold| ("cold server", cold.load, 1.0, "of its fall"));
+        let drain = self
+            .drain
+            .as_ref()
+            .map_or(0.0, |drain| drain.after as f64 / 1e6);
         let drain = Some(("drain", drain, grace, "s"));
-        let late =
-            self.latest.as_ref().map(|(late, _)| ("answer", *late as f64 / 1e6, LOST as f64 / 1e6, "s"));
-        let unheard = self.unheard.map(|(time, _)| ("news", time as f64 / 1e6, TOLD as f64 / 1e6, "s"));
+        let late = self
+            .latest
+            .as_ref()
+            .map(|(late, _)| ("answer", *late as f64 / 1e6, LOST as f64 / 1e6, "s"));
+        let unheard = self
+            .unheard
+            .map(|(time, _)| ("news", time as f64 / 1e6, TOLD as f64 / 1e6, "s"));
         let rows = cold.into_iter().chain(drain).chain(unheard).chain(late);
-        rows.map(|(name, figure, limit, unit)| (name, figure, limit, unit, left(figure, limit))).collect()
+        rows.map(|(name, figure, limit, unit)| (name, figure, limit, unit, left(figure, limit)))
+            .collect()
     }
 
     /// Whether a figure is nearer to its limit than a quarter, or a request was never answered.
@@ -467,15 +576,23 @@
             )
         };
         let never = format!("| {play} | never answered | {} | 0 | |\n", self.unanswered);
-        self.rows().iter().map(row).collect::<String>() + if self.unanswered > 0 { &never } else { "" }
+        self.rows().iter().map(row).collect::<String>()
+            + if self.unanswered > 0 { &never } else { "" }
     }
 }
 
 impl Display for Margins {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         for (kind, (rate, full)) in &self.capacity {
-            let how = if *full { "while full" } else { "at least, never seen full" };
-            writeln!(f, "kind {kind}: a warm server answers {rate:.1} attempts a second, {how}")?;
+            let how = if *full {
+                "while full"
+            } else {
+                "at least, never seen full"
+            };
+            writeln!(
+                f,
+                "kind {kind}: a warm server answers {rate:.1} attempts a second, {how}"
+            )?;
         }
         if let Some(c) = &self.cold {
             writeln!(
@@ -491,7 +608,11 @@
             )?;
         }
         if let Some(d) = &self.drain {
-            let how = if d.heard { "its list said so" } else { "it counts as told" };
+            let how = if d.heard {
+                "its list said so"
+            } else {
+                "it counts as told"
+            };
             writeln!(
                 f,
                 "drain: node {} sends to {} {:.3} s after {how}",
@@ -508,12 +629,23 @@
             )?;
         }
         if let Some((late, name)) = &self.latest {
-            writeln!(f, "answer: request {name} {:.3} s after its time", *late as f64 / 1e6)?;
+            writeln!(
+                f,
+                "answer: request {name} {:.3} s after its time",
+                *late as f64 / 1e6
+            )?;
         }
-        writeln!(f, "ends: {:?}; discovery: {} calls, {} failed", self.ends, self.calls.0, self.calls.1)?;
+        writeln!(
+            f,
+            "ends: {:?}; discovery: {} calls, {} failed",
+            self.ends, self.calls.0, self.calls.1
+        )?;
         match &self.broken {
             (0, _) => Ok(()),
-            (lines, first) => writeln!(f, "{lines} lines of the traces are broken, the first: {first}"),
+            (lines, first) => writeln!(
+                f,
+                "{lines} lines of the traces are broken, the first: {first}"
+            ),
         }
     }
 }
--- a/crates/acceptance/src/sources.rs
+++ b/crates/acceptance/src/sources.rs
@@ -68,16 +68,25 @@
     /// Where the deploy file or a file that it names can't be read.
     pub fn read(root: &Path) -> Result<Sources, SourceError> {
         let path = root.join("deploy/balancer.toml");
-        let text = std::fs::read_to_string(&path)
-            .map_err(|source| SourceError::Unreadable { path: path.clone(), source })?;
-        let deploy: Deploy =
-            toml::from_str(&text).map_err(|e| SourceError::Deploy { path, message: e.to_string() })?;
+        let text = std::fs::read_to_string(&path).map_err(|source| SourceError::Unreadable {
+            path: path.clone(),
+            source,
+        })?;
+        let deploy: Deploy = toml::from_str(&text).map_err(|e| SourceError::Deploy {
+            path,
+            message: e.to_string(),
+        })?;
         let policy = hashed(root, &deploy.policy)?;
         let node = hashed(root, &deploy.node)?;
         let mut rest = hashed(root, &[POLICY_CRATE.to_string()])?;
         let listed: BTreeSet<_> = policy.iter().chain(&node).map(|f| f.path.clone()).collect();
         rest.retain(|f| !listed.contains(&f.path));
-        Ok(Sources { root: root.into(), policy, node, rest })
+        Ok(Sources {
+            root: root.into(),
+            policy,
+            node,
+            rest,
+        })
     }
 
     /// Whether an entry was played on these, or on their network code at the least.
@@ -92,7 +101,9 @@
         if sorted(&entry.policy) != sorted(&self.policy) {
             return Match::Differ;
         }
-        let Some(tree) = &entry.tree else { return Match::Unknown };
+        let Some(tree) = &entry.tree else {
+            return Match::Unknown;
+        };
         for file in &self.rest {
             if tree.gone.contains(&file.path) {
                 return Match::Differ;
@@ -119,10 +130,16 @@
         }
         let git = |arguments: [&str; 3]| {
             let mut call = Command::new("git");
-            call.arg("-C").arg(&self.root).args(arguments).stderr(Stdio::null());
+            call.arg("-C")
+                .arg(&self.root)
+                .args(arguments)
+                .stderr(Stdio::null());
             call.output().map_err(drop)
         };
-        if !git(["cat-file", "-e", &format!("{commit}^{{commit}}")])?.status.success() {
+        if !git(["cat-file", "-e", &format!("{commit}^{{commit}}")])?
+            .status
+            .success()
+        {
             return Err(());
         }
         let blob = git(["cat-file", "blob", &format!("{commit}:{path}")])?;
@@ -136,14 +153,20 @@
     let mut open: Vec<PathBuf> = paths.iter().map(PathBuf::from).collect();
     while let Some(path) = open.pop() {
         let full = root.join(&path);
-        let unreadable = |source| SourceError::Unreadable { path: full.clone(), source };
+        let unreadable = |source| SourceError::Unreadable {
+            path: full.clone(),
+            source,
+        };
         if full.is_dir() {
             for entry in std::fs::read_dir(&full).map_err(unreadable)? {
                 open.push(path.join(entry.map_err(unreadable)?.file_name()));
             }
         } else {
             let sha256 = sha256(&std::fs::read(&full).map_err(unreadable)?);
-            files.push(PlayedFile { path: path.to_string_lossy().into_owned(), sha256 });
+            files.push(PlayedFile {
+                path: path.to_string_lossy().into_owned(),
+                sha256,
+            });
         }
     }
     files.sort();
@@ -151,5 +174,8 @@
 }
 
 fn sha256(bytes: &[u8]) -> String {
-    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
+    Sha256::digest(bytes)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
 }
--- a/crates/acceptance/src/trace.rs
+++ b/crates/acceptance/src/trace.rs
@@ -110,7 +110,10 @@
 pub fn read(line: &str) -> Option<Result<Line<'_>, &str>> {
     // The bench puts the time of its clock before each line.
     let (before, rest) = line.trim_end().split_once("trace ")?;
-    if !before.bytes().all(|byte| byte.is_ascii_digit() || matches!(byte, b'.' | b' ')) {
+    if !before
+        .bytes()
+        .all(|byte| byte.is_ascii_digit() || matches!(byte, b'.' | b' '))
+    {
         return None;
     }
     Some(parse(rest).ok_or(line))
@@ -137,7 +140,10 @@
         }
         "list" => {
             let kind = next()?;
-            Fact::List { whole: kind != "Delta", cached: kind == "Cached" }
+            Fact::List {
+                whole: kind != "Delta",
+                cached: kind == "Cached",
+            }
         }
         "server" => Fact::Server(Server {
             id: next()?.parse().ok()?,
@@ -149,9 +155,17 @@
             },
         }),
         "request" => {
-            let (id, key) = (next()?.parse().ok()?, u64::from_str_radix(next()?, 16).ok()?);
+            let (id, key) = (
+                next()?.parse().ok()?,
+                u64::from_str_radix(next()?, 16).ok()?,
+            );
             next()?; // Its class.
-            Fact::Request { id, key, left: next()?.parse().ok()?, name: next()? }
+            Fact::Request {
+                id,
+                key,
+                left: next()?.parse().ok()?,
+                name: next()?,
+            }
         }
         "send" => Fact::Send {
             id: next()?.parse().ok()?,
@@ -160,9 +174,18 @@
         },
         "outcome" => {
             let (id, attempt) = (next()?.parse().ok()?, next()?.parse().ok()?);
-            Fact::Outcome { id, attempt, server: next()?.parse().ok()?, status: next()? }
+            Fact::Outcome {
+                id,
+                attempt,
+                server: next()?.parse().ok()?,
+                status: next()?,
+            }
         }
-        "end" => Fact::End { id: next()?.parse().ok()?, how: next()?, late: next()?.parse().ok()? },
+        "end" => Fact::End {
+            id: next()?.parse().ok()?,
+            how: next()?,
+            late: next()?.parse().ok()?,
+        },
         "ask" => Fact::Asked,
         "unheard" => Fact::Unheard,
         _ => return None,
--- a/crates/acceptance/tests/duty.rs
+++ b/crates/acceptance/tests/duty.rs
@@ -24,12 +24,19 @@
 
 fn repository() -> TempDir {
     let root = tempfile::tempdir().unwrap();
-    for folder in ["deploy", "journal", "crates/cache-router/src", "crates/routing-policy/src"] {
+    for folder in [
+        "deploy",
+        "journal",
+        "crates/cache-router/src",
+        "crates/routing-policy/src",
+    ] {
         fs::create_dir_all(root.path().join(folder)).unwrap();
     }
     let deploy = "policy = [\"crates/routing-policy/src/policy.rs\"]\nnode = [\"crates/cache-router/src\"]\n";
     fs::write(root.path().join("deploy/balancer.toml"), deploy).unwrap();
-    FILES.iter().for_each(|file| fs::write(root.path().join(file), file).unwrap());
+    FILES
+        .iter()
+        .for_each(|file| fs::write(root.path().join(file), file).unwrap());
     root
 }
 
@@ -67,7 +74,10 @@
 }
 
 fn verdict(root: &Path) -> (bool, String) {
-    let verdict = Verdict::of(&Journal::read(&root.join("journal")).unwrap(), &Sources::read(root).unwrap());
+    let verdict = Verdict::of(
+        &Journal::read(&root.join("journal")).unwrap(),
+        &Sources::read(root).unwrap(),
+    );
     (verdict.holds(), verdict.to_string())
 }
 
@@ -94,15 +104,27 @@
             if network { 4 } else { 3 },
             "{changed}: {told}"
         );
-        assert_eq!(told.contains("brink panel missing"), network, "{changed}: {told}");
+        assert_eq!(
+            told.contains("brink panel missing"),
+            network,
+            "{changed}: {told}"
+        );
     }
 }
 
 #[test]
 fn the_last_play_on_these_sources_counts_and_its_fault_is_named() {
     let faults = [
-        ("/days/0/rules/drain", json!(2), "join+mass: rule drain broken 2 times"),
-        ("/days/0/fault", json!("n0 crashed"), "join+mass: n0 crashed"),
+        (
+            "/days/0/rules/drain",
+            json!(2),
+            "join+mass: rule drain broken 2 times",
+        ),
+        (
+            "/days/0/fault",
+            json!("n0 crashed"),
+            "join+mass: n0 crashed",
+        ),
         ("/days/0/gate", json!("served"), "join+mass: gate served"),
         ("/figures/gate", json!(0.0), "the gate failed"),
         ("/ok", json!(false), "the run was cut off"),
@@ -116,7 +138,10 @@
         *worse.pointer_mut(place).unwrap() = value;
         write(root.path(), &worse);
         let (holds, told) = verdict(root.path());
-        assert!(!holds && told.contains(&format!("full score failed (4: {why})")), "{told}");
+        assert!(
+            !holds && told.contains(&format!("full score failed (4: {why})")),
+            "{told}"
+        );
     }
 }
 
@@ -132,7 +157,11 @@
         write(root.path(), &entry(root.path(), "6", LATER, figure));
         let (held, told) = verdict(root.path());
         assert_eq!(held, holds, "{told}");
-        assert_eq!(told.contains("later panel fell to 0.769 (6) from 0.800 (3)"), !holds, "{told}");
+        assert_eq!(
+            told.contains("later panel fell to 0.769 (6) from 0.800 (3)"),
+            !holds,
+            "{told}"
+        );
     }
 }
 
@@ -150,13 +179,27 @@
 fn files_that_an_entry_does_not_list_are_held_against_its_commit() {
     let root = repository();
     let git = |arguments: &[&str]| {
-        let output = Command::new("git").arg("-C").arg(root.path()).args(arguments).output().unwrap();
+        let output = Command::new("git")
+            .arg("-C")
+            .arg(root.path())
+            .args(arguments)
+            .output()
+            .unwrap();
         assert!(output.status.success(), "{output:?}");
         String::from_utf8(output.stdout).unwrap().trim().to_string()
     };
     git(&["init", "-q"]);
     git(&["add", "."]);
-    git(&["-c", "user.name=n", "-c", "user.email=e", "commit", "-q", "-m", "all"]);
+    git(&[
+        "-c",
+        "user.name=n",
+        "-c",
+        "user.email=e",
+        "commit",
+        "-q",
+        "-m",
+        "all",
+    ]);
     let commit = git(&["rev-parse", "HEAD"]);
     let played_on = |base: &str| {
         for (id, panel) in [("1", FULL), ("2", QUICK), ("3", LATER), ("3b", BRINK)] {
@@ -168,7 +211,10 @@
     };
     assert!(played_on(&commit).0);
     let (holds, told) = played_on(&"0".repeat(40));
-    assert!(!holds && told.contains("full score not told (1: "), "{told}");
+    assert!(
+        !holds && told.contains("full score not told (1: "),
+        "{told}"
+    );
     fs::write(root.path().join(FILES[2]), "changed").unwrap();
     let (holds, told) = played_on(&commit);
     assert!(!holds && told.contains("full score missing"), "{told}");
@@ -179,12 +225,25 @@
     let root = repository();
     all(root.path());
     let whole = fs::read(root.path().join("journal/1.json")).unwrap();
-    fs::write(root.path().join("journal/4.json"), &whole[..whole.len() / 2]).unwrap();
+    fs::write(
+        root.path().join("journal/4.json"),
+        &whole[..whole.len() / 2],
+    )
+    .unwrap();
     fs::write(root.path().join("journal/5.json"), b"\xff no entry").unwrap();
     fs::write(root.path().join("journal/6.json"), "[1, 2]").unwrap();
     let journal = Journal::read(&root.path().join("journal")).unwrap();
-    assert_eq!((journal.entries.len(), journal.skipped.len()), (4, 3), "{:?}", journal.skipped);
-    assert!(journal.skipped[0].contains("4.json: no whole entry: EOF"), "{:?}", journal.skipped);
+    assert_eq!(
+        (journal.entries.len(), journal.skipped.len()),
+        (4, 3),
+        "{:?}",
+        journal.skipped
+    );
+    assert!(
+        journal.skipped[0].contains("4.json: no whole entry: EOF"),
+        "{:?}",
+        journal.skipped
+    );
     assert!(verdict(root.path()).0);
 }
 
@@ -193,5 +252,8 @@
     let root = repository();
     let error = Journal::read(&root.path().join("nowhere")).unwrap_err();
     assert!(matches!(error, JournalError::Unreadable { .. }));
-    assert!(error.to_string().starts_with("no journal: cannot read "), "{error}");
+    assert!(
+        error.to_string().starts_with("no journal: cannot read "),
+        "{error}"
+    );
 }
--- a/crates/acceptance/tests/known_red.rs
+++ b/crates/acceptance/tests/known_red.rs
@@ -33,12 +33,24 @@
     fn run(&self, list: Option<&str>) -> (bool, String) {
         let file = self.0.join("list");
         let _ = std::fs::remove_file(&file);
-        list.iter().for_each(|text| std::fs::write(&file, text).unwrap());
-        let path = format!("{}:{}", self.0.display(), std::env::var("PATH").unwrap_or_default());
+        list.iter()
+            .for_each(|text| std::fs::write(&file, text).unwrap());
+        let path = format!(
+            "{}:{}",
+            self.0.display(),
+            std::env::var("PATH").unwrap_or_default()
+        );
         let script = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../.ci/test");
-        let done = Command::new(script).env("PATH", path).env("KNOWN_RED", &file).output().unwrap();
+        let done = Command::new(script)
+            .env("PATH", path)
+            .env("KNOWN_RED", &file)
+            .output()
+            .unwrap();
         let said = [done.stdout, done.stderr].concat();
-        (done.status.success(), String::from_utf8_lossy(&said).into_owned())
+        (
+            done.status.success(),
+            String::from_utf8_lossy(&said).into_owned(),
+        )
     }
 }
 
@@ -54,7 +66,9 @@
     for list in [None, Some("")] {
         let (passed, said) = ci.run(list);
         assert!(
-            !passed && !said.contains("--skip") && said.contains("asked: test --locked --workspace"),
+            !passed
+                && !said.contains("--skip")
+                && said.contains("asked: test --locked --workspace"),
             "{said}"
         );
     }
@@ -65,11 +79,15 @@
     let ci = Ci::new("listed");
     let (passed, said) = ci.run(Some("part::broken, the fault and where it is, 25\n"));
     assert!(passed && said.contains("part::broken, the fault"), "{said}");
-    assert!(said.contains("asked: test --locked --workspace -- --exact --skip part::broken"), "{said}");
+    assert!(
+        said.contains("asked: test --locked --workspace -- --exact --skip part::broken"),
+        "{said}"
+    );
 }
 
 #[test]
-fn a_listed_test_that_passes_or_does_not_exist_fails_the_run_and_so_does_a_list_that_is_malformed_or_long() {
+fn a_listed_test_that_passes_or_does_not_exist_fails_the_run_and_so_does_a_list_that_is_malformed_or_long()
+ {
     let ci = Ci::new("wrong");
     for (list, why) in [
         ("part::whole, a cause, 25\n", "passes"),
--- a/crates/acceptance/tests/margins.rs
+++ b/crates/acceptance/tests/margins.rs
@@ -48,8 +48,12 @@
     let begun = at(1_000);
     let list = server(0, 1, "Ready", 0) + &server(0, 2, "Ready", begun);
     // From the start of server 2 to two seconds on it can do (0.2 + 0.8 * 1 s / 20 s) * 10 a second: 4.8 in all.
-    let early = (0..4).map(|i| send(1_500 + i * 400, i, 2)).collect::<String>();
-    let crowd = (0..18).map(|i| send(1_600 + i * 81, i, 2)).collect::<String>();
+    let early = (0..4)
+        .map(|i| send(1_500 + i * 400, i, 2))
+        .collect::<String>();
+    let crowd = (0..18)
+        .map(|i| send(1_600 + i * 81, i, 2))
+        .collect::<String>();
     // The early ones are answered, the crowd is turned away or called off: what it answered tells no more than the
     // settings do.
     let ended = |i: u64, how| format!("trace {} outcome {i} 0 2 {how}\n", at(3_400 + i));
@@ -57,24 +61,32 @@
     let ends = (0..18).map(|i| ended(i, if i % 2 == 0 { "Full" } else { "Cancelled" }));
     let crowd = crowd + &ends.collect::<String>();
     // Long after, the same number is nothing to it.
-    let later = (0..8).map(|i| send(19_000 + i * 199, i, 2)).collect::<String>();
+    let later = (0..8)
+        .map(|i| send(19_000 + i * 199, i, 2))
+        .collect::<String>();
     // What those send who cannot know of the start breaks no rule.
     let unaware = (0..60).map(|i| send(5_100 + i, i, 2)).collect::<String>();
-    let unaware = node(2, &server(0, 1, "Ready", 0)) + &server(0, 2, "Ready", 0) + &early + &unaware;
+    let unaware =
+        node(2, &server(0, 1, "Ready", 0)) + &server(0, 2, "Ready", 0) + &early + &unaware;
     let (_folder, margins) = played(&[node(1, &list) + &crowd + &later + &warm(), unaware]);
     let margins = margins.unwrap();
     assert_eq!(margins.capacity[&1], (10.0, true));
     let cold = margins.cold.clone().unwrap();
     // The window ends with the last of the crowd, 1.977 s after the start.
     let allowed: f64 = 2.5 * 10.0 * (0.2 + 0.8 * 0.977 / 20.0) * 2.0;
-    assert_eq!((cold.server, cold.age, cold.attempts, cold.knew), (2, 1_977_000, 22, 18));
+    assert_eq!(
+        (cold.server, cold.age, cold.attempts, cold.knew),
+        (2, 1_977_000, 22, 18)
+    );
     assert_eq!(cold.answered, 4);
     let falls_at = allowed + 3.0 * allowed.sqrt() + 3.0;
     assert!((cold.load - 22.0 / falls_at).abs() < 1e-9, "{cold:?}");
     assert!(margins.narrow());
     let table = margins.table("join");
     assert!(
-        table.contains("| join | cold server | 0.87 of its fall | 1.00 of its fall | 13% (narrow) |"),
+        table.contains(
+            "| join | cold server | 0.87 of its fall | 1.00 of its fall | 13% (narrow) |"
+        ),
         "{table}"
     );
 }
@@ -85,15 +97,26 @@
     let news = format!("trace {} list Delta 2\n", at(2_000)) + &server(2_000, 1, "Draining", 0);
     let quick = node(1, &ready) + &news + &send(2_100, 1, 1);
     let late = node(2, &ready) + &send(7_000, 1, 1);
-    let drain = |after_ms: u64, node, heard| Drain { server: 1, node, after: after_ms * 1_000, heard };
+    let drain = |after_ms: u64, node, heard| Drain {
+        server: 1,
+        node,
+        after: after_ms * 1_000,
+        heard,
+    };
     let (_folder, margins) = played(&[quick.clone(), late.clone()]);
     assert_eq!(margins.unwrap().drain, Some(drain(100, 1, true)));
     let (_folder, margins) = played(&[quick, late + &send(8_300, 2, 1)]);
     let margins = margins.unwrap();
     assert_eq!(margins.drain, Some(drain(300, 2, false)));
-    assert_eq!(margins.unheard, Some((0, 1)), "the other never heard, which its sends show");
+    assert_eq!(
+        margins.unheard,
+        Some((0, 1)),
+        "the other never heard, which its sends show"
+    );
     assert!(
-        margins.table("roll").contains("| roll | drain | 0.30 s | 0.55 s | 45% |"),
+        margins
+            .table("roll")
+            .contains("| roll | drain | 0.30 s | 0.55 s | 45% |"),
         "{}",
         margins.table("roll")
     );
@@ -107,14 +130,29 @@
     let again = format!("trace {} list Delta 3\n", at(3_000)) + &server(3_000, 1, "Ready", at(900));
     let text = node(1, &two) + &whole + &send(1_200, 1, 1) + &again + &send(12_000, 2, 1);
     let (_folder, margins) = played(&[text]);
-    assert_eq!(margins.unwrap().drain, Some(Drain { server: 1, node: 1, after: 200_000, heard: true }));
+    assert_eq!(
+        margins.unwrap().drain,
+        Some(Drain {
+            server: 1,
+            node: 1,
+            after: 200_000,
+            heard: true
+        })
+    );
 }
 
 #[test]
 fn the_latest_answer_and_what_was_never_answered_are_told_but_not_what_a_killed_node_had_open() {
     let ready = server(0, 1, "Ready", 0);
-    let ask = |ms: u64, id: u64| format!("trace {} request {id} 00000000000000aa 0 400000 c{id}\n", at(ms));
-    let end = |ms: u64, id: u64, how: &str, late: i64| format!("trace {} end {id} {how} {late}\n", at(ms));
+    let ask = |ms: u64, id: u64| {
+        format!(
+            "trace {} request {id} 00000000000000aa 0 400000 c{id}\n",
+            at(ms)
+        )
+    };
+    let end = |ms: u64, id: u64, how: &str, late: i64| {
+        format!("trace {} end {id} {how} {late}\n", at(ms))
+    };
     let killed = node(1, &ready) + &ask(10, 1) + &ask(20, 2) + &end(300, 2, "served", -120_000);
     let killed = killed + &node(1, &ready).replace(&T0.to_string(), &at(5_000).to_string());
     let gone_on = node(2, &ready) + &ask(10, 3) + &ask(20, 4) + &end(60, 4, "gone", 9_000_000);
@@ -132,15 +170,19 @@
     let news = |ms| format!("trace {} list Delta 2\n", at(ms)) + &server(ms, 1, "Gone", 0);
     let begun = node(3, "").replace(&T0.to_string(), &at(9_000).to_string());
     let cached = format!("trace {} list Cached 1\n", at(9_000)) + &server(9_000, 1, "Ready", 0);
-    let nodes =
-        [node(1, &ready) + &news(2_000), node(2, &ready) + &news(5_500), begun + &cached + &news(9_100)];
+    let nodes = [
+        node(1, &ready) + &news(2_000),
+        node(2, &ready) + &news(5_500),
+        begun + &cached + &news(9_100),
+    ];
     let (_folder, margins) = played(&nodes);
     assert_eq!(margins.unwrap().unheard, Some((3_500_000, 2)));
 }
 
 #[test]
 fn broken_lines_are_counted_and_a_folder_without_a_trace_is_refused() {
-    let (_folder, margins) = played(&[node(1, &server(0, 1, "Ready", 0)) + "trace 12 send 1\ntrace x\n"]);
+    let (_folder, margins) =
+        played(&[node(1, &server(0, 1, "Ready", 0)) + "trace 12 send 1\ntrace x\n"]);
     let margins = margins.unwrap();
     assert_eq!(margins.broken, (2, "trace 12 send 1".into()));
     assert_eq!(margins.cold, None::<Cold>);
--- a/crates/cache-router/src/caches.rs
+++ b/crates/cache-router/src/caches.rs
@@ -9,17 +9,24 @@
 
 /// The facts of a client's command as an attempt tells them: all unchanged but `d`, the time left now.
 pub fn facts(command: &Command, left_ms: u64) -> String {
-    let facts = command.facts.split(',').map(|fact| match fact.split_once('=') {
-        Some(("d", _)) => format!("d={left_ms}"),
-        _ => fact.into(),
-    });
+    let facts = command
+        .facts
+        .split(',')
+        .map(|fact| match fact.split_once('=') {
+            Some(("d", _)) => format!("d={left_ms}"),
+            _ => fact.into(),
+        });
     facts.collect::<Vec<_>>().join(",")
 }
 
 /// The command of a client as it goes on to a cache server.
 pub fn encode(command: &Command, left_ms: u64) -> Bytes {
     let facts = facts(command, left_ms);
-    let name: &[u8] = if command.write { b"OBJ.SET" } else { b"OBJ.GET" };
+    let name: &[u8] = if command.write {
+        b"OBJ.SET"
+    } else {
+        b"OBJ.GET"
+    };
     match &command.value {
         Some(value) => resp::command(&[name, &command.key, &command.id, facts.as_bytes(), value]),
         None => resp::command(&[name, &command.key, &command.id, facts.as_bytes()]),
@@ -27,30 +34,56 @@
 }
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there.
-pub fn decode(buffer: &mut BytesMut, load_names: &[String]) -> Result<Option<Response>, ProtocolError> {
-    let Some(value) = resp::take_value(buffer).map_err(|_| ProtocolError)? else { return Ok(None) };
-    let response =
-        |status| Response { status, note: Note::None, load: Load::default(), value: None, keep: true };
+pub fn decode(
+    buffer: &mut BytesMut,
+    load_names: &[String],
+) -> Result<Option<Response>, ProtocolError> {
+    let Some(value) = resp::take_value(buffer).map_err(|_| ProtocolError)? else {
+        return Ok(None);
+    };
+    let response = |status| Response {
+        status,
+        note: Note::None,
+        load: Load::default(),
+        value: None,
+        keep: true,
+    };
     Ok(Some(match value {
         Value::Array(items) => {
             let text = |at: usize| match items.get(at) {
-                Some(Value::Bulk(Some(text)) | Value::Line(text)) => std::str::from_utf8(text).unwrap_or(""),
+                Some(Value::Bulk(Some(text)) | Value::Line(text)) => {
+                    std::str::from_utf8(text).unwrap_or("")
+                }
                 _ => "",
             };
             let (note, load) = (note(text(1)), load(text(2), load_names));
             match items.first() {
-                Some(Value::Bulk(Some(value))) => {
-                    Response { note, load, value: Some(value.clone()), ..response(Status::Served) }
-                }
-                Some(Value::Bulk(None)) => Response { note, load, ..response(Status::Miss) },
+                Some(Value::Bulk(Some(value))) => Response {
+                    note,
+                    load,
+                    value: Some(value.clone()),
+                    ..response(Status::Served)
+                },
+                Some(Value::Bulk(None)) => Response {
+                    note,
+                    load,
+                    ..response(Status::Miss)
+                },
                 _ => return Err(ProtocolError),
             }
         }
         Value::Error(line) => {
             let line = std::str::from_utf8(&line).unwrap_or("");
-            let status = if line.split(' ').next() == Some("BUSY") { Status::Full } else { Status::Error };
+            let status = if line.split(' ').next() == Some("BUSY") {
+                Status::Full
+            } else {
+                Status::Error
+            };
             let last = line.rsplit(' ').next().unwrap_or("");
-            Response { load: load(last, load_names), ..response(status) }
+            Response {
+                load: load(last, load_names),
+                ..response(status)
+            }
         }
         // Nothing of the protocol: what this connection brings next can't be matched to anything.
         _ => return Err(ProtocolError),
@@ -72,7 +105,9 @@
     let mut load = Load::default();
     for (slot, name) in names.iter().take(load.values.len()).enumerate() {
         let pair = text.split(',').filter_map(|pair| pair.split_once('='));
-        let Some(value) = pair.filter(|(key, _)| key == name).find_map(|(_, value)| value.parse().ok())
+        let Some(value) = pair
+            .filter(|(key, _)| key == name)
+            .find_map(|(_, value)| value.parse().ok())
         else {
             return Load::default();
         };
--- a/crates/cache-router/src/clients.rs
+++ b/crates/cache-router/src/clients.rs
@@ -127,7 +127,9 @@
     /// The key as the module knows it, the same at every node.
     pub fn hashed_key(&self) -> Key {
         let text = std::str::from_utf8(&self.key).ok();
-        let hex = text.filter(|t| t.len() == 16).and_then(|t| u64::from_str_radix(t, 16).ok());
+        let hex = text
+            .filter(|t| t.len() == 16)
+            .and_then(|t| u64::from_str_radix(t, 16).ok());
         hex.unwrap_or_else(|| xxh3_64(&self.key)).max(1)
     }
 }
@@ -164,7 +166,9 @@
                 next += 1;
                 // One is taken beyond the table, from the reserve, as nothing else tells that somebody waits; where
                 // no place is left at all, the others wait with the machine until one is.
-                let Some(permit) = place(&front).await else { return };
+                let Some(permit) = place(&front).await else {
+                    return;
+                };
                 // Against requests lost in a full table: the machine has taken a newcomer's request before the
                 // node has. A resting connection makes room for it; where all are busy it is refused at once.
                 let refused = front.crowded() && !front.resting.ask();
@@ -262,7 +266,11 @@
         session.answered.close();
         let _ = session.front.hub.send(Input::ClientGone(client)).await;
     } else {
-        linger(&mut session.stream, if session.broken { LINGER.0 } else { LINGER.1 }).await;
+        linger(
+            &mut session.stream,
+            if session.broken { LINGER.0 } else { LINGER.1 },
+        )
+        .await;
     }
 }
 
@@ -282,7 +290,10 @@
 }
 
 /// The place of one answer; `None` while it is owed. The permit counts it among the open requests.
-struct Slot(Option<Bytes>, #[expect(dead_code, reason = "held for its drop")] Option<OwnedSemaphorePermit>);
+struct Slot(
+    Option<Bytes>,
+    #[expect(dead_code, reason = "held for its drop")] Option<OwnedSemaphorePermit>,
+);
 
 struct Session {
     stream: TcpStream,
@@ -319,8 +330,14 @@
             tokio::task::coop::consume_budget().await;
             let now = *phase.borrow_and_update();
             self.take_commands(now).await;
-            while self.output.len() < OUT_LIMIT && self.slots.front().is_some_and(|slot| slot.0.is_some()) {
-                let answer = self.slots.pop_front().and_then(|slot| slot.0).unwrap_or_default();
+            while self.output.len() < OUT_LIMIT
+                && self.slots.front().is_some_and(|slot| slot.0.is_some())
+            {
+                let answer = self
+                    .slots
+                    .pop_front()
+                    .and_then(|slot| slot.0)
+                    .unwrap_or_default();
                 self.first += 1;
                 self.output.extend_from_slice(&answer);
             }
@@ -483,7 +500,10 @@
 
     /// Takes a command that came at a time.
     async fn command(&mut self, words: Vec<Bytes>, at: Micros) {
-        let name = words.first().map(|name| name.to_ascii_uppercase()).unwrap_or_default();
+        let name = words
+            .first()
+            .map(|name| name.to_ascii_uppercase())
+            .unwrap_or_default();
         let command = match name.as_slice() {
             b"PING" => {
                 let starting = *self.front.phase.borrow() == Phase::Starting;
@@ -514,7 +534,13 @@
                 let slot = self.first + self.slots.len() as u64;
                 self.slots.push_back(Slot(None, Some(permit)));
                 let (client, answers) = (self.client, self.answers.clone());
-                let asked = Box::new(Asked { command, at, client, slot, answers });
+                let asked = Box::new(Asked {
+                    command,
+                    at,
+                    client,
+                    slot,
+                    answers,
+                });
                 let _ = self.front.hub.send(Input::Asked(asked)).await;
             }
         }
@@ -533,7 +559,12 @@
     }
     let facts = String::from_utf8_lossy(&words[3]).into_owned();
     let (mut class, mut tenant, mut wait) = (None, None, None);
-    let mut command = Command { write, key: words[1].clone(), id: words[2].clone(), ..Command::default() };
+    let mut command = Command {
+        write,
+        key: words[1].clone(),
+        id: words[2].clone(),
+        ..Command::default()
+    };
     for fact in facts.split(',').filter(|fact| !fact.is_empty()) {
         let (name, value) = fact.split_once('=').ok_or("invalid facts")?;
         let place = |names: &[String]| names.iter().position(|known| known == value);
--- a/crates/cache-router/src/config.rs
+++ b/crates/cache-router/src/config.rs
@@ -45,9 +45,14 @@
             ConfigError::Unset(name) => write!(f, "{name} is not set"),
             ConfigError::File(path, e) => write!(f, "cannot read {path}: {e}"),
             ConfigError::Json(path, e) => {
-                write!(f, "{path} is no configuration: {e}; write it whole, as JSON")
+                write!(
+                    f,
+                    "{path} is no configuration: {e}; write it whole, as JSON"
+                )
+            }
+            ConfigError::Field(name, value) => {
+                write!(f, "unusable {name} in the configuration: {value:?}")
             }
-            ConfigError::Field(name, value) => write!(f, "unusable {name} in the configuration: {value:?}"),
             ConfigError::Settings(path, e) => write!(f, "{e} ({path})"),
         }
     }
@@ -67,7 +72,14 @@
 impl Default for File {
     fn default() -> Self {
         let (listen, discovery, seed) = (String::new(), String::new(), String::new());
-        File { listen, discovery, seed, limits: Limits::default(), known: None, settings: None }
+        File {
+            listen,
+            discovery,
+            seed,
+            limits: Limits::default(),
+            known: None,
+            settings: None,
+        }
     }
 }
 
@@ -115,19 +127,30 @@
     /// Reads the configuration that the environment names.
     pub fn from_env() -> Result<Config, ConfigError> {
         let (path, file) = File::read()?;
-        let settings = file.settings.ok_or_else(|| ConfigError::Field("settings", String::new()))?;
+        let settings = file
+            .settings
+            .ok_or_else(|| ConfigError::Field("settings", String::new()))?;
         let deployment = settings::read(settings.get().as_bytes());
         let deployment = deployment.map_err(|e| ConfigError::Settings(path.clone(), e))?;
         if deployment.classes.is_empty() {
-            return Err(ConfigError::Settings(path, "the settings name no class of requests".into()));
+            return Err(ConfigError::Settings(
+                path,
+                "the settings name no class of requests".into(),
+            ));
         }
         if file.limits.sockets < LEAST_SOCKETS {
-            return Err(ConfigError::Field("limits.sockets", file.limits.sockets.to_string()));
+            return Err(ConfigError::Field(
+                "limits.sockets",
+                file.limits.sockets.to_string(),
+            ));
         }
         let seed = u64::from_str_radix(&file.seed, 16);
         Ok(Config {
             listen: address("listen", var("ROUTER_LISTEN").unwrap_or(file.listen))?,
-            discovery: address("discovery", var("ROUTER_DISCOVERY").unwrap_or(file.discovery))?,
+            discovery: address(
+                "discovery",
+                var("ROUTER_DISCOVERY").unwrap_or(file.discovery),
+            )?,
             seed: seed.unwrap_or_else(|_| xxh3_64(file.seed.as_bytes())),
             sockets: file.limits.sockets.min(1024),
             known: file.known.unwrap_or_default(),
--- a/crates/cache-router/src/discovery.rs
+++ b/crates/cache-router/src/discovery.rs
@@ -126,7 +126,11 @@
     /// Begins a call: what marks all that it brings.
     fn begin(&self) -> Call {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        Call { number, home: self.home, held: self.index.load(Ordering::Relaxed) }
+        Call {
+            number,
+            home: self.home,
+            held: self.index.load(Ordering::Relaxed),
+        }
     }
 }
 
@@ -146,8 +150,21 @@
     /// Discovery at an address, where a list of a version is held.
     pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
         let (index, next) = (Arc::new(AtomicU64::new(index)), Arc::default());
-        let calls = Calls { address, home: 0, index, next, hub, half_open: HALF_OPEN };
-        Discovery { calls, watch: None, watching: None, follows: false, fetch: None }
+        let calls = Calls {
+            address,
+            home: 0,
+            index,
+            next,
+            hub,
+            half_open: HALF_OPEN,
+        };
+        Discovery {
+            calls,
+            watch: None,
+            watching: None,
+            follows: false,
+            fetch: None,
+        }
     }
 
     /// A list of a version is held now.
@@ -181,7 +198,10 @@
         }
         self.calls.address = address;
         self.calls.home += 1;
-        let fetches = self.fetch.as_ref().is_some_and(|fetch| !fetch.is_finished());
+        let fetches = self
+            .fetch
+            .as_ref()
+            .is_some_and(|fetch| !fetch.is_finished());
         // The versions of two discoveries can't be compared: the whole list is asked for.
         self.begin_anew();
         if fetches {
@@ -299,7 +319,9 @@
             CallError::Unanswered => write!(f, "no answer in time"),
             CallError::Silent => write!(f, "silent for too long"),
             CallError::Status(status) => write!(f, "answered with status {status}"),
-            CallError::Garbage(what) => write!(f, "brought no list, or one that was cut off: {what}"),
+            CallError::Garbage(what) => {
+                write!(f, "brought no list, or one that was cut off: {what}")
+            }
         }
     }
 }
@@ -352,15 +374,19 @@
             stream = TcpStream::connect(address) => stream,
         }
     };
-    Ok(timeout(CONNECT.1, both).await.map_err(|_| CallError::Unanswered)??)
+    Ok(timeout(CONNECT.1, both)
+        .await
+        .map_err(|_| CallError::Unanswered)??)
 }
 
 /// Makes a call and waits for its answer's head. Dropped at any point, it leaves no connection behind.
 async fn call(address: SocketAddr, path: &str) -> Result<Answer, CallError> {
     let stream = connect(address).await?;
     let _ = stream.set_nodelay(true);
-    let (mut send, conn) =
-        http1::Builder::new().max_buf_size(MAX_HEAD).handshake(TokioIo::new(stream)).await?;
+    let (mut send, conn) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD)
+        .handshake(TokioIo::new(stream))
+        .await?;
     let mover = Mover(tokio::spawn(async move { drop(conn.await) }).abort_handle());
     let request = Request::get(path)
         .header(header::HOST, address.to_string())
@@ -369,7 +395,10 @@
         .map_err(|e| CallError::Garbage(e.to_string()))?;
     let answer = send.send_request(request).await?;
     match answer.status().as_u16() {
-        200 => Ok(Answer { body: answer.into_body(), _mover: mover }),
+        200 => Ok(Answer {
+            body: answer.into_body(),
+            _mover: mover,
+        }),
         status => Err(CallError::Status(status)),
     }
 }
@@ -390,7 +419,9 @@
             else => Err(CallError::Unanswered),
         }
     };
-    timeout(ANSWER.min(calls.half_open * 3), both).await.unwrap_or(Err(CallError::Unanswered))
+    timeout(ANSWER.min(calls.half_open * 3), both)
+        .await
+        .unwrap_or(Err(CallError::Unanswered))
 }
 
 /// Makes a call and passes on each list of its answer, until the answer ends.
@@ -399,9 +430,15 @@
     let mut lists = Lists::default();
     loop {
         let by = lists.since.unwrap_or_else(Instant::now) + SILENCE;
-        let frame = timeout_at(by, answer.body.frame()).await.map_err(|_| CallError::Silent)?;
-        let Some(frame) = frame else { return lists.end() };
-        let Ok(data) = frame?.into_data() else { continue };
+        let frame = timeout_at(by, answer.body.frame())
+            .await
+            .map_err(|_| CallError::Silent)?;
+        let Some(frame) = frame else {
+            return lists.end();
+        };
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
         for listing in lists.take(&data)? {
             let _ = calls.hub.send(Input::List(mark, listing)).await;
         }
@@ -433,7 +470,11 @@
                     None => break false,
                 }
             };
-            let read = if cut_off { values.byte_offset() } else { self.pending.len() };
+            let read = if cut_off {
+                values.byte_offset()
+            } else {
+                self.pending.len()
+            };
             self.pending.advance(read);
         }
         if self.pending.len() > MAX_LIST {
@@ -448,7 +489,9 @@
     fn end(&self) -> Result<(), CallError> {
         match self.pending.len() {
             0 => Ok(()),
-            left => Err(CallError::Garbage(format!("{left} bytes of a list that did not come whole"))),
+            left => Err(CallError::Garbage(format!(
+                "{left} bytes of a list that did not come whole"
+            ))),
         }
     }
 }
--- a/crates/cache-router/src/http.rs
+++ b/crates/cache-router/src/http.rs
@@ -41,7 +41,12 @@
         _ => return Err(Malformed),
     };
     let status = response.code.unwrap_or(0);
-    let mut head = Head { length, status, close: response.version == Some(0), ..Head::default() };
+    let mut head = Head {
+        length,
+        status,
+        close: response.version == Some(0),
+        ..Head::default()
+    };
     let mut encoded = false;
     for header in response.headers.iter() {
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
@@ -66,12 +71,18 @@
         }
     }
     // The same doubt about the body's end.
-    if encoded && head.content_length.is_some() { Err(Malformed) } else { Ok(Some(head)) }
+    if encoded && head.content_length.is_some() {
+        Err(Malformed)
+    } else {
+        Ok(Some(head))
+    }
 }
 
 /// A length as HTTP writes it: digits and nothing else.
 fn digits(text: &str) -> Option<usize> {
-    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+    text.bytes()
+        .all(|byte| byte.is_ascii_digit())
+        .then(|| text.parse().ok())?
 }
 
 /// Takes chunks apart as they come.
--- a/crates/cache-router/src/main.rs
+++ b/crates/cache-router/src/main.rs
@@ -47,7 +47,9 @@
 impl Signals {
     /// Reads the configuration, which was read so often before since the signal; when to read it again, if ever.
     async fn read(&mut self, times: usize) -> Option<(Instant, usize)> {
-        let again = READ_AGAIN.get(times).map(|after| (Instant::now() + *after, times + 1));
+        let again = READ_AGAIN
+            .get(times)
+            .map(|after| (Instant::now() + *after, times + 1));
         match cache_router::config::discovery() {
             Ok(address) if address != self.discovery => {
                 info!("discovery is at {address} now");
@@ -71,7 +73,10 @@
     // The table of sockets is shared out beforehand: clients have one half, servers the other.
     let part = (config.sockets - RESERVE.min(config.sockets / 2)) / 2;
     let room = Arc::new(Semaphore::new(part));
-    let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
+    let mut terms = [
+        signal(SignalKind::terminate())?,
+        signal(SignalKind::interrupt())?,
+    ];
     let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     info!("listening on {}", listener.local_addr()?);
@@ -88,7 +93,10 @@
         open,
     };
     tokio::spawn(cache_router::clients::listen(listener, Arc::new(front)));
-    let mut signals = Signals { hub: hub.clone(), discovery: config.discovery };
+    let mut signals = Signals {
+        hub: hub.clone(),
+        discovery: config.discovery,
+    };
     tokio::spawn(async move {
         let [term, int] = &mut terms;
         let mut reads = None;
@@ -105,7 +113,9 @@
     });
     // All places: a client's may have answers to write.
     let idle = move || room.available_permits() >= part;
-    Node::new(config, deployment, clock, hub, part, trace).run(inputs, phase_set, idle).await;
+    Node::new(config, deployment, clock, hub, part, trace)
+        .run(inputs, phase_set, idle)
+        .await;
     Ok(())
 }
 
@@ -129,7 +139,9 @@
         Err(e) => return refuse(e),
     };
     let listen = config.listen;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     match runtime.and_then(|runtime| runtime.block_on(run(config, Trace::new(chosen.node.trace)))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => refuse(format_args!("cannot listen on {listen}: {e}")),
--- a/crates/cache-router/src/node.rs
+++ b/crates/cache-router/src/node.rs
@@ -10,8 +10,8 @@
 use bytes::{Bytes, BytesMut};
 use routing_policy::settings::Deployment;
 use routing_policy::{
-    Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
-    ServerLine, Status,
+    Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId,
+    ServerId, ServerLine, Status,
 };
 use tokio::sync::{mpsc, watch};
 use tracing::{debug, error, info};
@@ -62,8 +62,13 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            start: Instant::now(),
+            unix: unix.as_micros() as Micros,
+        }
     }
 
     /// The time.
@@ -220,7 +225,8 @@
         if !self.deployment.settings.ask_discovery {
             self.discovery.follow();
         }
-        self.timers.push(Reverse((self.clock.now() + SWEEP, Due::Sweep)));
+        self.timers
+            .push(Reverse((self.clock.now() + SWEEP, Due::Sweep)));
         let mut ready = false;
         let (mut looked, mut arrived) = (self.clock.now(), None);
         loop {
@@ -228,8 +234,16 @@
                 self.catch_up(&mut inputs, &mut arrived).await;
             }
             looked = self.clock.now();
-            arrived.take().into_iter().for_each(|input| self.input(input));
-            if !ready && self.servers.values().any(|s| s.condition == Condition::Ready) {
+            arrived
+                .take()
+                .into_iter()
+                .for_each(|input| self.input(input));
+            if !ready
+                && self
+                    .servers
+                    .values()
+                    .any(|s| s.condition == Condition::Ready)
+            {
                 ready = true;
                 phase.send_if_modified(|p| {
                     *p == Phase::Starting && {
@@ -239,8 +253,14 @@
                 });
             }
             let now = self.clock.now();
-            while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
-                let Some(Reverse((_, due))) = self.timers.pop() else { break };
+            while self
+                .timers
+                .peek()
+                .is_some_and(|Reverse((at, _))| *at <= now)
+            {
+                let Some(Reverse((_, due))) = self.timers.pop() else {
+                    break;
+                };
                 match due {
                     Due::Drain => drop(phase.send(Phase::Draining)),
                     Due::Close => drop(phase.send(Phase::Closing)),
@@ -254,7 +274,10 @@
                     other => self.due(other, now),
                 }
             }
-            let next = self.timers.peek().map_or(now + SWEEP, |Reverse((at, _))| *at);
+            let next = self
+                .timers
+                .peek()
+                .map_or(now + SWEEP, |Reverse((at, _))| *at);
             tokio::select! {
                 biased;
                 input = inputs.recv() => match input {
@@ -276,7 +299,10 @@
         let mut all: Vec<_> = arrived.take().into_iter().collect();
         all.extend(std::iter::from_fn(|| inputs.try_recv().ok()));
         let (first, rest): (Vec<_>, Vec<_>) = all.into_iter().partition(Input::forbids);
-        first.into_iter().chain(rest).for_each(|input| self.input(input));
+        first
+            .into_iter()
+            .chain(rest)
+            .for_each(|input| self.input(input));
     }
 
     fn input(&mut self, input: Input) {
@@ -293,19 +319,32 @@
                     self.discovery.begin_anew();
                 }
             },
-            Input::ListFailed(call) if self.discovery.ended(&call) => self.unheard(ListKind::Failed),
-            Input::ListSilent(call) if self.discovery.ended(&call) => self.unheard(ListKind::Silent),
+            Input::ListFailed(call) if self.discovery.ended(&call) => {
+                self.unheard(ListKind::Failed)
+            }
+            Input::ListSilent(call) if self.discovery.ended(&call) => {
+                self.unheard(ListKind::Silent)
+            }
             Input::ListFailed(_) | Input::ListSilent(_) => {} // Of a call that another has replaced.
             Input::Discovery(address) => self.discovery.moved(address),
             Input::Terminate if self.ends_at.is_none() => {
                 let now = self.clock.now();
-                let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+                let longest = self
+                    .deployment
+                    .settings
+                    .classes
+                    .iter()
+                    .map(|c| c.deadline)
+                    .max()
+                    .unwrap_or(0);
                 let ends_at = now + longest + DRAIN_SLACK;
                 self.ends_at = Some(ends_at);
                 self.answered_by = ends_at.min(now + longest.min(KILLED.0) + KILLED.1) - WRITE_OUT;
                 self.timers.push(Reverse((now + ACCEPT_ON, Due::Drain)));
-                self.timers.push(Reverse((now + ACCEPT_ON + 20_000, Due::Ended)));
-                self.timers.push(Reverse((self.answered_by.max(now + ACCEPT_ON), Due::Close)));
+                self.timers
+                    .push(Reverse((now + ACCEPT_ON + 20_000, Due::Ended)));
+                self.timers
+                    .push(Reverse((self.answered_by.max(now + ACCEPT_ON), Due::Close)));
             }
             Input::Terminate => {}
         }
@@ -374,8 +413,15 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, server, give_up_after } => self.send(request, server, give_up_after),
-            Action::Refuse { request, retry_after } => {
+            Action::Send {
+                request,
+                server,
+                give_up_after,
+            } => self.send(request, server, give_up_after),
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 let answer = match retry_after {
                     0 => Bytes::from_static(b"-BUSY\r\n"),
                     after => format!("-BUSY {}\r\n", after.div_ceil(1_000)).into(),
@@ -383,9 +429,14 @@
                 self.answer(request, answer);
             }
             Action::Fail(request) => self.answer(request, Bytes::from_static(b"-ERR failed\r\n")),
-            Action::Cancel { request, attempt } => self.give_up((request, attempt), Status::Cancelled),
+            Action::Cancel { request, attempt } => {
+                self.give_up((request, attempt), Status::Cancelled)
+            }
             Action::Timer { after, token } => {
-                self.timers.push(Reverse((self.clock.now() + after.max(1), Due::Policy(token))));
+                self.timers.push(Reverse((
+                    self.clock.now() + after.max(1),
+                    Due::Policy(token),
+                )));
             }
             Action::Subscribe(on) => {
                 self.trace.line(self.clock.now(), format_args!("ask {on}"));
@@ -398,7 +449,12 @@
             // This module neither probes nor speaks to peers; the sockets for it are not built.
             Action::Probe(server) => {
                 let (took, load) = (0, Load::default());
-                self.events.push_back(Event::Probed { server, ok: false, took, load });
+                self.events.push_back(Event::Probed {
+                    server,
+                    ok: false,
+                    took,
+                    load,
+                });
             }
             Action::Tell { .. } => {}
         }
@@ -408,11 +464,13 @@
 
     /// A client has closed its connection: nothing is sent for it any more, from whatever queue.
     fn client_gone(&mut self, client: ClientId) {
-        let mine =
-            |(id, open): (&RequestId, &PendingRequest)| (open.client == client && !open.over).then_some(*id);
+        let mine = |(id, open): (&RequestId, &PendingRequest)| {
+            (open.client == client && !open.over).then_some(*id)
+        };
         let gone: Vec<_> = self.open.iter().filter_map(mine).collect();
         for id in gone {
-            self.trace.line(self.clock.now(), format_args!("end {id} gone 0"));
+            self.trace
+                .line(self.clock.now(), format_args!("end {id} gone 0"));
             let attempts = self.open.get(&id).map_or(0, |open| open.sent);
             self.close_request(id);
             // Before the attempts end, so that the module makes no others.
@@ -426,13 +484,17 @@
 
     /// Ends an attempt whose last byte is not written, so that it never will be; what is written goes on.
     fn unsend(&mut self, key: AttemptKey) -> bool {
-        let Some(attempt) = self.attempts.get(&key) else { return false };
+        let Some(attempt) = self.attempts.get(&key) else {
+            return false;
+        };
         let (server, sent, conn) = (attempt.server, attempt.sent, attempt.conn);
         match conn.map(|conn| (conn, self.pool.withdraw(conn))) {
             // It was never sent, and what is being opened may serve the next.
             None => self.pool.leave(server, key),
             // The connection says when it has seen that, and is free then.
-            Some((conn, Progress::Handed | Progress::Withdrawn)) => drop(self.pool.abandon(conn, sent)),
+            Some((conn, Progress::Handed | Progress::Withdrawn)) => {
+                drop(self.pool.abandon(conn, sent))
+            }
             // The server has part of it, and must not get the rest.
             Some((conn, Progress::Writing)) => self.pool.close(conn),
             Some((_, Progress::Written)) => return false,
@@ -442,7 +504,13 @@
     }
 
     fn asked(&mut self, asked: Asked) {
-        let Asked { command, at, client, slot, answers } = asked;
+        let Asked {
+            command,
+            at,
+            client,
+            slot,
+            answers,
+        } = asked;
         if answers.is_closed() {
             return; // Its client has gone, and the news of that waits behind it.
         }
@@ -471,7 +539,16 @@
                 command.id.escape_ascii()
             ),
         );
-        let open = PendingRequest { command, client, slot, answers, ends, sent: 0, out: 0, over: false };
+        let open = PendingRequest {
+            command,
+            client,
+            slot,
+            answers,
+            ends,
+            sent: 0,
+            out: 0,
+            over: false,
+        };
         self.open.insert(id, open);
         self.timers.push(Reverse((ends, Due::Deadline(id))));
         self.tell(Event::Request(request));
@@ -479,7 +556,9 @@
 
     /// Gives the final answer, the first only.
     fn answer(&mut self, id: RequestId, answer: Bytes) {
-        let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
+        let Some(open) = self.open.get(&id).filter(|open| !open.over) else {
+            return;
+        };
         // There is room for every answer that a connection is owed; one that has ended takes none.
         let now = self.clock.now();
         let how = match answer.first() {
@@ -487,7 +566,10 @@
             _ if answer.starts_with(b"-BUSY") => "refused",
             _ => "failed",
         };
-        self.trace.line(now, format_args!("end {id} {how} {}", now as i64 - open.ends as i64));
+        self.trace.line(
+            now,
+            format_args!("end {id} {how} {}", now as i64 - open.ends as i64),
+        );
         debug!(request = %open.command.id.escape_ascii(), attempts = open.sent, "{how}");
         let _ = open.answers.try_send((open.slot, answer));
         self.close_request(id);
@@ -495,7 +577,9 @@
 
     /// Nothing is owed for a request any more. Attempts that are out keep its entry until they end.
     fn close_request(&mut self, id: RequestId) {
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
         open.over = true;
         open.command.value = None;
         if open.out == 0 {
@@ -507,13 +591,25 @@
 
     fn send(&mut self, id: RequestId, server: ServerId, give_up_after: Micros) {
         let now = self.clock.now();
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
         let key = (id, open.sent);
         (open.sent, open.out) = (open.sent + 1, open.out + 1);
-        let allowed =
-            !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && now < open.ends;
-        let limit = if give_up_after == 0 { open.ends } else { open.ends.min(now + give_up_after) };
-        let attempt = Attempt { server, sent: now, conn: None, waits_since: now };
+        let allowed = !open.over
+            && u32::from(key.1) < self.deployment.settings.max_attempts
+            && now < open.ends;
+        let limit = if give_up_after == 0 {
+            open.ends
+        } else {
+            open.ends.min(now + give_up_after)
+        };
+        let attempt = Attempt {
+            server,
+            sent: now,
+            conn: None,
+            waits_since: now,
+        };
         let Some(to) = self.target(server).filter(|_| allowed) else {
             self.attempts.insert(key, attempt);
             return self.end(key, Status::NotSent);
@@ -529,13 +625,18 @@
 
     /// Where a server is reached.
     fn target(&self, server: ServerId) -> Option<(ServerId, SocketAddr, Protocol)> {
-        self.servers.get(&server).map(|s| (server, s.address, s.protocol))
+        self.servers
+            .get(&server)
+            .map(|s| (server, s.address, s.protocol))
     }
 
     /// The server of an attempt that waits for a connection still, since a time.
     fn waits(&self, key: AttemptKey, since: Micros) -> Option<ServerId> {
         let waits = |attempt: &&Attempt| attempt.conn.is_none() && attempt.waits_since == since;
-        self.attempts.get(&key).filter(waits).map(|attempt| attempt.server)
+        self.attempts
+            .get(&key)
+            .filter(waits)
+            .map(|attempt| attempt.server)
     }
 
     /// Has an attempt wait for the first connection that comes up or becomes free.
@@ -548,11 +649,17 @@
         if let Some(attempt) = self.attempts.get_mut(&key) {
             attempt.waits_since = now;
         }
-        self.events.push_back(Event::Connection { request: key.0, attempt: key.1, up: false });
+        self.events.push_back(Event::Connection {
+            request: key.0,
+            attempt: key.1,
+            up: false,
+        });
         // Half the time is far more than a connect takes: one that has not come by then is one of those that come
         // late or never, and the next has the same chance again.
-        self.timers.push(Reverse((now + limit / 2, Due::Another(key.0, key.1, now))));
-        self.timers.push(Reverse((now + limit, Due::Unconnected(key.0, key.1, now))));
+        self.timers
+            .push(Reverse((now + limit / 2, Due::Another(key.0, key.1, now))));
+        self.timers
+            .push(Reverse((now + limit, Due::Unconnected(key.0, key.1, now))));
     }
 
     /// Hands an attempt to its connection, which is up; an attempt that may not be sent any more leaves it to the next.
@@ -565,9 +672,14 @@
 
     /// A connection owes nothing any more: the next in line has it.
     fn free(&mut self, conn: ConnId) {
-        let Some((server, _)) = self.pool.state(conn) else { return };
+        let Some((server, _)) = self.pool.state(conn) else {
+            return;
+        };
         // Nothing new goes to a server that drains.
-        let ready = self.servers.get(&server).filter(|s| s.condition == Condition::Ready);
+        let ready = self
+            .servers
+            .get(&server)
+            .filter(|s| s.condition == Condition::Ready);
         let address = ready.map(|s| s.address);
         while let Some(key) = self.pool.hand_on(conn, address, self.clock.now()) {
             if self.write(key, conn, false) {
@@ -581,13 +693,21 @@
     /// more.
     fn write(&mut self, key: AttemptKey, conn: ConnId, asked: bool) -> bool {
         let now = self.clock.now();
-        let Some(attempt) = self.attempts.get_mut(&key) else { return false };
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return false;
+        };
         // Against a send after a drain or an end: between the module's word and the first byte the attempt
         // waited for its connection, and meanwhile its server may have left or its client gone.
-        let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
-        let wanted = |open: &&PendingRequest| !open.over && now < open.ends && !open.answers.is_closed();
+        let server = self
+            .servers
+            .get(&attempt.server)
+            .filter(|s| s.condition == Condition::Ready);
+        let wanted =
+            |open: &&PendingRequest| !open.over && now < open.ends && !open.answers.is_closed();
         let open = self.open.get(&key.0).filter(wanted);
-        let (Some(server), Some(open)) = (server, open) else { return false };
+        let (Some(server), Some(open)) = (server, open) else {
+            return false;
+        };
         // Rounded down: no attempt tells more time than is left.
         let left_ms = ((open.ends - now) / 1_000).max(1);
         let bytes = match server.protocol {
@@ -599,10 +719,15 @@
         let server = attempt.server;
         if self.pool.start(conn, bytes, by, asked) {
             if !asked {
-                self.trace.line(now, format_args!("send {} {} {server}", key.0, key.1));
+                self.trace
+                    .line(now, format_args!("send {} {} {server}", key.0, key.1));
             }
             if waited {
-                self.events.push_back(Event::Connection { request: key.0, attempt: key.1, up: true });
+                self.events.push_back(Event::Connection {
+                    request: key.0,
+                    attempt: key.1,
+                    up: true,
+                });
             }
         } else {
             self.lost(key, conn, false);
@@ -612,9 +737,14 @@
 
     fn conn(&mut self, conn: ConnId, news: ConnEvent) {
         let now = self.clock.now();
-        let Some((server, state)) = self.pool.state(conn) else { return };
+        let Some((server, state)) = self.pool.state(conn) else {
+            return;
+        };
         if matches!(news, ConnEvent::Answer(_)) {
-            self.servers.get_mut(&server).into_iter().for_each(|s| s.last_seen = now);
+            self.servers
+                .get_mut(&server)
+                .into_iter()
+                .for_each(|s| s.last_seen = now);
         }
         match (news, state) {
             (ConnEvent::Up, State::Opening(since)) => {
@@ -622,7 +752,12 @@
                 // What waited for it in vain has been told that there was no connection.
                 if self.pool.overdue(since, now) {
                     let (ok, took, load) = (true, now - since, Load::default());
-                    self.events.push_back(Event::Probed { server, ok, took, load });
+                    self.events.push_back(Event::Probed {
+                        server,
+                        ok,
+                        took,
+                        load,
+                    });
                 }
             }
             (ConnEvent::Answer(response), State::Busy(key)) => {
@@ -672,7 +807,9 @@
         }
         // A kept connection that had ended unseen: the last byte was not written, so nothing was sent, and
         // the same attempt may have another. Only so often: a fresh one has carried nothing.
-        let Some(attempt) = self.attempts.get_mut(&key) else { return };
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return;
+        };
         attempt.conn = None;
         let server = attempt.server;
         match self.target(server).filter(|_| stale) {
@@ -687,8 +824,12 @@
         if self.unsend(key) {
             return;
         }
-        let Some(attempt) = self.attempts.get(&key) else { return };
-        let (server, sent, Some(conn)) = (attempt.server, attempt.sent, attempt.conn) else { return };
+        let Some(attempt) = self.attempts.get(&key) else {
+            return;
+        };
+        let (server, sent, Some(conn)) = (attempt.server, attempt.sent, attempt.conn) else {
+            return;
+        };
         let class = self.open.get(&key.0).map_or(0, |open| open.command.class);
         let due = sent + self.deployment.settings.classes[class].aim;
         if self.clock.now() < due && self.pool.abandon(conn, sent) {
@@ -704,7 +845,11 @@
         self.pool.close(conn);
         // Against a machine that vanished: its kept connections stay open and silent, and each would cost
         // a request its whole time. A fresh one tells within the time-out of a connect.
-        if self.servers.get(&server).is_some_and(|server| server.last_seen < sent) {
+        if self
+            .servers
+            .get(&server)
+            .is_some_and(|server| server.last_seen < sent)
+        {
             self.pool.close_idle(server);
         }
     }
@@ -712,19 +857,34 @@
     fn end(&mut self, key: AttemptKey, status: Status) {
         self.end_with(
             key,
-            Response { status, note: Note::None, load: Load::default(), value: None, keep: false },
+            Response {
+                status,
+                note: Note::None,
+                load: Load::default(),
+                value: None,
+                keep: false,
+            },
         );
     }
 
     /// An attempt has its outcome: the first that serves answers the client, and the module is told.
     fn end_with(&mut self, key: AttemptKey, response: Response) {
-        let Some(attempt) = self.attempts.remove(&key) else { return };
-        let Some(open) = self.open.get_mut(&key.0) else { return };
+        let Some(attempt) = self.attempts.remove(&key) else {
+            return;
+        };
+        let Some(open) = self.open.get_mut(&key.0) else {
+            return;
+        };
         open.out -= 1;
         let over = open.over || response.status == Status::Served;
         let (now, server, status) = (self.clock.now(), attempt.server, response.status);
-        self.trace
-            .line(now, format_args!("outcome {} {} {server} {status:?} {:?}", key.0, key.1, response.note));
+        self.trace.line(
+            now,
+            format_args!(
+                "outcome {} {} {server} {status:?} {:?}",
+                key.0, key.1, response.note
+            ),
+        );
         debug!(request = %open.command.id.escape_ascii(), attempt = key.1, server, ?status, "attempt ended");
         if let Some(value) = &response.value {
             let mut answer = BytesMut::with_capacity(value.len() + 16);
@@ -749,7 +909,11 @@
     // The list.
 
     fn list(&mut self, listing: Listing, kind: Option<ListKind>) {
-        let kind = kind.unwrap_or(if listing.snapshot { ListKind::Full } else { ListKind::Delta });
+        let kind = kind.unwrap_or(if listing.snapshot {
+            ListKind::Full
+        } else {
+            ListKind::Delta
+        });
         self.discovery.held(listing.index);
         let now = self.clock.now();
         let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
@@ -761,20 +925,45 @@
                 _ => Condition::Draining,
             };
             let id = xxh3_64(entry.name.as_bytes()) as ServerId;
-            let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
+            let address = entry
+                .address
+                .parse()
+                .ok()
+                .or_else(|| self.servers.get(&id).map(|s| s.address));
             let Some(address) = address else { continue };
-            let kind = place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
+            let kind =
+                place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
             let protocol = match self.deployment.settings.origin_kind == Some(kind) {
                 true => Protocol::Http,
                 false => Protocol::Resp,
             };
             // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
-            let started = if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(now) };
+            let started = if entry.since_ms == 0 {
+                0
+            } else {
+                entry.since_ms.saturating_mul(1_000).min(now)
+            };
             let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
             let cell = entry.group;
-            lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
+            lines.push(ServerLine {
+                id,
+                zone,
+                cell,
+                kind,
+                weight: entry.weight,
+                started,
+                condition,
+            });
             let last_seen = self.servers.get(&id).map_or(0, |server| server.last_seen);
-            let before = self.servers.insert(id, Server { address, protocol, condition, last_seen });
+            let before = self.servers.insert(
+                id,
+                Server {
+                    address,
+                    protocol,
+                    condition,
+                    last_seen,
+                },
+            );
             let moved = before.is_some_and(|before| before.address != address);
             if condition != Condition::Ready || moved {
                 self.pool.close_idle(id);
@@ -789,7 +978,10 @@
         }
         let unready = |line: &&ServerLine| line.condition != Condition::Ready;
         let mut unready: Vec<_> = lines.iter().filter(unready).map(|line| line.id).collect();
-        let left = lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
+        let left = lines
+            .iter()
+            .filter(|line| line.condition == Condition::Gone)
+            .map(|line| line.id);
         let mut gone: Vec<_> = left.collect();
         if kind != ListKind::Delta {
             let listed: Vec<_> = lines.iter().map(|line| line.id).collect();
@@ -797,12 +989,26 @@
         }
         gone.iter().for_each(|id| self.forget(*id));
         unready.append(&mut gone);
-        self.trace.line(now, format_args!("list {kind:?} {}", listing.index));
+        self.trace
+            .line(now, format_args!("list {kind:?} {}", listing.index));
         for line in &lines {
-            let ServerLine { id, condition, kind, zone, started, .. } = line;
-            self.trace.line(now, format_args!("server {id} {condition:?} {kind} {zone} {started}"));
+            let ServerLine {
+                id,
+                condition,
+                kind,
+                zone,
+                started,
+                ..
+            } = line;
+            self.trace.line(
+                now,
+                format_args!("server {id} {condition:?} {kind} {zone} {started}"),
+            );
         }
-        self.events.push_back(Event::ServerList { kind, servers: lines });
+        self.events.push_back(Event::ServerList {
+            kind,
+            servers: lines,
+        });
         unready.iter().for_each(|id| self.turn_away(*id));
         self.run_events();
     }
@@ -818,7 +1024,10 @@
     /// A call to discovery brought nothing more: the list held stays in force.
     fn unheard(&mut self, kind: ListKind) {
         self.trace.line(self.clock.now(), format_args!("unheard"));
-        self.tell(Event::ServerList { kind, servers: Vec::new() });
+        self.tell(Event::ServerList {
+            kind,
+            servers: Vec::new(),
+        });
     }
 
     fn forget(&mut self, id: ServerId) {
--- a/crates/cache-router/src/origin.rs
+++ b/crates/cache-router/src/origin.rs
@@ -27,8 +27,13 @@
 }
 
 /// Takes an answer off the front of what a connection brought; `None` while it is not all there.
-pub fn decode(buffer: &mut BytesMut, load_names: &[String]) -> Result<Option<Response>, ProtocolError> {
-    let Some(head) = http::head(buffer).map_err(|_| ProtocolError)? else { return Ok(None) };
+pub fn decode(
+    buffer: &mut BytesMut,
+    load_names: &[String],
+) -> Result<Option<Response>, ProtocolError> {
+    let Some(head) = http::head(buffer).map_err(|_| ProtocolError)? else {
+        return Ok(None);
+    };
     if (100..200).contains(&head.status) {
         let _ = buffer.split_to(head.length);
         return decode(buffer, load_names);
@@ -36,8 +41,15 @@
     let mut keep = !head.close;
     let value = if head.chunked {
         let (mut rest, mut body) = (BytesMut::from(&buffer[head.length..]), BytesMut::new());
-        if !Chunks::default().take(&mut rest, &mut body).map_err(|_| ProtocolError)? {
-            return if rest.len() + body.len() > 2 * MAX_VALUE { Err(ProtocolError) } else { Ok(None) };
+        if !Chunks::default()
+            .take(&mut rest, &mut body)
+            .map_err(|_| ProtocolError)?
+        {
+            return if rest.len() + body.len() > 2 * MAX_VALUE {
+                Err(ProtocolError)
+            } else {
+                Ok(None)
+            };
         }
         keep = false;
         body.freeze()
@@ -66,5 +78,11 @@
     let value = (status == Status::Served).then_some(value);
     let load = caches::load(head.load.as_deref().unwrap_or(""), load_names);
     let note = caches::note(head.note.as_deref().unwrap_or(""));
-    Ok(Some(Response { status, note, load, value, keep }))
+    Ok(Some(Response {
+        status,
+        note,
+        load,
+        value,
+        keep,
+    }))
 }
--- a/crates/cache-router/src/resp.rs
+++ b/crates/cache-router/src/resp.rs
@@ -38,19 +38,36 @@
 
 /// Takes one whole command, an array of bulk strings, off the front; `None` while it is not all there.
 pub fn take_command(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, Malformed> {
-    let mut scan = Scan { bytes: buffer, at: 0 };
+    let mut scan = Scan {
+        bytes: buffer,
+        at: 0,
+    };
     let Some(words) = scan.command()? else {
-        return if buffer.len() > MAX_COMMAND { Err(Malformed("command too long")) } else { Ok(None) };
+        return if buffer.len() > MAX_COMMAND {
+            Err(Malformed("command too long"))
+        } else {
+            Ok(None)
+        };
     };
     let end = scan.at;
     let whole = buffer.split_to(end).freeze();
-    Ok(Some(words.into_iter().map(|(from, to)| whole.slice(from..to)).collect()))
+    Ok(Some(
+        words
+            .into_iter()
+            .map(|(from, to)| whole.slice(from..to))
+            .collect(),
+    ))
 }
 
 /// Takes one whole answer off the front; `None` while it is not all there.
 pub fn take_value(buffer: &mut BytesMut) -> Result<Option<Value>, Malformed> {
-    let mut scan = Scan { bytes: buffer, at: 0 };
-    let Some(value) = scan.value(0)? else { return Ok(None) };
+    let mut scan = Scan {
+        bytes: buffer,
+        at: 0,
+    };
+    let Some(value) = scan.value(0)? else {
+        return Ok(None);
+    };
     let end = scan.at;
     let _ = buffer.split_to(end);
     Ok(Some(value))
@@ -64,7 +81,11 @@
 impl<'a> Scan<'a> {
     fn line(&mut self, longest: usize) -> Result<Option<&'a [u8]>, Malformed> {
         let rest = &self.bytes[self.at..];
-        match rest.windows(2).take(longest + 1).position(|pair| pair == b"\r\n") {
+        match rest
+            .windows(2)
+            .take(longest + 1)
+            .position(|pair| pair == b"\r\n")
+        {
             Some(end) => {
                 self.at += end + 2;
                 Ok(Some(&rest[..end]))
@@ -81,15 +102,23 @@
             Some(found) if *found != mark => return Err(Malformed("unexpected type")),
             Some(_) => {}
         }
-        let Some(line) = self.line(MAX_LENGTH_LINE)? else { return Ok(None) };
+        let Some(line) = self.line(MAX_LENGTH_LINE)? else {
+            return Ok(None);
+        };
         if &line[1..] == b"-1" {
             return Ok(Some(None));
         }
         let digits = line.len() > 1 && line[1..].iter().all(u8::is_ascii_digit);
-        let number =
-            std::str::from_utf8(&line[1..]).ok().filter(|_| digits).and_then(|text| text.parse().ok());
+        let number = std::str::from_utf8(&line[1..])
+            .ok()
+            .filter(|_| digits)
+            .and_then(|text| text.parse().ok());
         let number: usize = number.ok_or(Malformed("invalid length"))?;
-        if number > most { Err(Malformed("value or command too long")) } else { Ok(Some(Some(number))) }
+        if number > most {
+            Err(Malformed("value or command too long"))
+        } else {
+            Ok(Some(Some(number)))
+        }
     }
 
     /// Bounds of the content of a bulk string.
@@ -100,7 +129,9 @@
             Some(Some(length)) => length,
         };
         let (from, to) = (self.at, self.at + length);
-        let Some(end) = self.bytes.get(to..to + 2) else { return Ok(None) };
+        let Some(end) = self.bytes.get(to..to + 2) else {
+            return Ok(None);
+        };
         if end != b"\r\n" {
             return Err(Malformed("bulk string not ended"));
         }
@@ -124,13 +155,17 @@
     }
 
     fn value(&mut self, depth: u8) -> Result<Option<Value>, Malformed> {
-        let Some(mark) = self.bytes.get(self.at) else { return Ok(None) };
+        let Some(mark) = self.bytes.get(self.at) else {
+            return Ok(None);
+        };
         match mark {
             b'$' => Ok(self.bulk()?.map(|bounds| {
                 Value::Bulk(bounds.map(|(from, to)| Bytes::copy_from_slice(&self.bytes[from..to])))
             })),
             b'*' if depth < MAX_DEPTH => {
-                let Some(count) = self.length(b'*', MAX_WORDS)? else { return Ok(None) };
+                let Some(count) = self.length(b'*', MAX_WORDS)? else {
+                    return Ok(None);
+                };
                 let mut items = Vec::new();
                 for _ in 0..count.unwrap_or(0) {
                     match self.value(depth + 1)? {
@@ -141,7 +176,9 @@
                 Ok(Some(Value::Array(items)))
             }
             b'+' | b'-' | b':' => {
-                let Some(line) = self.line(MAX_LINE)? else { return Ok(None) };
+                let Some(line) = self.line(MAX_LINE)? else {
+                    return Ok(None);
+                };
                 let text = &line[1..];
                 Ok(Some(match mark {
                     b'+' => Value::Line(Bytes::copy_from_slice(text)),
--- a/crates/cache-router/src/resting.rs
+++ b/crates/cache-router/src/resting.rs
@@ -36,7 +36,12 @@
             inner.asked_first.insert(number, ask);
         }
         drop(inner);
-        Rest { resting: self.clone(), number, asked, closes: false }
+        Rest {
+            resting: self.clone(),
+            number,
+            asked,
+            closes: false,
+        }
     }
 
     /// Asks the one that has rested for longest to close; `false` where none rests.
@@ -82,7 +87,12 @@
 
 impl Drop for Rest {
     fn drop(&mut self) {
-        let rested = self.resting.inner().asked_first.remove(&self.number).is_some();
+        let rested = self
+            .resting
+            .inner()
+            .asked_first
+            .remove(&self.number)
+            .is_some();
         // Asked and yet busy again: the place is wanted still, from the next.
         if !rested && !self.closes {
             self.resting.ask();
--- a/crates/cache-router/src/upstreams.rs
+++ b/crates/cache-router/src/upstreams.rs
@@ -97,7 +97,12 @@
 struct Shared(AtomicU8);
 
 impl Shared {
-    const ALL: [Progress; 4] = [Progress::Handed, Progress::Writing, Progress::Written, Progress::Withdrawn];
+    const ALL: [Progress; 4] = [
+        Progress::Handed,
+        Progress::Writing,
+        Progress::Written,
+        Progress::Withdrawn,
+    ];
 
     fn new() -> Arc<Self> {
         Arc::new(Shared(AtomicU8::new(Progress::Handed as u8)))
@@ -109,7 +114,9 @@
 
     /// From one to the next; `false` where the other side was first.
     fn step(&self, from: Progress, to: Progress) -> bool {
-        self.0.compare_exchange(from as u8, to as u8, Ordering::AcqRel, Ordering::Acquire).is_ok()
+        self.0
+            .compare_exchange(from as u8, to as u8, Ordering::AcqRel, Ordering::Acquire)
+            .is_ok()
     }
 }
 
@@ -177,23 +184,49 @@
 
 impl Pool {
     /// A pool of at most `limit` connections.
-    pub fn new(limit: usize, deployment: Arc<Deployment>, clock: Clock, hub: mpsc::Sender<Input>) -> Self {
+    pub fn new(
+        limit: usize,
+        deployment: Arc<Deployment>,
+        clock: Clock,
+        hub: mpsc::Sender<Input>,
+    ) -> Self {
         // Before the server closes it: a request written to a closed connection ends as a reset, which may have
         // run and so may not be sent again. Not long before: one of many nodes meets a server every few seconds.
         let idle_limit = deployment.idle_close / 5 * 4;
         let in_time = deployment.connect_timeout.max(1_000);
         // What comes later than any request waits would be of use to none that is known of yet.
-        let longest = deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let longest = deployment
+            .settings
+            .classes
+            .iter()
+            .map(|class| class.deadline)
+            .max()
+            .unwrap_or(0);
         let (conns, queues, open_timeout) = (HashMap::new(), HashMap::new(), in_time.max(longest));
-        Pool { conns, queues, next: 1, limit, idle_limit, in_time, open_timeout, deployment, clock, hub }
+        Pool {
+            conns,
+            queues,
+            next: 1,
+            limit,
+            idle_limit,
+            in_time,
+            open_timeout,
+            deployment,
+            clock,
+            hub,
+        }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
     pub fn reuse(&mut self, server: ServerId, attempt: AttemptKey, now: Micros) -> Option<ConnId> {
         loop {
             let id = self.queues.get_mut(&server)?.idle.pop()?;
-            let Some(conn) = self.conns.get_mut(&id) else { continue };
-            let State::Idle(since) = conn.state else { continue };
+            let Some(conn) = self.conns.get_mut(&id) else {
+                continue;
+            };
+            let State::Idle(since) = conn.state else {
+                continue;
+            };
             if now < since + self.idle_limit && !conn.jobs.is_closed() {
                 conn.state = State::Busy(attempt);
                 return Some(id);
@@ -204,7 +237,12 @@
 
     /// Puts an attempt in the queue for a connection, one more than there are on their way; `false` where the table of
     /// sockets is full and none is on its way.
-    pub fn wait(&mut self, to: (ServerId, SocketAddr, Protocol), attempt: AttemptKey, now: Micros) -> bool {
+    pub fn wait(
+        &mut self,
+        to: (ServerId, SocketAddr, Protocol),
+        attempt: AttemptKey,
+        now: Micros,
+    ) -> bool {
         let queue = self.queues.entry(to.0).or_default();
         queue.waiting.push_back(attempt);
         if queue.waiting.len() <= self.in_time(to.0, now) || self.open(to, now) {
@@ -219,7 +257,9 @@
 
     /// How many connections to a server are being opened that may still come up in time.
     fn in_time(&self, server: ServerId, now: Micros) -> usize {
-        let Some(queue) = self.queues.get(&server) else { return 0 };
+        let Some(queue) = self.queues.get(&server) else {
+            return 0;
+        };
         let fresh = |id: &&ConnId| {
             let state = self.conns.get(id).map(|conn| conn.state);
             matches!(state, Some(State::Opening(since)) if now < since + self.in_time)
@@ -245,13 +285,30 @@
         let (hub, deployment, clock) = (self.hub.clone(), self.deployment.clone(), self.clock);
         let open_timeout = Duration::from_micros(self.open_timeout);
         let task = tokio::spawn(async move {
-            let mut link = Link { id, protocol, deployment, jobs: take, clock, hub };
+            let mut link = Link {
+                id,
+                protocol,
+                deployment,
+                jobs: take,
+                clock,
+                hub,
+            };
             let event = link.run(address, open_timeout).await;
             let _ = link.hub.send(Input::Conn(id, event)).await;
         });
         let (task, state) = (task.abort_handle(), State::Opening(now));
-        self.conns
-            .insert(id, Conn { server, address, jobs, task, state, carried: 0, progress: Shared::new() });
+        self.conns.insert(
+            id,
+            Conn {
+                server,
+                address,
+                jobs,
+                task,
+                state,
+                carried: 0,
+                progress: Shared::new(),
+            },
+        );
         self.queues.entry(server).or_default().opening.push_back(id);
         true
     }
@@ -269,12 +326,21 @@
     /// The attempt that has waited for longest for a connection to a server, where more wait than may still come up.
     pub fn hopeless(&self, server: ServerId, now: Micros) -> Option<AttemptKey> {
         let queue = self.queues.get(&server)?;
-        queue.waiting.front().filter(|_| queue.waiting.len() > self.in_time(server, now)).copied()
+        queue
+            .waiting
+            .front()
+            .filter(|_| queue.waiting.len() > self.in_time(server, now))
+            .copied()
     }
 
     /// Gives a connection that owes nothing to the attempt that has waited for longest; without one it is idle.
     /// One whose server is elsewhere now or takes nothing new is closed.
-    pub fn hand_on(&mut self, id: ConnId, address: Option<SocketAddr>, now: Micros) -> Option<AttemptKey> {
+    pub fn hand_on(
+        &mut self,
+        id: ConnId,
+        address: Option<SocketAddr>,
+        now: Micros,
+    ) -> Option<AttemptKey> {
         let conn = self.conns.get_mut(&id)?;
         if address != Some(conn.address) {
             self.close(id);
@@ -303,18 +369,26 @@
 
     /// The attempts that wait for a connection to a server.
     pub fn waiting(&self, server: ServerId) -> Vec<AttemptKey> {
-        self.queues.get(&server).map(|queue| queue.waiting.iter().copied().collect()).unwrap_or_default()
+        self.queues
+            .get(&server)
+            .map(|queue| queue.waiting.iter().copied().collect())
+            .unwrap_or_default()
     }
 
     /// Leaves a connection without its attempt, sent at a time, until the answer comes; `false` if there is none to
     /// leave.
     pub fn abandon(&mut self, id: ConnId, sent: Micros) -> bool {
-        self.conns.get_mut(&id).map(|conn| conn.state = State::Late(sent)).is_some()
+        self.conns
+            .get_mut(&id)
+            .map(|conn| conn.state = State::Late(sent))
+            .is_some()
     }
 
     /// How far the request has come that a connection was given last.
     pub fn progress(&self, id: ConnId) -> Progress {
-        self.conns.get(&id).map_or(Progress::Written, |conn| conn.progress.get())
+        self.conns
+            .get(&id)
+            .map_or(Progress::Written, |conn| conn.progress.get())
     }
 
     /// Withdraws the request that a connection was given, if not a byte of it is written; how far it had come.
@@ -335,10 +409,19 @@
     /// the node was asked about it once, it is not asked again: it would never go on a machine that is always late.
     pub fn start(&mut self, id: ConnId, bytes: Bytes, by: Micros, asked: bool) -> bool {
         let stale_at = if asked { by } else { self.clock.now() + STALE };
-        let Some(conn) = self.conns.get_mut(&id) else { return false };
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return false;
+        };
         conn.carried += u64::from(!asked);
         conn.progress = Shared::new();
-        conn.jobs.try_send(Job { bytes, by, stale_at, progress: conn.progress.clone() }).is_ok()
+        conn.jobs
+            .try_send(Job {
+                bytes,
+                by,
+                stale_at,
+                progress: conn.progress.clone(),
+            })
+            .is_ok()
     }
 
     /// Closes a connection.
@@ -353,8 +436,11 @@
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&mut self, server: ServerId) {
-        let idle =
-            self.queues.get_mut(&server).map(|queue| std::mem::take(&mut queue.idle)).unwrap_or_default();
+        let idle = self
+            .queues
+            .get_mut(&server)
+            .map(|queue| std::mem::take(&mut queue.idle))
+            .unwrap_or_default();
         idle.iter().for_each(|id| drop(self.conns.remove(id)));
     }
 
@@ -401,7 +487,9 @@
     async fn run(&mut self, address: SocketAddr, open_timeout: Duration) -> ConnEvent {
         // A machine that vanished answers nothing: the connect has a time-out of its own. It is longer than that of
         // the attempts which wait for it, as a connection that comes up late shows that the server is there.
-        let Ok(Ok(mut stream)) = tokio::time::timeout(open_timeout, TcpStream::connect(address)).await else {
+        let Ok(Ok(mut stream)) =
+            tokio::time::timeout(open_timeout, TcpStream::connect(address)).await
+        else {
             return ConnEvent::Lost { written: false };
         };
         let _ = stream.set_nodelay(true);
@@ -419,7 +507,9 @@
                 _ = stream.read_buf(&mut buffer) => return ConnEvent::Lost { written: false },
                 job = self.jobs.recv() => job,
             };
-            let Some(job) = job else { return ConnEvent::Lost { written: false } };
+            let Some(job) = job else {
+                return ConnEvent::Lost { written: false };
+            };
             // Against a send after a request's end: the process may have been stopped since the node handed it on.
             let now = self.clock.now();
             if now < job.by && now >= job.stale_at {
--- a/crates/cache-router/tests/node/crossings.rs
+++ b/crates/cache-router/tests/node/crossings.rs
@@ -17,7 +17,10 @@
 
 /// An address that refuses connections, as a machine without the service does.
 fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 /// Waits until something is so.
@@ -37,9 +40,15 @@
 // The end of a node.
 
 #[test]
-fn sigterm_before_a_first_list_ends_the_node_and_so_does_one_that_comes_twice_with_sighup_after_it() {
+fn sigterm_before_a_first_list_ends_the_node_and_so_does_one_that_comes_twice_with_sighup_after_it()
+{
     let mut node = Node::start_in(nobody(), &listing(0, true, &[]), 256, "", &hasty());
-    assert!(node.client().ask(&command(&PING)).unwrap().starts_with("-LOADING"));
+    assert!(
+        node.client()
+            .ask(&command(&PING))
+            .unwrap()
+            .starts_with("-LOADING")
+    );
     for signal in ["TERM", "HUP", "TERM", "INT"] {
         node.signal(signal);
     }
@@ -72,7 +81,11 @@
         cache.seen.recv_timeout(Duration::from_millis(100)).is_err()
     });
     go.send(()).unwrap();
-    assert_eq!(client.answer().unwrap(), "slow", "what was taken is finished");
+    assert_eq!(
+        client.answer().unwrap(),
+        "slow",
+        "what was taken is finished"
+    );
     drop(client);
     assert_eq!(node.wait().code(), Some(0));
 }
@@ -82,17 +95,32 @@
     let cache = cache(|_| Act::Say(hit(&"v".repeat(60_000))));
     let origin = no_origin();
     let (discovery, _say, _calls) = quiet();
-    let mut node = Node::start_in(discovery, &pair(cache.address, origin.address), 256, "", &hasty());
+    let mut node = Node::start_in(
+        discovery,
+        &pair(cache.address, origin.address),
+        256,
+        "",
+        &hasty(),
+    );
     let mut client = node.client();
     for id in 0..200 {
-        client.send(&command(&["OBJ.GET", "aa", &id.to_string(), "c=read,t=acme,d=500"]));
+        client.send(&command(&[
+            "OBJ.GET",
+            "aa",
+            &id.to_string(),
+            "c=read,t=acme,d=500",
+        ]));
     }
     cache.next();
     let told = Instant::now();
     node.terminate();
     assert_eq!(node.wait().code(), Some(0));
     // The deadline counts as three seconds at the least for the platform, not for the node.
-    assert!(told.elapsed() < Duration::from_secs(8), "after {:?}", told.elapsed());
+    assert!(
+        told.elapsed() < Duration::from_secs(8),
+        "after {:?}",
+        told.elapsed()
+    );
 }
 
 #[test]
@@ -109,20 +137,28 @@
     let mut served = 0;
     for id in 0..20 {
         let mut newcomer = node.client();
-        served += usize::from(newcomer.ask(&get("aa", &id.to_string())).is_some_and(|a| a == "aa"));
+        served += usize::from(
+            newcomer
+                .ask(&get("aa", &id.to_string()))
+                .is_some_and(|a| a == "aa"),
+        );
     }
     assert_eq!(served, 20);
     for client in &mut resting {
         // Whatever was read of it before, it ends in order: no reset takes an answer away.
         let mut rest = Vec::new();
-        client.input.read_to_end(&mut rest).expect("an end, not a reset");
+        client
+            .input
+            .read_to_end(&mut rest)
+            .expect("an end, not a reset");
     }
     drop(resting);
     assert_eq!(node.wait().code(), Some(0));
 }
 
 #[test]
-fn a_large_value_from_a_slow_writer_is_served_whole_though_the_node_is_told_to_end_between_its_pieces() {
+fn a_large_value_from_a_slow_writer_is_served_whole_though_the_node_is_told_to_end_between_its_pieces()
+ {
     let origin = origin(|words| Act::Say(http(200, "", &words.last().unwrap().len().to_string())));
     let cache = cache(|_| Act::Say(miss()));
     let (discovery, _say, _calls) = quiet();
@@ -173,15 +209,20 @@
         }
     });
     let none = listing(0, true, &[]);
-    for (discovery, known) in
-        [(nobody(), &known), (silent.local_addr().unwrap(), &known), (at_slow, &known), (at_slow, &none)]
-    {
+    for (discovery, known) in [
+        (nobody(), &known),
+        (silent.local_addr().unwrap(), &known),
+        (at_slow, &known),
+        (at_slow, &none),
+    ] {
         let since = Instant::now();
         let nodes: Vec<_> = (0..10).map(|_| Node::start(discovery, known)).collect();
         let mut ready = 0;
         for node in &nodes {
             let mut client = node.client();
-            until("it is ready", || client.ask(&command(&PING)).unwrap() == "+PONG");
+            until("it is ready", || {
+                client.ask(&command(&PING)).unwrap() == "+PONG"
+            });
             ready += usize::from(since.elapsed() <= READY);
         }
         assert!(ready >= 9, "{ready} of ten, known: {}", known.len());
@@ -192,11 +233,22 @@
 
 #[test]
 fn a_configuration_that_is_read_while_it_is_being_replaced_is_read_again_without_another_signal() {
-    let (old, new) = (cache(|_| Act::Say(hit("old"))), cache(|_| Act::Say(hit("new"))));
+    let (old, new) = (
+        cache(|_| Act::Say(hit("old"))),
+        cache(|_| Act::Say(hit("new"))),
+    );
     let origin = no_origin();
     let (first, _say, calls) = quiet();
     let (second, _say2, asked) = discovery(vec![
-        [watch_head(), chunk(&listing(1, true, &[entry("s-2", new.address, "std", "active")]))].concat(),
+        [
+            watch_head(),
+            chunk(&listing(
+                1,
+                true,
+                &[entry("s-2", new.address, "std", "active")],
+            )),
+        ]
+        .concat(),
     ]);
     // Cut off, and as it was before: in either way the signal comes before the file.
     for part in [0.5, 0.0, 1.0] {
@@ -207,7 +259,10 @@
         std::thread::sleep(Duration::from_millis(30));
         node.write_config(&first.to_string(), &second.to_string(), 1.0);
         if part == 0.5 {
-            assert_eq!(asked.recv_timeout(LONG).unwrap(), "GET /v1/servers?watch=1 HTTP/1.1");
+            assert_eq!(
+                asked.recv_timeout(LONG).unwrap(),
+                "GET /v1/servers?watch=1 HTTP/1.1"
+            );
         } else {
             // The stand-in answers one call; that the node asks there shows in the others' connections.
             let moved = std::iter::from_fn(|| node.log.recv_timeout(LONG).ok())
@@ -218,8 +273,12 @@
 }
 
 #[test]
-fn a_whole_list_that_lacks_a_server_without_a_word_ends_its_use_and_one_that_drains_with_a_reload_too() {
-    let (first, second) = (cache(|_| Act::Say(hit("first"))), cache(|_| Act::Say(hit("second"))));
+fn a_whole_list_that_lacks_a_server_without_a_word_ends_its_use_and_one_that_drains_with_a_reload_too()
+ {
+    let (first, second) = (
+        cache(|_| Act::Say(hit("first"))),
+        cache(|_| Act::Say(hit("second"))),
+    );
     let origin = no_origin();
     let both = |status: &str| {
         [
@@ -237,12 +296,16 @@
     let node = Node::start(discovery_one, &listing(5, true, &both("active")));
     let mut client = node.client();
     assert!(served(&mut client) > 0);
-    say.send(chunk(&listing(6, true, &both("active")[1..]))).unwrap();
-    until("nothing goes to what the list lacks", || served(&mut client) == 0);
+    say.send(chunk(&listing(6, true, &both("active")[1..])))
+        .unwrap();
+    until("nothing goes to what the list lacks", || {
+        served(&mut client) == 0
+    });
 
     let (before, _say, calls) = quiet();
-    let (now, _say2, _asked) =
-        discovery(vec![[watch_head(), chunk(&listing(1, true, &both("leaving")))].concat()]);
+    let (now, _say2, _asked) = discovery(vec![
+        [watch_head(), chunk(&listing(1, true, &both("leaving")))].concat(),
+    ]);
     let node = Node::start(before, &listing(5, true, &both("active")));
     calls.recv_timeout(LONG).unwrap();
     let mut client = node.client();
@@ -253,7 +316,10 @@
 
 #[test]
 fn idle_clients_may_fill_the_table_while_discovery_is_down_and_a_drain_is_heard_of_at_its_return() {
-    let (first, second) = (cache(|_| Act::Say(hit("first"))), cache(|_| Act::Say(hit("second"))));
+    let (first, second) = (
+        cache(|_| Act::Say(hit("first"))),
+        cache(|_| Act::Say(hit("second"))),
+    );
     let origin = no_origin();
     let entries = |status: &str| {
         [
@@ -264,7 +330,10 @@
     };
     // Down: it refuses each call until it is back.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (address, back) = (listener.local_addr().unwrap(), Arc::new(AtomicBool::new(false)));
+    let (address, back) = (
+        listener.local_addr().unwrap(),
+        Arc::new(AtomicBool::new(false)),
+    );
     let (is_back, list) = (back.clone(), listing(9, true, &entries("leaving")));
     let (tell, told) = channel();
     std::thread::spawn(move || {
@@ -284,14 +353,20 @@
         }
     });
     // As few descriptors as the configuration says, and not one more.
-    let node = Node::start_with(address, &listing(5, true, &entries("active")), 64, "ulimit -n 64;");
+    let node = Node::start_with(
+        address,
+        &listing(5, true, &entries("active")),
+        64,
+        "ulimit -n 64;",
+    );
     // Half of them have been served, and rest; the others wait with the machine.
     let mut idle: Vec<_> = (0..100).map(|_| node.client()).collect();
     for client in idle.iter_mut().take(20) {
         assert_eq!(client.ask(&command(&PING)).unwrap(), "+PONG");
     }
     back.store(true, Ordering::SeqCst);
-    told.recv_timeout(Duration::from_millis(4_500)).expect("it asks again in time, with descriptors for it");
+    told.recv_timeout(Duration::from_millis(4_500))
+        .expect("it asks again in time, with descriptors for it");
     drop(idle);
     let mut client = node.client();
     until("the drain is acted on", || {
@@ -303,16 +378,21 @@
 // Servers.
 
 #[test]
-fn an_answer_of_the_origin_without_a_length_that_is_cut_reset_or_endless_is_none_and_may_have_run() {
+fn an_answer_of_the_origin_without_a_length_that_is_cut_reset_or_endless_is_none_and_may_have_run()
+{
     let cache = cache(|_| Act::Say(miss()));
     let kinds = ["cut", "reset", "endless", "half", "second"];
     let origin = origin(move |words| {
-        let kind = kinds.iter().find(|kind| words[0].contains(&format!("/{kind} ")));
+        let kind = kinds
+            .iter()
+            .find(|kind| words[0].contains(&format!("/{kind} ")));
         match kind.copied().unwrap_or("") {
             "cut" => Act::SayAndClose(b"HTTP/1.1 200 OK\r\n\r\nval".to_vec()),
             "reset" => Act::SayAndReset(b"HTTP/1.1 200 OK\r\n\r\nval".to_vec()),
             "endless" => Act::Say(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nval".to_vec()),
-            "half" => Act::SayAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nval".to_vec()),
+            "half" => {
+                Act::SayAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nval".to_vec())
+            }
             "second" => Act::Say([http(200, "", "ok"), http(200, "", "another")].concat()),
             _ => Act::Say(http(200, "", "ok")),
         }
@@ -322,11 +402,22 @@
     let mut client = node.client();
     for kind in kinds {
         let write = command(&["OBJ.SET", kind, "1", "c=put,t=acme,d=600,k=7", "v"]);
-        let expected = if kind == "second" { "ok" } else { "-ERR failed" };
+        let expected = if kind == "second" {
+            "ok"
+        } else {
+            "-ERR failed"
+        };
         assert_eq!(client.ask(&write).unwrap(), expected, "{kind}");
         assert!(origin.next().words[0].contains(&format!("/{kind} ")));
-        assert_eq!(client.ask(&put("next", "2", "v")).unwrap(), "ok", "after {kind}");
-        assert!(origin.next().words[0].contains("/next "), "{kind} was sent once");
+        assert_eq!(
+            client.ask(&put("next", "2", "v")).unwrap(),
+            "ok",
+            "after {kind}"
+        );
+        assert!(
+            origin.next().words[0].contains("/next "),
+            "{kind} was sent once"
+        );
     }
 }
 
--- a/crates/cache-router/tests/node/stand_in.rs
+++ b/crates/cache-router/tests/node/stand_in.rs
@@ -50,7 +50,8 @@
 
     /// Waits until a connection has ended.
     pub fn ended(&self) {
-        let end = std::iter::from_fn(|| self.seen.recv_timeout(LONG).ok()).find(|seen| seen.words.is_empty());
+        let end = std::iter::from_fn(|| self.seen.recv_timeout(LONG).ok())
+            .find(|seen| seen.words.is_empty());
         assert!(end.is_some(), "no connection has ended");
     }
 }
@@ -67,7 +68,10 @@
             let (mut act, tell) = (act.clone(), tell.clone());
             std::thread::spawn(move || {
                 connection(stream, conn as u32, read, &mut act, &tell);
-                let _ = tell.send(Seen { words: Vec::new(), conn: conn as u32 });
+                let _ = tell.send(Seen {
+                    words: Vec::new(),
+                    conn: conn as u32,
+                });
             });
         }
     });
@@ -81,7 +85,9 @@
     act: &mut impl FnMut(&[String]) -> Act,
     tell: &Sender<Seen>,
 ) {
-    let Ok(mut out) = stream.try_clone() else { return };
+    let Ok(mut out) = stream.try_clone() else {
+        return;
+    };
     let mut input = BufReader::new(stream);
     while let Some(words) = read(&mut input) {
         let does = act(&words);
@@ -173,7 +179,11 @@
 }
 
 pub fn http(status: u16, headers: &str, body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!(
+        "HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
 }
 
 /// Discovery: each call is answered with the next of these scripts, the last one stays open and silent but
@@ -185,7 +195,11 @@
     let (tell, calls) = channel();
     std::thread::spawn(move || {
         let count = scripts.len();
-        for (number, (script, stream)) in scripts.into_iter().zip(listener.incoming().flatten()).enumerate() {
+        for (number, (script, stream)) in scripts
+            .into_iter()
+            .zip(listener.incoming().flatten())
+            .enumerate()
+        {
             let mut out = stream.try_clone().unwrap();
             let mut input = BufReader::new(stream);
             let request = read_http(&mut input).unwrap_or_default();
@@ -226,7 +240,10 @@
 }
 
 pub fn listing(index: u64, snapshot: bool, entries: &[String]) -> String {
-    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(",")) + "\n"
+    format!(
+        r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#,
+        entries.join(",")
+    ) + "\n"
 }
 
 /// A node under test; killed when dropped.
@@ -288,25 +305,42 @@
         let path = config_file(&text);
         let mut child = Command::new("/bin/sh")
             .arg("-c")
-            .arg(format!("{before} exec \"{}\"", env!("CARGO_BIN_EXE_cache-router")))
+            .arg(format!(
+                "{before} exec \"{}\"",
+                env!("CARGO_BIN_EXE_cache-router")
+            ))
             .env("ROUTER_CONFIG", &path)
             .env_remove("ROUTER_LISTEN")
             .env("ROUTER_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let mut lines = BufReader::new(child.stderr.take().unwrap())
+            .lines()
+            .map_while(Result::ok);
         let first = lines.next().expect("a first line in the log");
-        let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address in the log");
+        let address = first
+            .rsplit(' ')
+            .next()
+            .and_then(|a| a.parse().ok())
+            .expect("an address in the log");
         let (tell, log) = channel();
         std::thread::spawn(move || lines.for_each(|line| drop(tell.send(line))));
-        Node { child, address, log, config: (path, text) }
+        Node {
+            child,
+            address,
+            log,
+            config: (path, text),
+        }
     }
 
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
-        Client { out: stream.try_clone().unwrap(), input: BufReader::new(stream) }
+        Client {
+            out: stream.try_clone().unwrap(),
+            input: BufReader::new(stream),
+        }
     }
 
     pub fn terminate(&self) {
@@ -327,7 +361,14 @@
 
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
-        assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().unwrap().success());
+        assert!(
+            Command::new("/bin/sh")
+                .arg("-c")
+                .arg(kill)
+                .status()
+                .unwrap()
+                .success()
+        );
     }
 
     pub fn wait(&mut self) -> ExitStatus {
@@ -350,7 +391,10 @@
 }
 
 pub fn command(words: &[&str]) -> Vec<u8> {
-    let words = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect::<String>();
+    let words = words
+        .iter()
+        .map(|word| format!("${}\r\n{word}\r\n", word.len()))
+        .collect::<String>();
     let count = words.matches("\r\n$").count() + 1;
     format!("*{count}\r\n{words}").into_bytes()
 }
@@ -371,7 +415,9 @@
     /// The next answer: a line as it is, a bulk string as its content; `None` at the connection's end.
     pub fn answer(&mut self) -> Option<String> {
         let first = line(&mut self.input)?;
-        let Some(size) = first.strip_prefix('$') else { return Some(first) };
+        let Some(size) = first.strip_prefix('$') else {
+            return Some(first);
+        };
         let mut bytes = vec![0; size.parse::<usize>().unwrap() + 2];
         self.input.read_exact(&mut bytes).ok()?;
         bytes.truncate(bytes.len() - 2);
--- a/crates/cache-router/tests/parts/clients.rs
+++ b/crates/cache-router/tests/parts/clients.rs
@@ -30,14 +30,23 @@
     let stream = TcpStream::connect(address).await.unwrap();
     // What the machine holds back would come in real time, which does not pass here.
     stream.set_nodelay(true).unwrap();
-    (stream, Around { inputs, front, phase: set_phase })
+    (
+        stream,
+        Around {
+            inputs,
+            front,
+            phase: set_phase,
+        },
+    )
 }
 
 /// How long until the node closes a connection.
 async fn closed_after(stream: &mut TcpStream) -> Duration {
     let (since, mut sink) = (Instant::now(), [0; 256]);
     let end = async { while matches!(stream.read(&mut sink).await, Ok(count) if count > 0) {} };
-    tokio::time::timeout(Duration::from_secs(60), end).await.expect("it is closed");
+    tokio::time::timeout(Duration::from_secs(60), end)
+        .await
+        .expect("it is closed");
     since.elapsed()
 }
 
@@ -69,7 +78,11 @@
     });
     let (since, mut sink) = (Instant::now(), [0; 16]);
     let end = tokio::time::timeout(Duration::from_secs(60), from.read(&mut sink)).await;
-    assert!(end.is_ok() && since.elapsed() <= OWED, "{end:?} after {:?}", since.elapsed());
+    assert!(
+        end.is_ok() && since.elapsed() <= OWED,
+        "{end:?} after {:?}",
+        since.elapsed()
+    );
     trickle.abort();
 }
 
@@ -88,14 +101,18 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_node_that_ends_waits_a_moment_for_the_first_command_of_a_new_connection_but_not_for_the_next() {
+async fn a_node_that_ends_waits_a_moment_for_the_first_command_of_a_new_connection_but_not_for_the_next()
+ {
     let (mut client, around) = connected().await;
     around.phase.send(Phase::Draining).unwrap();
     tokio::time::sleep(FRESH / 2).await;
     client.write_all(PING).await.unwrap();
     let mut answer = [0; 7];
     client.read_exact(&mut answer).await.unwrap();
-    assert_eq!((&answer, closed_after(&mut client).await), (b"+PONG\r\n", Duration::ZERO));
+    assert_eq!(
+        (&answer, closed_after(&mut client).await),
+        (b"+PONG\r\n", Duration::ZERO)
+    );
     let (mut silent, around) = connected().await;
     around.phase.send(Phase::Draining).unwrap();
     assert_eq!(closed_after(&mut silent).await, FRESH);
@@ -106,9 +123,15 @@
     let (mut client, mut around) = connected().await;
     let get = b"*4\r\n$7\r\nOBJ.GET\r\n$1\r\na\r\n$1\r\n1\r\n$13\r\nc=read,d=9000\r\n";
     client.write_all(get).await.unwrap();
-    let Some(Input::Asked(asked)) = around.inputs.recv().await else { panic!("no request") };
+    let Some(Input::Asked(asked)) = around.inputs.recv().await else {
+        panic!("no request")
+    };
     tokio::time::sleep(Duration::from_secs(8)).await;
-    asked.answers.send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n"))).await.unwrap();
+    asked
+        .answers
+        .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+        .await
+        .unwrap();
     let mut answer = [0; 7];
     client.read_exact(&mut answer).await.unwrap();
     assert_eq!(&answer, b"$1\r\nv\r\n");
@@ -121,8 +144,11 @@
 
 fn get(id: usize) -> Vec<u8> {
     let id = id.to_string();
-    format!("*4\r\n$7\r\nOBJ.GET\r\n$1\r\na\r\n${}\r\n{id}\r\n$13\r\nc=read,d=9000\r\n", id.len())
-        .into_bytes()
+    format!(
+        "*4\r\n$7\r\nOBJ.GET\r\n$1\r\na\r\n${}\r\n{id}\r\n$13\r\nc=read,d=9000\r\n",
+        id.len()
+    )
+    .into_bytes()
 }
 
 /// The three ways in which a client leaves.
@@ -182,9 +208,13 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_client_that_leaves_with_all_places_taken_is_seen_to_leave_whatever_lies_unread_before_its_end() {
+async fn a_client_that_leaves_with_all_places_taken_is_seen_to_leave_whatever_lies_unread_before_its_end()
+ {
     // None behind the places; what is read ahead; more than that.
-    for (behind, leaves) in [0, 100, 2_000].into_iter().flat_map(|n| Leaves::ALL.map(|way| (n, way))) {
+    for (behind, leaves) in [0, 100, 2_000]
+        .into_iter()
+        .flat_map(|n| Leaves::ALL.map(|way| (n, way)))
+    {
         let (mut client, mut around) = connected().await;
         let all: Vec<u8> = (0..PIPELINE + behind).flat_map(get).collect();
         client.write_all(&all).await.unwrap();
@@ -196,8 +226,15 @@
         let _half = leaves.go(client).await;
         let since = Instant::now();
         let asked = taken + around.until_gone().await;
-        assert!(since.elapsed() <= LEFT, "{behind} {leaves:?}: after {:?}", since.elapsed());
-        assert!(asked <= PIPELINE, "{behind} {leaves:?}: {asked} reached the node");
+        assert!(
+            since.elapsed() <= LEFT,
+            "{behind} {leaves:?}: after {:?}",
+            since.elapsed()
+        );
+        assert!(
+            asked <= PIPELINE,
+            "{behind} {leaves:?}: {asked} reached the node"
+        );
     }
 }
 
@@ -205,27 +242,48 @@
 async fn a_client_that_takes_no_answers_or_has_lost_its_framing_is_seen_to_leave_too() {
     for leaves in Leaves::ALL {
         let (mut client, mut around) = connected().await;
-        client.write_all(&[get(1), b"rubbish\r\n".repeat(20)].concat()).await.unwrap();
+        client
+            .write_all(&[get(1), b"rubbish\r\n".repeat(20)].concat())
+            .await
+            .unwrap();
         around.asked(1).await;
         let _half = leaves.go(client).await;
         let since = Instant::now();
         assert_eq!(around.until_gone().await, 0);
-        assert!(since.elapsed() <= LEFT, "framing lost, {leaves:?}: after {:?}", since.elapsed());
+        assert!(
+            since.elapsed() <= LEFT,
+            "framing lost, {leaves:?}: after {:?}",
+            since.elapsed()
+        );
 
         let (mut client, mut around) = connected().await;
-        client.write_all(&(0..PIPELINE).flat_map(get).collect::<Vec<_>>()).await.unwrap();
+        client
+            .write_all(&(0..PIPELINE).flat_map(get).collect::<Vec<_>>())
+            .await
+            .unwrap();
         let value = Bytes::from(vec![b'v'; 1024 * 1024]);
         for asked in around.asked(PIPELINE).await {
-            asked.answers.send((asked.slot, value.clone())).await.unwrap();
+            asked
+                .answers
+                .send((asked.slot, value.clone()))
+                .await
+                .unwrap();
         }
         for _ in 0..100 {
             tokio::task::yield_now().await;
         }
-        client.write_all(&(0..1_000).flat_map(get).collect::<Vec<_>>()).await.unwrap();
+        client
+            .write_all(&(0..1_000).flat_map(get).collect::<Vec<_>>())
+            .await
+            .unwrap();
         let _half = leaves.go(client).await;
         let since = Instant::now();
         around.until_gone().await;
-        assert!(since.elapsed() <= LEFT, "takes nothing, {leaves:?}: after {:?}", since.elapsed());
+        assert!(
+            since.elapsed() <= LEFT,
+            "takes nothing, {leaves:?}: after {:?}",
+            since.elapsed()
+        );
     }
 }
 
@@ -261,7 +319,10 @@
 #[tokio::test(start_paused = true)]
 async fn the_time_of_a_request_that_waits_for_a_place_counts_from_when_it_came() {
     let (mut client, mut around) = connected().await;
-    client.write_all(&(0..=PIPELINE).flat_map(get).collect::<Vec<_>>()).await.unwrap();
+    client
+        .write_all(&(0..=PIPELINE).flat_map(get).collect::<Vec<_>>())
+        .await
+        .unwrap();
     let first = around.asked(16).await;
     for _ in 0..100 {
         tokio::task::yield_now().await;
@@ -273,7 +334,11 @@
         tokio::task::yield_now().await;
     }
     for asked in first.iter().chain(&rest) {
-        asked.answers.send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n"))).await.unwrap();
+        asked
+            .answers
+            .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+            .await
+            .unwrap();
     }
     let last = around.asked(1).await.remove(0);
     assert!(last.at <= came, "{} us after it came", last.at - came);
@@ -289,10 +354,17 @@
         around.phase.send(Phase::Draining).unwrap();
         for byte in &get(1)[cut..] {
             tokio::time::sleep(Duration::from_millis(5)).await;
-            client.write_all(&[*byte]).await.unwrap_or_else(|e| panic!("cut at {cut}: {e}"));
+            client
+                .write_all(&[*byte])
+                .await
+                .unwrap_or_else(|e| panic!("cut at {cut}: {e}"));
         }
         let asked = around.asked(1).await.remove(0);
-        asked.answers.send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n"))).await.unwrap();
+        asked
+            .answers
+            .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+            .await
+            .unwrap();
         let mut rest = Vec::new();
         client.read_to_end(&mut rest).await.unwrap();
         assert_eq!(rest, b"$1\r\nv\r\n", "cut at {cut}");
@@ -324,7 +396,10 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
         client.write_all(&get(3)).await.unwrap();
         let mut rest = Vec::new();
-        client.read_to_end(&mut rest).await.expect("an end, not a reset");
+        client
+            .read_to_end(&mut rest)
+            .await
+            .expect("an end, not a reset");
         assert_eq!(rest, b"PONG\r\n");
     }
 }
@@ -363,9 +438,15 @@
     newcomer.write_all(PING).await.unwrap();
     newcomer.read_exact(&mut [0; 7]).await.unwrap();
     let gone = async |client: &mut TcpStream| {
-        matches!(tokio::time::timeout(Duration::from_secs(30), client.read(&mut [0; 8])).await, Ok(Ok(0)))
+        matches!(
+            tokio::time::timeout(Duration::from_secs(30), client.read(&mut [0; 8])).await,
+            Ok(Ok(0))
+        )
     };
-    assert!(gone(&mut clients[1]).await, "the one that has rested for longest");
+    assert!(
+        gone(&mut clients[1]).await,
+        "the one that has rested for longest"
+    );
     // Places are free again: nobody is asked to go for a wake-up that was left over.
     drop(newcomer);
     clients.remove(1);
@@ -373,7 +454,10 @@
     for client in &mut clients {
         left += usize::from(!gone(client).await);
     }
-    assert!(left >= 2, "{left} of three stay; crowding may ask one more while the newcomer is there");
+    assert!(
+        left >= 2,
+        "{left} of three stay; crowding may ask one more while the newcomer is there"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -399,10 +483,17 @@
     let since = Instant::now();
     for client in &mut newcomers {
         let mut answer = [0; 7];
-        client.read_exact(&mut answer).await.expect("it is taken and answered");
+        client
+            .read_exact(&mut answer)
+            .await
+            .expect("it is taken and answered");
         assert_eq!(&answer, b"+PONG\r\n");
     }
-    assert!(since.elapsed() <= LINGER.0 * 2, "after {:?}", since.elapsed());
+    assert!(
+        since.elapsed() <= LINGER.0 * 2,
+        "after {:?}",
+        since.elapsed()
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -418,11 +509,22 @@
     client.write_all(&get(4)).await.unwrap();
     tokio::time::sleep(Duration::from_millis(5)).await;
     for asked in asked.iter().chain(&third) {
-        asked.answers.send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n"))).await.unwrap();
+        asked
+            .answers
+            .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+            .await
+            .unwrap();
     }
     let mut rest = Vec::new();
-    client.read_to_end(&mut rest).await.expect("an end, not a reset");
-    assert_eq!(rest, b"$1\r\nv\r\n".repeat(3), "and the fourth was never taken");
+    client
+        .read_to_end(&mut rest)
+        .await
+        .expect("an end, not a reset");
+    assert_eq!(
+        rest,
+        b"$1\r\nv\r\n".repeat(3),
+        "and the fourth was never taken"
+    );
     assert!(around.inputs.try_recv().is_err());
 }
 
@@ -441,6 +543,10 @@
         }
     });
     around.until_gone().await;
-    assert!(since.elapsed() <= STALLED + Duration::from_secs(2), "after {:?}", since.elapsed());
+    assert!(
+        since.elapsed() <= STALLED + Duration::from_secs(2),
+        "after {:?}",
+        since.elapsed()
+    );
     asks.abort();
 }
--- a/crates/cache-router/tests/parts/http.rs
+++ b/crates/cache-router/tests/parts/http.rs
@@ -16,9 +16,13 @@
     ] {
         assert_eq!(read(bad), Err(Malformed), "{bad:?}");
     }
-    let twice = read("Content-Length: 16\r\nContent-Length: 16\r\n").unwrap().unwrap();
+    let twice = read("Content-Length: 16\r\nContent-Length: 16\r\n")
+        .unwrap()
+        .unwrap();
     assert_eq!((twice.content_length, twice.chunked), (Some(16), false));
-    let chunked = read("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n").unwrap().unwrap();
+    let chunked = read("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n")
+        .unwrap()
+        .unwrap();
     assert_eq!((chunked.content_length, chunked.chunked), (None, true));
 }
 
@@ -35,5 +39,8 @@
         assert!(ended && &to[..] == b"hello!", "in steps of {step}: {to:?}");
     }
     let mut bad = BytesMut::from("zz\r\n");
-    assert_eq!(Chunks::default().take(&mut bad, &mut BytesMut::new()), Err(Malformed));
+    assert_eq!(
+        Chunks::default().take(&mut bad, &mut BytesMut::new()),
+        Err(Malformed)
+    );
 }
--- a/crates/cache-router/tests/parts/node.rs
+++ b/crates/cache-router/tests/parts/node.rs
@@ -34,7 +34,11 @@
         );
         let deployment = routing_policy::settings::read(settings.as_bytes()).unwrap();
         let (hub, inputs) = mpsc::channel(64);
-        let known = Listing { index: 1, snapshot: true, endpoints: vec![endpoint(&cache, "active")] };
+        let known = Listing {
+            index: 1,
+            snapshot: true,
+            endpoints: vec![endpoint(&cache, "active")],
+        };
         let nowhere = cache.local_addr().unwrap();
         let config = Config {
             listen: nowhere,
@@ -44,11 +48,24 @@
             known: Listing::default(),
             deployment: deployment.clone(),
         };
-        let mut node =
-            Node::new(config, Arc::new(deployment), Clock::start(), hub.clone(), 16, Trace::new(false));
+        let mut node = Node::new(
+            config,
+            Arc::new(deployment),
+            Clock::start(),
+            hub.clone(),
+            16,
+            Trace::new(false),
+        );
         node.list(known, Some(ListKind::Full));
         let (answer_to, answers) = mpsc::channel(16);
-        Driven { node, inputs, cache, hub, answer_to, answers }
+        Driven {
+            node,
+            inputs,
+            cache,
+            hub,
+            answer_to,
+            answers,
+        }
     }
 
     /// A client asks; the request's number.
@@ -62,13 +79,21 @@
         };
         let (number, at) = (self.node.next, self.node.clock.now());
         let (slot, answers) = (number, self.answer_to.clone());
-        self.node.asked(Asked { command, at, client: 1, slot, answers });
+        self.node.asked(Asked {
+            command,
+            at,
+            client: 1,
+            slot,
+            answers,
+        });
         number
     }
 
     /// Lets the next thing happen.
     async fn step(&mut self) {
-        let input = tokio::time::timeout(LONG, self.inputs.recv()).await.expect("something happens");
+        let input = tokio::time::timeout(LONG, self.inputs.recv())
+            .await
+            .expect("something happens");
         self.node.input(input.unwrap());
     }
 }
@@ -91,10 +116,17 @@
     let mut seen = Vec::new();
     while !seen.ends_with(b"c=read\r\n") {
         let read = tokio::time::timeout(LONG, stream.read_buf(&mut seen)).await;
-        assert_ne!(read.expect("a command").unwrap(), 0, "the connection has ended");
+        assert_ne!(
+            read.expect("a command").unwrap(),
+            0,
+            "the connection has ended"
+        );
     }
     let seen = String::from_utf8(seen).unwrap();
-    assert!(seen.starts_with("*4\r\n") && seen.contains(&format!("\r\n{id}\r\n")), "{seen:?}");
+    assert!(
+        seen.starts_with("*4\r\n") && seen.contains(&format!("\r\n{id}\r\n")),
+        "{seen:?}"
+    );
 }
 
 const VALUE: &[u8] = b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n";
@@ -114,7 +146,10 @@
     read(&mut stream, "2d").await;
     stream.write_all(VALUE).await.unwrap();
     all.step().await;
-    assert_eq!(all.answers.try_recv(), Ok((next, Bytes::from_static(b"$1\r\nv\r\n"))));
+    assert_eq!(
+        all.answers.try_recv(),
+        Ok((next, Bytes::from_static(b"$1\r\nv\r\n")))
+    );
 }
 
 #[tokio::test]
@@ -139,7 +174,10 @@
         read(&mut stream, "1d").await;
         stream.write_all(VALUE).await.unwrap();
         all.step().await;
-        let (server, later) = (*all.node.servers.keys().next().unwrap(), all.node.clock.now() + after);
+        let (server, later) = (
+            *all.node.servers.keys().next().unwrap(),
+            all.node.clock.now() + after,
+        );
         all.node.pool.sweep(later);
         assert_eq!(all.node.pool.reuse(server, (9, 0), later).is_some(), kept);
     }
@@ -159,7 +197,10 @@
     read(&mut stream, "1d").await;
     let second = all.ask("2d");
     // The way is slow: that the new connection is up is still to come when the first one is answered.
-    let late = tokio::time::timeout(LONG, all.inputs.recv()).await.unwrap().unwrap();
+    let late = tokio::time::timeout(LONG, all.inputs.recv())
+        .await
+        .unwrap()
+        .unwrap();
     stream.write_all(VALUE).await.unwrap();
     all.step().await;
     read(&mut stream, "2d").await;
@@ -168,8 +209,15 @@
     all.step().await;
     let answered: Vec<_> = (0..2).map(|_| all.answers.try_recv().unwrap().0).collect();
     assert_eq!(answered, [first, second]);
-    let idle = all.node.pool.waiting(*all.node.servers.keys().next().unwrap());
-    assert_eq!((idle.len(), all.node.attempts.len()), (0, 0), "nothing is left behind");
+    let idle = all
+        .node
+        .pool
+        .waiting(*all.node.servers.keys().next().unwrap());
+    assert_eq!(
+        (idle.len(), all.node.attempts.len()),
+        (0, 0),
+        "nothing is left behind"
+    );
 }
 
 #[tokio::test]
@@ -177,10 +225,18 @@
     let mut all = Driven::with(1).await;
     let hasty = all.ask("1d");
     let (mut stream, _) = all.cache.accept().await.unwrap();
-    let late = tokio::time::timeout(LONG, all.inputs.recv()).await.unwrap().unwrap();
+    let late = tokio::time::timeout(LONG, all.inputs.recv())
+        .await
+        .unwrap()
+        .unwrap();
     let since = all.node.attempts[&(hasty, 0)].waits_since;
-    all.node.due(Due::Unconnected(hasty, 0, since), all.node.clock.now());
-    assert_eq!(all.answers.try_recv().unwrap().0, hasty, "refused, as there is no other server");
+    all.node
+        .due(Due::Unconnected(hasty, 0, since), all.node.clock.now());
+    assert_eq!(
+        all.answers.try_recv().unwrap().0,
+        hasty,
+        "refused, as there is no other server"
+    );
     let up = all.node.clock.now() + 1_000;
     while all.node.clock.now() < up {
         tokio::task::yield_now().await;
@@ -200,9 +256,16 @@
     stream.write_all(VALUE).await.unwrap();
     all.step().await;
     // The process is stopped after the node has handed a request on, until its time is up.
-    let (server, now) = (*all.node.servers.keys().next().unwrap(), all.node.clock.now());
+    let (server, now) = (
+        *all.node.servers.keys().next().unwrap(),
+        all.node.clock.now(),
+    );
     let conn = all.node.pool.reuse(server, (9, 0), now).unwrap();
-    assert!(all.node.pool.start(conn, Bytes::from_static(b"too late"), now, false));
+    assert!(
+        all.node
+            .pool
+            .start(conn, Bytes::from_static(b"too late"), now, false)
+    );
     all.step().await;
     let next = all.ask("2d");
     read(&mut stream, "2d").await;
@@ -218,7 +281,14 @@
         let mut all = Driven::new().await;
         let waits = all.ask("1d");
         let endpoints = vec![endpoint(&all.cache, status)];
-        all.node.list(Listing { index: 2, snapshot: false, endpoints }, None);
+        all.node.list(
+            Listing {
+                index: 2,
+                snapshot: false,
+                endpoints,
+            },
+            None,
+        );
         let (slot, answer) = all.answers.try_recv().unwrap();
         assert!(slot == waits && answer.starts_with(b"-BUSY"), "{answer:?}");
     }
@@ -293,14 +363,24 @@
     all.ask("1d");
     let (mut stream, _) = all.cache.accept().await.unwrap();
     all.node.input(Input::ClientGone(1));
-    assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0), "its place is free at once");
-    assert!(all.node.pool.waiting(*all.node.servers.keys().next().unwrap()).is_empty());
+    assert_eq!(
+        (all.node.attempts.len(), all.node.open.len()),
+        (0, 0),
+        "its place is free at once"
+    );
+    assert!(
+        all.node
+            .pool
+            .waiting(*all.node.servers.keys().next().unwrap())
+            .is_empty()
+    );
     all.step().await; // The connection is up.
     all.only(&mut stream, "2d").await;
 }
 
 #[tokio::test]
-async fn a_request_whose_client_leaves_between_the_nodes_word_and_the_first_byte_is_never_written() {
+async fn a_request_whose_client_leaves_between_the_nodes_word_and_the_first_byte_is_never_written()
+{
     let (mut all, mut stream) = Driven::warmed().await;
     all.ask("1d"); // Handed to the connection that rests, which has not run yet.
     all.node.input(Input::ClientGone(1));
@@ -315,8 +395,18 @@
     let (answers, gone) = mpsc::channel(1);
     drop(gone);
     let at = all.node.clock.now();
-    let command = Command { key: "aa".into(), time_left: AIM, ..Command::default() };
-    all.node.input(Input::Asked(Box::new(Asked { command, at, client: 2, slot: 0, answers })));
+    let command = Command {
+        key: "aa".into(),
+        time_left: AIM,
+        ..Command::default()
+    };
+    all.node.input(Input::Asked(Box::new(Asked {
+        command,
+        at,
+        client: 2,
+        slot: 0,
+        answers,
+    })));
     assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0));
 }
 
@@ -349,7 +439,14 @@
     let waits = all.ask("1d");
     all.stand_still();
     let endpoints = vec![endpoint(&all.cache, "leaving")];
-    all.node.list(Listing { index: 2, snapshot: false, endpoints }, None);
+    all.node.list(
+        Listing {
+            index: 2,
+            snapshot: false,
+            endpoints,
+        },
+        None,
+    );
     all.step().await; // The connection asks again.
     let (slot, answer) = all.answers.try_recv().unwrap();
     assert!(slot == waits && answer.starts_with(b"-BUSY"), "{answer:?}");
@@ -371,7 +468,10 @@
     // On a machine that is always late it goes on all the same: it is asked about once.
     let late = all.ask("2d");
     all.stand_still();
-    let again = tokio::time::timeout(LONG, all.inputs.recv()).await.unwrap().unwrap();
+    let again = tokio::time::timeout(LONG, all.inputs.recv())
+        .await
+        .unwrap()
+        .unwrap();
     all.node.input(again);
     all.stand_still();
     read(&mut stream, "2d").await;
@@ -384,13 +484,35 @@
 async fn after_a_standstill_what_forbids_sends_is_taken_before_what_asks_for_them() {
     let (mut all, _stream) = Driven::warmed().await;
     let asked = |all: &Driven| {
-        let command = Command { key: "aa".into(), time_left: AIM, ..Command::default() };
+        let command = Command {
+            key: "aa".into(),
+            time_left: AIM,
+            ..Command::default()
+        };
         let (at, answers) = (all.node.clock.now(), all.answer_to.clone());
-        Input::Asked(Box::new(Asked { command, at, client: 1, slot: 9, answers }))
+        Input::Asked(Box::new(Asked {
+            command,
+            at,
+            client: 1,
+            slot: 9,
+            answers,
+        }))
     };
-    let (call, endpoints) = (all.node.discovery.test_call(), vec![endpoint(&all.cache, "leaving")]);
+    let (call, endpoints) = (
+        all.node.discovery.test_call(),
+        vec![endpoint(&all.cache, "leaving")],
+    );
     all.hub.try_send(asked(&all)).unwrap();
-    all.hub.try_send(Input::List(call, Listing { index: 2, snapshot: false, endpoints })).unwrap();
+    all.hub
+        .try_send(Input::List(
+            call,
+            Listing {
+                index: 2,
+                snapshot: false,
+                endpoints,
+            },
+        ))
+        .unwrap();
     let mut arrived = Some(asked(&all));
     all.node.catch_up(&mut all.inputs, &mut arrived).await;
     for _ in 0..2 {
@@ -406,22 +528,38 @@
     let (number, at) = (all.node.next, all.node.clock.now());
     // More than the machine's buffers hold: the server takes nothing.
     let value = Some(Bytes::from(vec![b'v'; 64 * 1024 * 1024]));
-    let command = Command { key: "aa".into(), id: "1d".into(), value, time_left: AIM, ..Command::default() };
+    let command = Command {
+        key: "aa".into(),
+        id: "1d".into(),
+        value,
+        time_left: AIM,
+        ..Command::default()
+    };
     let answers = all.answer_to.clone();
-    all.node.asked(Asked { command, at, client: 1, slot: number, answers });
+    all.node.asked(Asked {
+        command,
+        at,
+        client: 1,
+        slot: number,
+        answers,
+    });
     let conn = all.node.attempts[&(number, 0)].conn.unwrap();
     while all.node.pool.progress(conn) != Progress::Writing {
         tokio::task::yield_now().await;
     }
     all.node.input(Input::ClientGone(1));
-    assert_eq!((all.node.attempts.len(), all.node.pool.state(conn)), (0, None));
+    assert_eq!(
+        (all.node.attempts.len(), all.node.pool.state(conn)),
+        (0, None)
+    );
     let mut seen = Vec::new();
     let _ = stream.read_to_end(&mut seen).await;
     assert!(!seen.ends_with(b"v\r\n"), "{} bytes of it came", seen.len());
 }
 
 #[tokio::test]
-async fn the_time_of_an_earlier_request_that_was_given_up_ends_no_later_one_on_the_same_connection() {
+async fn the_time_of_an_earlier_request_that_was_given_up_ends_no_later_one_on_the_same_connection()
+{
     let (mut all, mut stream) = Driven::warmed().await;
     let first = all.ask("1d");
     read(&mut stream, "1d").await;
@@ -436,7 +574,10 @@
     all.node.give_up((second, 0), Status::Cancelled);
     let conn = all.node.pool.state(1).map(|(_, state)| state);
     all.node.due(Due::Late(1, sent), sent + AIM);
-    assert_eq!((conn, all.node.pool.state(1).is_some()), (Some(State::Late(sent + 1)), true));
+    assert_eq!(
+        (conn, all.node.pool.state(1).is_some()),
+        (Some(State::Late(sent + 1)), true)
+    );
 }
 
 #[tokio::test]
@@ -444,9 +585,22 @@
     let mut all = Driven::new().await;
     all.ask("1d");
     let moved = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let endpoints = vec![Endpoint { since_ms: 5, ..endpoint(&moved, "active") }];
-    all.node.list(Listing { index: 2, snapshot: false, endpoints }, None);
-    let (mut stream, _) = tokio::time::timeout(LONG, moved.accept()).await.expect("a connection").unwrap();
+    let endpoints = vec![Endpoint {
+        since_ms: 5,
+        ..endpoint(&moved, "active")
+    }];
+    all.node.list(
+        Listing {
+            index: 2,
+            snapshot: false,
+            endpoints,
+        },
+        None,
+    );
+    let (mut stream, _) = tokio::time::timeout(LONG, moved.accept())
+        .await
+        .expect("a connection")
+        .unwrap();
     // Both are up, in whatever order: the one to the old address carries nothing.
     while all.answers.is_empty() {
         let mut seen = [0; 1024];
@@ -460,5 +614,9 @@
     }
     assert_eq!(all.answers.try_recv().unwrap().1, &b"$1\r\nv\r\n"[..]);
     let (mut old, _) = all.cache.accept().await.unwrap();
-    assert_eq!(old.read(&mut [0; 8]).await.unwrap(), 0, "closed, and nothing was written to it");
+    assert_eq!(
+        old.read(&mut [0; 8]).await.unwrap(),
+        0,
+        "closed, and nothing was written to it"
+    );
 }
--- a/crates/cache-router/tests/parts/resp.rs
+++ b/crates/cache-router/tests/parts/resp.rs
@@ -39,8 +39,17 @@
 fn a_command_of_many_long_words_is_not_waited_for() {
     let value = vec![b'v'; MAX_VALUE];
     let longest = command(&[b"OBJ.SET", &[b'k'; 512], &[b'i'; 512], &[b'f'; 512], &value]);
-    assert_eq!(take_command(&mut BytesMut::from(&longest[..longest.len() - 1])), Ok(None));
-    assert_eq!(take_command(&mut BytesMut::from(&longest[..])).unwrap().unwrap().len(), 5);
+    assert_eq!(
+        take_command(&mut BytesMut::from(&longest[..longest.len() - 1])),
+        Ok(None)
+    );
+    assert_eq!(
+        take_command(&mut BytesMut::from(&longest[..]))
+            .unwrap()
+            .unwrap()
+            .len(),
+        5
+    );
     let many = command(&[&value[..]; 16]);
     assert!(take_command(&mut BytesMut::from(&many[..2 * MAX_VALUE])).is_err());
 }
@@ -51,7 +60,10 @@
     let bulk = |text: &'static str| Value::Bulk(Some(Bytes::from_static(text.as_bytes())));
     let array = Value::Array(vec![bulk("ab"), Value::Bulk(None), bulk("hit")]);
     assert_eq!(take_value(&mut answer), Ok(Some(array)));
-    assert_eq!(take_value(&mut answer), Ok(Some(Value::Error("BUSY".into()))));
+    assert_eq!(
+        take_value(&mut answer),
+        Ok(Some(Value::Error("BUSY".into())))
+    );
     assert_eq!(take_value(&mut answer), Ok(Some(Value::Number(7))));
     assert_eq!(take_value(&mut answer), Ok(None));
     assert!(take_value(&mut BytesMut::from(&b"*1\r\n".repeat(9000)[..])).is_err());
--- a/crates/cache-router/tests/parts/resting.rs
+++ b/crates/cache-router/tests/parts/resting.rs
@@ -15,7 +15,9 @@
     let asked = |rest: &mut Rest| {
         let mut wait = std::pin::pin!(rest.asked());
         let waker = std::task::Waker::noop();
-        wait.as_mut().poll(&mut std::task::Context::from_waker(waker)).is_ready()
+        wait.as_mut()
+            .poll(&mut std::task::Context::from_waker(waker))
+            .is_ready()
     };
     // Nobody rests: the next that does is asked, once.
     resting.ask_or_wait();
--- a/crates/cluster-model/src/list.rs
+++ b/crates/cluster-model/src/list.rs
@@ -23,7 +23,12 @@
 
 impl Default for Spec {
     fn default() -> Self {
-        Spec { call: 10_000, write: 0, timeout: 2_000_000, history: 1_000 }
+        Spec {
+            call: 10_000,
+            write: 0,
+            timeout: 2_000_000,
+            history: 1_000,
+        }
     }
 }
 
@@ -97,7 +102,16 @@
 impl List {
     /// A list of servers that run since long ago.
     pub fn new(spec: Spec, servers: impl IntoIterator<Item = u32>) -> Self {
-        let line = |server| (server, Line { server, condition: Condition::Active, started: 0 });
+        let line = |server| {
+            (
+                server,
+                Line {
+                    server,
+                    condition: Condition::Active,
+                    started: 0,
+                },
+            )
+        };
         List {
             spec,
             version: 1,
@@ -139,7 +153,15 @@
         for (node, held) in &mut self.watches {
             self.busy = self.busy.max(now) + write;
             *held = version;
-            told.push((self.busy, *node, Told::Lines { version, whole: false, lines: vec![line] }));
+            told.push((
+                self.busy,
+                *node,
+                Told::Lines {
+                    version,
+                    whole: false,
+                    lines: vec![line],
+                },
+            ));
         }
         told
     }
@@ -190,24 +212,46 @@
 
     fn answer(&mut self, node: NodeId, call: Call) -> Told {
         let version = self.version;
-        let whole = Told::Lines { version, whole: true, lines: self.lines() };
-        let Call::Watch { after } = call else { return whole };
+        let whole = Told::Lines {
+            version,
+            whole: true,
+            lines: self.lines(),
+        };
+        let Call::Watch { after } = call else {
+            return whole;
+        };
         self.watches.insert(node, version);
         // Known from the version after the one held on, without a gap.
-        let oldest = self.changes.front().map_or(version + 1, |(version, _)| *version);
+        let oldest = self
+            .changes
+            .front()
+            .map_or(version + 1, |(version, _)| *version);
         if after == 0 || after > version || after + 1 < oldest {
             return whole;
         }
-        let lines =
-            self.changes.iter().filter(|(version, _)| *version > after).map(|(_, line)| *line).collect();
-        Told::Lines { version, whole: false, lines }
+        let lines = self
+            .changes
+            .iter()
+            .filter(|(version, _)| *version > after)
+            .map(|(_, line)| *line)
+            .collect();
+        Told::Lines {
+            version,
+            whole: false,
+            lines,
+        }
     }
 
     /// The service is reached elsewhere from now on: all watches and calls end.
     pub fn move_away(&mut self) -> Vec<(NodeId, Told)> {
         let watching = std::mem::take(&mut self.watches).into_keys();
-        let waiting = std::mem::take(&mut self.queue).into_iter().map(|(_, node, _)| node);
-        watching.chain(waiting).map(|node| (node, Told::Failed)).collect()
+        let waiting = std::mem::take(&mut self.queue)
+            .into_iter()
+            .map(|(_, node, _)| node);
+        watching
+            .chain(waiting)
+            .map(|node| (node, Told::Failed))
+            .collect()
     }
 
     /// The service goes down, which ends all watches and calls, or comes back.
--- a/crates/cluster-model/src/machine.rs
+++ b/crates/cluster-model/src/machine.rs
@@ -109,13 +109,24 @@
 
     /// Part of its capacity that it has, by time and by the work it has done.
     pub fn warmth(&self, now: Micros) -> f64 {
-        let Spec { cold_share, warm_up, warm_by_work, cores, speed, .. } = self.spec;
+        let Spec {
+            cold_share,
+            warm_up,
+            warm_by_work,
+            cores,
+            speed,
+            ..
+        } = self.spec;
         if warm_up == 0 || cold_share >= 1.0 {
             return 1.0;
         }
         let by_time = now.saturating_sub(self.started) as f64 / warm_up as f64;
         let full = cores * speed * warm_up as f64;
-        let by_work = if warm_by_work > 0.0 { self.done / (full * warm_by_work) } else { 0.0 };
+        let by_work = if warm_by_work > 0.0 {
+            self.done / (full * warm_by_work)
+        } else {
+            0.0
+        };
         (cold_share + (1.0 - cold_share) * (by_time + by_work)).min(1.0)
     }
 
@@ -206,7 +217,13 @@
     pub fn stop(&mut self) -> Vec<JobId> {
         self.ends.clear();
         let working = std::mem::take(&mut self.working).into_keys();
-        working.chain(std::mem::take(&mut self.waiting).into_iter().map(|(job, _)| job)).collect()
+        working
+            .chain(
+                std::mem::take(&mut self.waiting)
+                    .into_iter()
+                    .map(|(job, _)| job),
+            )
+            .collect()
     }
 
     fn begin(&mut self, job: JobId, work: f64) {
--- a/crates/cluster-model/src/memory.rs
+++ b/crates/cluster-model/src/memory.rs
@@ -18,7 +18,12 @@
 impl Memory {
     /// An empty one, whose values are void after a time (0: never).
     pub fn new(room: u64, keeps: Micros) -> Self {
-        Memory { room, used: 0, keeps, values: LruCache::unbounded() }
+        Memory {
+            room,
+            used: 0,
+            keeps,
+            values: LruCache::unbounded(),
+        }
     }
 
     /// Whether it holds a key; if so, the key counts as used.
--- a/crates/cluster-model/src/network.rs
+++ b/crates/cluster-model/src/network.rs
@@ -25,7 +25,12 @@
 
 impl Default for Spec {
     fn default() -> Self {
-        Spec { same: 200, cross: 4_000, jitter: 0.2, lost: 0.0 }
+        Spec {
+            same: 200,
+            cross: 4_000,
+            jitter: 0.2,
+            lost: 0.0,
+        }
     }
 }
 
@@ -65,7 +70,11 @@
 impl Network {
     /// One without cuts.
     pub fn new(spec: Spec) -> Self {
-        Network { spec, breaks: Breaks::default(), cut: BTreeSet::new() }
+        Network {
+            spec,
+            breaks: Breaks::default(),
+            cut: BTreeSet::new(),
+        }
     }
 
     /// Cuts or mends the way from one zone to another, in that direction only.
@@ -97,7 +106,11 @@
 
     /// What becomes of an answer.
     pub fn fate(&self, chance: &mut Chance) -> Fate {
-        let Breaks { lost, spoilt, reset } = self.breaks;
+        let Breaks {
+            lost,
+            spoilt,
+            reset,
+        } = self.breaks;
         match chance.random::<f64>() {
             draw if draw < lost => Fate::Lost,
             draw if draw < lost + spoilt => Fate::Spoilt,
@@ -108,7 +121,11 @@
 
     /// How long a message takes, `None` where it never comes.
     pub fn carry(&self, from: Zone, to: Zone, chance: &mut Chance) -> Option<Micros> {
-        let base = if from == to { self.spec.same } else { self.spec.cross };
+        let base = if from == to {
+            self.spec.same
+        } else {
+            self.spec.cross
+        };
         // Drawn in any case, so that a cut does not shift the chance of what comes after it.
         let (jitter, lost) = (chance.random::<f64>(), chance.random::<f64>());
         let there = self.open(from, to) && lost >= self.spec.lost;
--- a/crates/cluster-model/src/origin.rs
+++ b/crates/cluster-model/src/origin.rs
@@ -71,7 +71,15 @@
     /// One that is warm and idle.
     pub fn new(spec: Spec, now: Micros) -> Origin {
         let machine = Machine::new(spec.machine.clone(), 0, now);
-        Origin { spec, machine, held: BTreeMap::new(), fault: None, full: None, down_until: None, falls: 0 }
+        Origin {
+            spec,
+            machine,
+            held: BTreeMap::new(),
+            fault: None,
+            full: None,
+            down_until: None,
+            falls: 0,
+        }
     }
 
     /// From now on this part of the calls fails in some way, or none.
@@ -97,7 +105,10 @@
             return Taken::Answered(Answer::Refused);
         }
         self.down_until = None;
-        let fault = self.fault.filter(|(_, part)| draw < *part).map(|(fault, _)| fault);
+        let fault = self
+            .fault
+            .filter(|(_, part)| draw < *part)
+            .map(|(fault, _)| fault);
         if fault == Some(Fault::Early) {
             return Taken::Answered(Answer::Unprocessed);
         }
@@ -106,12 +117,16 @@
             return Taken::Held;
         }
         let relieved = |(_, last): &(Micros, Micros)| last + self.spec.relief < now;
-        let since = self.full.filter(|full| !relieved(full)).map_or(now, |(since, _)| since);
+        let since = self
+            .full
+            .filter(|full| !relieved(full))
+            .map_or(now, |(since, _)| since);
         self.full = Some((since, now));
         if self.spec.fall_after == 0 || now < since + self.spec.fall_after {
             return Taken::Answered(Answer::Unprocessed);
         }
-        (self.full, self.down_until, self.falls) = (None, Some(now + self.spec.back_after), self.falls + 1);
+        (self.full, self.down_until, self.falls) =
+            (None, Some(now + self.spec.back_after), self.falls + 1);
         self.held.clear();
         let lost = self.machine.stop();
         self.machine = Machine::new(self.spec.machine.clone(), 0, now);
@@ -121,7 +136,16 @@
     /// The calls that have their answer by now.
     pub fn finish(&mut self, now: Micros) -> Vec<(JobId, Answer)> {
         let finished = self.machine.finish(now).into_iter();
-        let answer = |job| Some((job, if self.held.remove(&job)? { Answer::Failed } else { Answer::Done }));
+        let answer = |job| {
+            Some((
+                job,
+                if self.held.remove(&job)? {
+                    Answer::Failed
+                } else {
+                    Answer::Done
+                },
+            ))
+        };
         finished.filter_map(answer).collect()
     }
 
--- a/crates/cluster-model/src/rules.rs
+++ b/crates/cluster-model/src/rules.rs
@@ -81,20 +81,32 @@
         write!(f, "{:.3} s: ", self.at as f64 / 1e6)?;
         match &self.what {
             Broken::Lost((node, id)) => {
-                write!(f, "lost: node {node} gave request {id} no final answer in time")
+                write!(
+                    f,
+                    "lost: node {node} gave request {id} no final answer in time"
+                )
             }
             Broken::SentAfterEnd((node, id)) => {
                 write!(f, "lost: node {node} sent request {id} after its end")
             }
             Broken::Twice((node, id)) => {
-                write!(f, "dup: node {node} sent request {id} though it may have run")
+                write!(
+                    f,
+                    "dup: node {node} sent request {id} though it may have run"
+                )
             }
             Broken::RefusedThoughRun((node, id)) => {
-                write!(f, "dup: node {node} refused request {id} though it may have run")
+                write!(
+                    f,
+                    "dup: node {node} refused request {id} though it may have run"
+                )
             }
             Broken::Drain(node, server, after) => {
                 let after = *after as f64 / 1e6;
-                write!(f, "drain: node {node} sent to server {server} {after:.3} s after it was told to stop")
+                write!(
+                    f,
+                    "drain: node {node} sent to server {server} {after:.3} s after it was told to stop"
+                )
             }
             Broken::PushedOver(server, fall) => write!(
                 f,
@@ -132,7 +144,10 @@
 impl Rules {
     /// With these figures.
     pub fn new(figures: Figures) -> Self {
-        Rules { figures, ..Rules::default() }
+        Rules {
+            figures,
+            ..Rules::default()
+        }
     }
 
     /// What has been broken, in order.
@@ -146,7 +161,12 @@
 
     /// A node has taken a request whose client waits until a deadline.
     pub fn taken(&mut self, request: Request, deadline: Micros, effect: Effect) {
-        let owed = Owed { deadline, effect, ended: None, may_have_run: BTreeMap::new() };
+        let owed = Owed {
+            deadline,
+            effect,
+            ended: None,
+            may_have_run: BTreeMap::new(),
+        };
         self.owed.insert(request, owed);
     }
 
@@ -154,14 +174,19 @@
     pub fn sent(&mut self, now: Micros, request: Request, attempt: u16, server: u32) {
         let (node, _) = request;
         let told = self.told.get(&(node, server)).copied();
-        let known = self.known.get(&server).map(|known| known + self.figures.told_after);
+        let known = self
+            .known
+            .get(&server)
+            .map(|known| known + self.figures.told_after);
         let told = told.into_iter().chain(known).min();
         if let Some(after) = told.and_then(|told| now.checked_sub(told))
             && after > self.figures.drain_grace
         {
             self.broken(now, Broken::Drain(node, server, after));
         }
-        let Some(owed) = self.owed.get_mut(&request) else { return };
+        let Some(owed) = self.owed.get_mut(&request) else {
+            return;
+        };
         let first = owed.may_have_run.values().min().copied();
         owed.may_have_run.insert(attempt, now);
         let twice = match (owed.effect, first) {
@@ -169,7 +194,9 @@
             (Effect::Keyed(window), Some(first)) => now > first + window,
             (Effect::Once, Some(_)) => true,
         };
-        let ended = owed.ended.is_some_and(|ended| now >= ended + self.figures.sent_grace);
+        let ended = owed
+            .ended
+            .is_some_and(|ended| now >= ended + self.figures.sent_grace);
         if twice {
             self.broken(now, Broken::Twice(request));
         }
@@ -187,7 +214,13 @@
 
     /// A node gives its final answer; whether it is a refusal.
     pub fn answered(&mut self, now: Micros, request: Request, refused: bool) {
-        let Some(owed) = self.owed.get_mut(&request).filter(|owed| owed.ended.is_none()) else { return };
+        let Some(owed) = self
+            .owed
+            .get_mut(&request)
+            .filter(|owed| owed.ended.is_none())
+        else {
+            return;
+        };
         owed.ended = Some(now);
         let late = now > owed.deadline + self.figures.answer_grace;
         let run = refused && owed.effect == Effect::Once && !owed.may_have_run.is_empty();
@@ -201,7 +234,11 @@
 
     /// A node ended a request's connection without a whole answer, and was not killed.
     pub fn broken_off(&mut self, now: Micros, request: Request) {
-        if let Some(owed) = self.owed.get_mut(&request).filter(|owed| owed.ended.is_none()) {
+        if let Some(owed) = self
+            .owed
+            .get_mut(&request)
+            .filter(|owed| owed.ended.is_none())
+        {
             owed.ended = Some(now);
             self.broken(now, Broken::Lost(request));
         }
@@ -221,16 +258,27 @@
 
     /// A stopped node goes on: only now can it learn which clients left meanwhile.
     pub fn went_on(&mut self, now: Micros, node: NodeId) {
-        let Some(since) = self.stopped.remove(&node) else { return };
-        let meanwhile = self.owed.iter_mut().filter(|(request, _)| request.0 == node);
-        for (_, owed) in meanwhile.filter(|(_, owed)| owed.ended.is_some_and(|ended| ended >= since)) {
+        let Some(since) = self.stopped.remove(&node) else {
+            return;
+        };
+        let meanwhile = self
+            .owed
+            .iter_mut()
+            .filter(|(request, _)| request.0 == node);
+        for (_, owed) in
+            meanwhile.filter(|(_, owed)| owed.ended.is_some_and(|ended| ended >= since))
+        {
             owed.ended = Some(now);
         }
     }
 
     /// No attempt of a request is out any more and it has ended: it can be forgotten.
     pub fn forget(&mut self, request: Request) {
-        if self.owed.get(&request).is_some_and(|owed| owed.ended.is_some()) {
+        if self
+            .owed
+            .get(&request)
+            .is_some_and(|owed| owed.ended.is_some())
+        {
             self.owed.remove(&request);
         }
     }
@@ -274,6 +322,7 @@
             (owed.ended.is_none() && now > owed.deadline + grace).then_some(*request)
         };
         let lost: Vec<_> = self.owed.iter().filter_map(lost).collect();
-        lost.into_iter().for_each(|request| self.broken(now, Broken::Lost(request)));
+        lost.into_iter()
+            .for_each(|request| self.broken(now, Broken::Lost(request)));
     }
 }
--- a/crates/cluster-model/src/server.rs
+++ b/crates/cluster-model/src/server.rs
@@ -111,8 +111,19 @@
     /// One that is empty and started at a time (0: long ago, so that it is warm).
     pub fn new(spec: Spec, started: Micros, now: Micros) -> Self {
         // One that runs since long ago is warm, whatever the clock's beginning.
-        let cold = if started == 0 { 1.0 } else { spec.machine.cold_share };
-        let machine = Machine::new(MachineSpec { cold_share: cold, ..spec.machine.clone() }, started, now);
+        let cold = if started == 0 {
+            1.0
+        } else {
+            spec.machine.cold_share
+        };
+        let machine = Machine::new(
+            MachineSpec {
+                cold_share: cold,
+                ..spec.machine.clone()
+            },
+            started,
+            now,
+        );
         Cache {
             machine,
             memory: Memory::new(spec.memory, spec.keeps),
@@ -186,7 +197,11 @@
         }
         // What it will answer is settled when it begins to look, so that a value stored meanwhile is not seen.
         let hit = self.memory.get(now, ask.key);
-        let work = if hit { ask.work } else { ask.work * self.spec.miss_work };
+        let work = if hit {
+            ask.work
+        } else {
+            ask.work * self.spec.miss_work
+        };
         if self.draining || !self.machine.arrive(now, job, work) {
             self.machine.distract(now, self.spec.refusal_work);
             return Taken::Answered(Answer::Busy);
@@ -216,8 +231,18 @@
         if self.load <= self.spec.fall_multiple * can + self.spec.fall_slack {
             return false;
         }
-        let knew: f64 = self.offered.iter().filter(|(.., knew)| *knew).map(|(_, work, _)| work).sum();
-        self.fall = Some(Fall { at: now, age, multiple: self.load / can, knew: knew / self.load });
+        let knew: f64 = self
+            .offered
+            .iter()
+            .filter(|(.., knew)| *knew)
+            .map(|(_, work, _)| work)
+            .sum();
+        self.fall = Some(Fall {
+            at: now,
+            age,
+            multiple: self.load / can,
+            knew: knew / self.load,
+        });
         true
     }
 
--- a/crates/cluster-model/tests/rules.rs
+++ b/crates/cluster-model/tests/rules.rs
@@ -8,11 +8,18 @@
 const SECOND: u64 = 1_000_000;
 
 fn rules() -> Rules {
-    Rules::new(Figures { answer_grace: 20_000, ..Figures::default() })
+    Rules::new(Figures {
+        answer_grace: 20_000,
+        ..Figures::default()
+    })
 }
 
 fn broken(rules: &Rules) -> Vec<Broken> {
-    rules.breaks().iter().map(|broken| broken.what.clone()).collect()
+    rules
+        .breaks()
+        .iter()
+        .map(|broken| broken.what.clone())
+        .collect()
 }
 
 #[test]
@@ -27,7 +34,10 @@
     all.end(2 * SECOND);
     assert_eq!(broken(&all), [Broken::Lost((3, 1)), Broken::Lost((3, 3))]);
     let told = all.breaks()[0].to_string();
-    assert_eq!(told, "1.020 s: lost: node 3 gave request 1 no final answer in time");
+    assert_eq!(
+        told,
+        "1.020 s: lost: node 3 gave request 1 no final answer in time"
+    );
     let mut killed = rules();
     killed.taken(R, SECOND, Effect::Pure);
     killed.killed(3);
@@ -37,7 +47,11 @@
 
 #[test]
 fn a_stopped_node_learns_of_its_clients_that_left_when_it_goes_on_and_not_before() {
-    let figures = Figures { answer_grace: 20_000, sent_grace: 50_000, ..Figures::default() };
+    let figures = Figures {
+        answer_grace: 20_000,
+        sent_grace: 50_000,
+        ..Figures::default()
+    };
     for (sent, kept) in [(2 * SECOND + 49_999, true), (2 * SECOND + 50_000, false)] {
         let mut all = Rules::new(figures.clone());
         all.taken(R, SECOND, Effect::Pure);
@@ -53,7 +67,11 @@
     all.stopped(3 * SECOND / 2, 3);
     all.went_on(2 * SECOND, 3);
     all.sent(2 * SECOND, R, 0, 7);
-    assert_eq!(broken(&all), [Broken::SentAfterEnd(R)], "it had left before");
+    assert_eq!(
+        broken(&all),
+        [Broken::SentAfterEnd(R)],
+        "it had left before"
+    );
 }
 
 #[test]
@@ -80,7 +98,10 @@
     all.sent(30, R, 1, 2);
     assert_eq!(broken(&all), [Broken::SentAfterEnd(R)]);
     // What was on its way is forgiven for as long as is stated, and still counts for what must not run twice.
-    let mut all = Rules::new(Figures { sent_grace: 50, ..Figures::default() });
+    let mut all = Rules::new(Figures {
+        sent_grace: 50,
+        ..Figures::default()
+    });
     all.taken(R, SECOND, Effect::Once);
     all.sent(10, R, 0, 1);
     all.answered(20, R, false);
@@ -102,7 +123,10 @@
     assert_eq!(broken(&all), []);
     all.sent(30, R, 2, 1);
     all.answered(40, R, true);
-    assert_eq!(broken(&all), [Broken::Twice(R), Broken::RefusedThoughRun(R)]);
+    assert_eq!(
+        broken(&all),
+        [Broken::Twice(R), Broken::RefusedThoughRun(R)]
+    );
 }
 
 #[test]
@@ -118,7 +142,8 @@
 }
 
 #[test]
-fn a_send_to_a_drained_server_counts_from_when_its_node_was_told_or_six_seconds_after_it_was_known() {
+fn a_send_to_a_drained_server_counts_from_when_its_node_was_told_or_six_seconds_after_it_was_known()
+{
     let mut all = rules();
     all.known(SECOND, 8, false);
     all.told(2 * SECOND, 3, 8, false);
@@ -127,7 +152,10 @@
     assert_eq!(broken(&all), []);
     all.sent(2 * SECOND + 550_001, R, 1, 8);
     all.sent(7 * SECOND + 600_000, (4, 1), 1, 8);
-    assert_eq!(broken(&all), [Broken::Drain(3, 8, 550_001), Broken::Drain(4, 8, 600_000)]);
+    assert_eq!(
+        broken(&all),
+        [Broken::Drain(3, 8, 550_001), Broken::Drain(4, 8, 600_000)]
+    );
     all.known(8 * SECOND, 8, true);
     all.told(8 * SECOND, 3, 8, true);
     all.sent(9 * SECOND, R, 2, 8);
@@ -137,7 +165,12 @@
 
 #[test]
 fn a_fall_is_a_break_where_two_thirds_of_the_load_came_from_those_who_knew() {
-    let fall = |knew| Fall { at: 5 * SECOND, age: SECOND, multiple: 2.6, knew };
+    let fall = |knew| Fall {
+        at: 5 * SECOND,
+        age: SECOND,
+        multiple: 2.6,
+        knew,
+    };
     let mut all = rules();
     all.fell(8, fall(0.66));
     assert_eq!(broken(&all), []);
--- a/crates/router-config/src/layers.rs
+++ b/crates/router-config/src/layers.rs
@@ -37,7 +37,9 @@
 impl Display for Place {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
-            Place::File(path, Some((line, column))) => write!(f, "{}:{line}:{column}", path.display()),
+            Place::File(path, Some((line, column))) => {
+                write!(f, "{}:{line}:{column}", path.display())
+            }
             Place::File(path, None) => write!(f, "{}", path.display()),
             Place::Variable(name) => write!(f, "variable {name}"),
             Place::Flag(key) => write!(f, "--set {key}"),
@@ -91,7 +93,10 @@
     pub fn from_env() -> Layers {
         // What is not Unicode can't be one of our keys.
         Layers::default().variables(std::env::vars_os().filter_map(|(name, value)| {
-            Some((name.into_string().ok()?, value.to_string_lossy().into_owned()))
+            Some((
+                name.into_string().ok()?,
+                value.to_string_lossy().into_owned(),
+            ))
         }))
     }
 
@@ -99,7 +104,9 @@
     pub fn variables(mut self, all: impl IntoIterator<Item = (String, String)>) -> Layers {
         for (name, value) in all {
             if name == FILE {
-                self.file = Some(value).filter(|value| !value.is_empty()).map(PathBuf::from);
+                self.file = Some(value)
+                    .filter(|value| !value.is_empty())
+                    .map(PathBuf::from);
             } else if name.starts_with(PREFIX) {
                 self.variables.push((name, value));
             }
@@ -124,7 +131,10 @@
     /// # Errors
     /// Where the file can't be read or any layer holds what the schema does not allow.
     pub fn read(&self) -> Result<Config, ConfigError> {
-        self.extract(Figment::from(Serialized::defaults(Config::default())), Config::impossible)
+        self.extract(
+            Figment::from(Serialized::defaults(Config::default())),
+            Config::impossible,
+        )
     }
 
     /// Reads all layers over some defaults into a schema, and asks it for a value that is impossible.
@@ -139,7 +149,10 @@
             && let Some((at, what)) = locate::fault(text)
         {
             let place = Place::File(path.into(), Some(at));
-            return Err(ConfigError::Wrong { place, what: format!("not TOML: {what}") });
+            return Err(ConfigError::Wrong {
+                place,
+                what: format!("not TOML: {what}"),
+            });
         }
         let mut layers = defaults;
         for (_, text) in self.bases.iter().rev() {
@@ -150,17 +163,27 @@
         }
         let key = |name: &str| name[PREFIX.len()..].to_ascii_lowercase().replace("__", ".");
         for (name, value) in &self.variables {
-            layers = layers.merge(Pair { source: format!("variable {name}"), key: key(name), value });
+            layers = layers.merge(Pair {
+                source: format!("variable {name}"),
+                key: key(name),
+                value,
+            });
         }
         for (key, value) in &self.flags {
-            layers = layers.merge(Pair { source: format!("--set {key}"), key: key.clone(), value });
+            layers = layers.merge(Pair {
+                source: format!("--set {key}"),
+                key: key.clone(),
+                value,
+            });
         }
         let found: T = layers.extract().map_err(|e| self.wrong(&e, file))?;
         match impossible(&found) {
             None => Ok(found),
             Some((key, what)) => {
                 let path: Vec<String> = key.split('.').map(str::to_string).collect();
-                let source = layers.find_metadata(&key).map(|found| found.name.to_string());
+                let source = layers
+                    .find_metadata(&key)
+                    .map(|found| found.name.to_string());
                 Err(ConfigError::Wrong {
                     place: self.place(source, &path, file),
                     what: format!("{key}: {what}"),
@@ -186,7 +209,10 @@
         };
         let source = error.metadata.as_ref().map(|found| found.name.to_string());
         let place = self.place(source, &path, file);
-        ConfigError::Wrong { place, what: format!("{}: {what}", path.join(".")) }
+        ConfigError::Wrong {
+            place,
+            what: format!("{}: {what}", path.join(".")),
+        }
     }
 
     /// The place of a key in the layer that a name of a source tells.
@@ -204,7 +230,10 @@
         if self.variables.iter().any(|(name, _)| *name == variable) {
             return Place::Variable(variable);
         }
-        let bases = self.bases.iter().map(|(path, text)| (path.as_path(), text.as_str()));
+        let bases = self
+            .bases
+            .iter()
+            .map(|(path, text)| (path.as_path(), text.as_str()));
         let holds = |(_, text): &(&Path, &str)| locate::holds(text, path);
         match file.into_iter().chain(bases).find(holds).or(file) {
             Some((file, text)) => Place::File(file.into(), locate::key(text, path)),
@@ -226,7 +255,11 @@
     impossible: impl Fn(&T) -> Option<(String, String)>,
 ) -> Result<T, ConfigError> {
     let bases = bases(path)?;
-    let layers = Layers { bases, flags: set.to_vec(), ..Layers::default().file(path) };
+    let layers = Layers {
+        bases,
+        flags: set.to_vec(),
+        ..Layers::default().file(path)
+    };
     layers.extract(Figment::new(), impossible)
 }
 
@@ -239,14 +272,23 @@
         let from = seen.last().map_or(path, PathBuf::as_path).to_path_buf();
         let base = from.parent().unwrap_or(Path::new("")).join(base);
         let same = |other: &PathBuf| other.canonicalize().ok() == base.canonicalize().ok();
-        let wrong = |what| ConfigError::Wrong { place: Place::File(from.clone(), Some(at)), what };
+        let wrong = |what| ConfigError::Wrong {
+            place: Place::File(from.clone(), Some(at)),
+            what,
+        };
         if base.exists() && seen.iter().any(same) {
-            return Err(wrong(format!("base: {} is based on itself: name another or none", base.display())));
+            return Err(wrong(format!(
+                "base: {} is based on itself: name another or none",
+                base.display()
+            )));
         }
         text = read_file(&base).map_err(|e| wrong(format!("base: {e}")))?;
         if let Some((at, what)) = locate::fault(&text) {
             let place = Place::File(base, Some(at));
-            return Err(ConfigError::Wrong { place, what: format!("not TOML: {what}") });
+            return Err(ConfigError::Wrong {
+                place,
+                what: format!("not TOML: {what}"),
+            });
         }
         seen.push(base.clone());
         bases.push((base, text.clone()));
@@ -257,17 +299,28 @@
 /// What could have been meant.
 fn instead(name: &str, known: &[&str]) -> String {
     let alike = |known: &&&str| (strsim::jaro(name, known) * 1e6) as u64;
-    let near = known.iter().max_by_key(alike).filter(|near| strsim::jaro(name, near) > 0.7);
+    let near = known
+        .iter()
+        .max_by_key(alike)
+        .filter(|near| strsim::jaro(name, near) > 0.7);
     let meant = near.map_or(String::new(), |near| format!("; did you mean {near:?}?"));
     format!("; there are {}{meant}", known.join(", "))
 }
 
 fn read_file(path: &Path) -> Result<String, ConfigError> {
-    let unreadable = |source| ConfigError::Unreadable { path: path.into(), source };
+    let unreadable = |source| ConfigError::Unreadable {
+        path: path.into(),
+        source,
+    };
     let mut bytes = Vec::new();
     let file = std::fs::File::open(path).map_err(unreadable)?;
-    file.take(MAX_FILE + 1).read_to_end(&mut bytes).map_err(unreadable)?;
-    let no_text = |why| ConfigError::NoText { path: path.into(), why };
+    file.take(MAX_FILE + 1)
+        .read_to_end(&mut bytes)
+        .map_err(unreadable)?;
+    let no_text = |why| ConfigError::NoText {
+        path: path.into(),
+        why,
+    };
     if bytes.len() as u64 > MAX_FILE {
         return Err(no_text("longer than 1 MiB, which no configuration is"));
     }
@@ -289,6 +342,9 @@
     fn data(&self) -> Result<Map<Profile, Dict>, figment::Error> {
         let parsed: Value = self.value.parse().unwrap_or_else(|never| match never {});
         let nested = figment::util::nest(&self.key, parsed);
-        Ok(Map::from([(Profile::Default, nested.into_dict().unwrap_or_default())]))
+        Ok(Map::from([(
+            Profile::Default,
+            nested.into_dict().unwrap_or_default(),
+        )]))
     }
 }
--- a/crates/router-config/src/locate.rs
+++ b/crates/router-config/src/locate.rs
@@ -8,7 +8,13 @@
 pub fn line_and_column(text: &str, byte: usize) -> (usize, usize) {
     let before = &text[..text.floor_char_boundary(byte.min(text.len()))];
     let line = before.matches('\n').count() + 1;
-    let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
+    let column = before
+        .rsplit('\n')
+        .next()
+        .unwrap_or_default()
+        .chars()
+        .count()
+        + 1;
     (line, column)
 }
 
@@ -20,13 +26,20 @@
     for name in path {
         // A [[table]] by its number: what is found in it is nearer than its own header.
         if let Some(tables) = item.as_array_of_tables() {
-            let Some(table) = name.parse().ok().and_then(|number| tables.get(number)) else { break };
+            let Some(table) = name.parse().ok().and_then(|number| tables.get(number)) else {
+                break;
+            };
             found = table.span().or(found);
-            let Some((key, inner)) = path.last().and_then(|last| table.get_key_value(last)) else { break };
+            let Some((key, inner)) = path.last().and_then(|last| table.get_key_value(last)) else {
+                break;
+            };
             found = key.span().or_else(|| inner.span()).or(found);
             break;
         }
-        let Some((key, inner)) = item.as_table_like().and_then(|table| table.get_key_value(name)) else {
+        let Some((key, inner)) = item
+            .as_table_like()
+            .and_then(|table| table.get_key_value(name))
+        else {
             break;
         };
         // A table that is written with dots has no span of its own: its key's is the best there is.
@@ -38,7 +51,9 @@
 
 /// Whether a text has a key.
 pub fn holds(text: &str, path: &[String]) -> bool {
-    let Ok(document) = Document::parse(text) else { return false };
+    let Ok(document) = Document::parse(text) else {
+        return false;
+    };
     let mut item: Option<&Item> = Some(document.as_item());
     for name in path {
         let number = name.parse::<usize>().ok();
@@ -64,5 +79,8 @@
 pub fn fault(text: &str) -> Option<((usize, usize), String)> {
     let error = Document::parse(text).err()?;
     let start = error.span().map_or(0, |span| span.start);
-    Some((line_and_column(text, start), error.message().replace('\n', ", ")))
+    Some((
+        line_and_column(text, start),
+        error.message().replace('\n', ", "),
+    ))
 }
