--- a/crates/router-config/src/logging.rs
+++ b/crates/router-config/src/logging.rs
@@ -48,12 +48,20 @@
 {
     let limit = Limit::new(log, writer.clone());
     let guard = Guard(limit.0.clone());
-    let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(writer);
+    let lines = tracing_subscriber::fmt::layer()
+        .with_ansi(false)
+        .with_writer(writer);
     let lines: Box<dyn Layer<Registry> + Send + Sync> = match log.format {
         Format::Text => Box::new(lines),
         Format::Json => Box::new(lines.json().flatten_event(true)),
     };
-    (Registry::default().with(lines).with(limit).with(level(log.level)), guard)
+    (
+        Registry::default()
+            .with(lines)
+            .with(limit)
+            .with(level(log.level)),
+        guard,
+    )
 }
 
 fn level(level: Level) -> LevelFilter {
@@ -96,7 +104,13 @@
 impl<W> Limit<W> {
     fn new(log: &Log, writer: W) -> Self {
         let (lines, per) = (log.repeat.lines, log.repeat.per.0);
-        Limit(Arc::new(Counts { lines, per, format: log.format, writer, places: Mutex::default() }))
+        Limit(Arc::new(Counts {
+            lines,
+            per,
+            format: log.format,
+            writer,
+            places: Mutex::default(),
+        }))
     }
 }
 
@@ -105,7 +119,11 @@
     fn room(&self, at: At, now: Instant) -> bool {
         // A thread that died while it counted leaves counts that are still good enough.
         let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
-        let place = places.entry(at).or_insert(Place { since: now, let_through: 0, left_out: 0 });
+        let place = places.entry(at).or_insert(Place {
+            since: now,
+            let_through: 0,
+            left_out: 0,
+        });
         if now.duration_since(place.since) >= self.per {
             self.tell(at, place);
             (place.since, place.let_through) = (now, 0);
@@ -126,7 +144,10 @@
         let (at, mut writer) = (format!("{file}:{line}"), self.writer.make_writer());
         // A log that can't be written to is no reason to stop.
         let _ = match self.format {
-            Format::Text => writeln!(writer, "WARN log: {left_out} more lines from {at} were left out"),
+            Format::Text => writeln!(
+                writer,
+                "WARN log: {left_out} more lines from {at} were left out"
+            ),
             Format::Json => {
                 let line = serde_json::json!({"level": "WARN", "target": "log", "left_out": left_out, "at": at,
                     "message": "lines were left out"});
@@ -139,7 +160,9 @@
 impl<W: for<'a> MakeWriter<'a>> Tell for Counts<W> {
     fn tell_all(&self) {
         let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
-        places.iter_mut().for_each(|(at, place)| self.tell(*at, place));
+        places
+            .iter_mut()
+            .for_each(|(at, place)| self.tell(*at, place));
     }
 }
 
@@ -152,7 +175,10 @@
 {
     fn event_enabled(&self, event: &Event<'_>, _: Context<'_, S>) -> bool {
         let metadata = event.metadata();
-        let at = (metadata.file().unwrap_or_else(|| metadata.target()), metadata.line().unwrap_or(0));
+        let at = (
+            metadata.file().unwrap_or_else(|| metadata.target()),
+            metadata.line().unwrap_or(0),
+        );
         self.0.room(at, Instant::now())
     }
 }
--- a/crates/router-config/src/schema.rs
+++ b/crates/router-config/src/schema.rs
@@ -71,7 +71,10 @@
 
 impl Default for Repeat {
     fn default() -> Self {
-        Repeat { lines: 50, per: Span(Duration::from_secs(10)) }
+        Repeat {
+            lines: 50,
+            per: Span(Duration::from_secs(10)),
+        }
     }
 }
 
@@ -91,13 +94,15 @@
     pub(crate) fn impossible(&self) -> Option<(String, String)> {
         let Repeat { lines, per } = &self.log.repeat;
         if *lines == 0 {
-            let wanted =
-                "found 0, so that no line would ever be written: write 1 or more, or log.level = \"off\"";
+            let wanted = "found 0, so that no line would ever be written: write 1 or more, or log.level = \"off\"";
             return Some(("log.repeat.lines".into(), wanted.into()));
         }
         if per.0 < PER.0 || per.0 > PER.1 {
             let (least, most) = (Span(PER.0), Span(PER.1));
-            return Some(("log.repeat.per".into(), format!("found {per}: write {least} to {most}")));
+            return Some((
+                "log.repeat.per".into(),
+                format!("found {per}: write {least} to {most}"),
+            ));
         }
         None
     }
--- a/crates/router-config/src/units.rs
+++ b/crates/router-config/src/units.rs
@@ -36,7 +36,9 @@
 
             fn visit_str<E: de::Error>(self, text: &str) -> Result<Span, E> {
                 let parsed = humantime::parse_duration(text);
-                parsed.map(Span).map_err(|e| E::custom(format!("found {text:?} ({e}): write {FORM}")))
+                parsed
+                    .map(Span)
+                    .map_err(|e| E::custom(format!("found {text:?} ({e}): write {FORM}")))
             }
         }
         deserializer.deserialize_str(Text)
--- a/crates/router-config/tests/config.rs
+++ b/crates/router-config/tests/config.rs
@@ -22,13 +22,18 @@
 /// What is said of a file, without the folder.
 fn refusal(text: &str) -> String {
     let (folder, path) = file(text);
-    let error = Layers::default().file(path).read().expect_err(text).to_string();
+    let error = Layers::default()
+        .file(path)
+        .read()
+        .expect_err(text)
+        .to_string();
     error.replace(&format!("{}/", folder.path().display()), "")
 }
 
 #[test]
 fn flags_are_over_variables_over_the_file_over_the_defaults() {
-    let (_folder, path) = file("[log]\nlevel = \"warn\"\nformat = \"json\"\nrepeat = { lines = 7 }\n");
+    let (_folder, path) =
+        file("[log]\nlevel = \"warn\"\nformat = \"json\"\nrepeat = { lines = 7 }\n");
     let layers = Layers::default()
         .variables([
             variable("CACHE_ROUTER_CONFIG", path.to_str().unwrap()),
@@ -39,8 +44,14 @@
         .flag("log.repeat.per", "2s")
         .flag("node.trace", "true");
     let config = layers.read().unwrap();
-    assert_eq!((config.log.level, config.log.format), (Level::Debug, Format::Json));
-    assert_eq!((config.log.repeat.lines, config.log.repeat.per), (7, Span(Duration::from_secs(2))));
+    assert_eq!(
+        (config.log.level, config.log.format),
+        (Level::Debug, Format::Json)
+    );
+    assert_eq!(
+        (config.log.repeat.lines, config.log.repeat.per),
+        (7, Span(Duration::from_secs(2)))
+    );
     assert!(config.node.trace);
     assert_eq!(Layers::default().read().unwrap(), Config::default());
 }
@@ -56,25 +67,46 @@
             "\n[nod]\ntrace = true\n",
             "2:2: nod: there is no such key; there are log, node; did you mean \"node\"?",
         ),
-        ("[log]\n\nlevel = \"loud\"\n", "3:1: log.level: found \"loud\"; there are off, error, warn"),
+        (
+            "[log]\n\nlevel = \"loud\"\n",
+            "3:1: log.level: found \"loud\"; there are off, error, warn",
+        ),
         (
             "log.repeat.per = 10\n",
             "1:12: log.repeat.per: found signed int `10`: write a time with its unit, such as",
         ),
-        ("[log.repeat]\nper = \"10 parsecs\"\n", "2:1: log.repeat.per: found \"10 parsecs\" ("),
-        ("[log.repeat]\nlines = -1\n", "2:1: log.repeat.lines: found signed int `-1`: write "),
+        (
+            "[log.repeat]\nper = \"10 parsecs\"\n",
+            "2:1: log.repeat.per: found \"10 parsecs\" (",
+        ),
+        (
+            "[log.repeat]\nlines = -1\n",
+            "2:1: log.repeat.lines: found signed int `-1`: write ",
+        ),
         (
             "[log.repeat]\nlines = 0\n",
             "2:1: log.repeat.lines: found 0, so that no line would ever be written",
         ),
-        ("[log]\nrepeat = { per = \"2h\" }\n", "2:12: log.repeat.per: found 2h: write 100ms to 1h"),
-        ("[node]\ntrace = \"yes\"\n", "2:1: node.trace: found string \"yes\": write a boolean"),
+        (
+            "[log]\nrepeat = { per = \"2h\" }\n",
+            "2:12: log.repeat.per: found 2h: write 100ms to 1h",
+        ),
+        (
+            "[node]\ntrace = \"yes\"\n",
+            "2:1: node.trace: found string \"yes\": write a boolean",
+        ),
         ("[log]\nlevel = \"info\n", "2:"),
-        ("[log]\nlevel = \"info\"\nlevel = \"warn\"\n", "3:1: not TOML: "),
+        (
+            "[log]\nlevel = \"info\"\nlevel = \"warn\"\n",
+            "3:1: not TOML: ",
+        ),
     ];
     for (text, told) in faults {
         let refusal = refusal(text);
-        assert!(refusal.starts_with(&format!("router.toml:{told}")), "{text:?} is told as {refusal:?}");
+        assert!(
+            refusal.starts_with(&format!("router.toml:{told}")),
+            "{text:?} is told as {refusal:?}"
+        );
     }
 }
 
@@ -82,33 +114,70 @@
 fn a_fault_in_a_variable_or_a_flag_is_told_with_its_name() {
     let (_folder, path) = file("[log]\nlevel = \"warn\"\n");
     let wrong = |name, value| {
-        let layers = Layers::default().file(&path).variables([variable(name, value)]);
+        let layers = Layers::default()
+            .file(&path)
+            .variables([variable(name, value)]);
         layers.read().unwrap_err().to_string()
     };
     let told = wrong("CACHE_ROUTER_LOG__LEVEL", "loud");
-    assert!(told.starts_with("variable CACHE_ROUTER_LOG__LEVEL: log.level: found \"loud\""), "{told}");
+    assert!(
+        told.starts_with("variable CACHE_ROUTER_LOG__LEVEL: log.level: found \"loud\""),
+        "{told}"
+    );
     let told = wrong("CACHE_ROUTER_LOG__LEVLE", "info");
-    assert!(told.starts_with("variable CACHE_ROUTER_LOG__LEVLE: log.levle: there is no such key"), "{told}");
+    assert!(
+        told.starts_with("variable CACHE_ROUTER_LOG__LEVLE: log.levle: there is no such key"),
+        "{told}"
+    );
     let told = wrong("CACHE_ROUTER_LOG__REPEAT__LINES", "0");
     assert!(
         told.starts_with("variable CACHE_ROUTER_LOG__REPEAT__LINES: log.repeat.lines: found 0"),
         "{told}"
     );
-    let told = Layers::default().flag("log.repeat.per", "5").read().unwrap_err().to_string();
-    assert!(told.starts_with("--set log.repeat.per: log.repeat.per: found"), "{told}");
+    let told = Layers::default()
+        .flag("log.repeat.per", "5")
+        .read()
+        .unwrap_err()
+        .to_string();
+    assert!(
+        told.starts_with("--set log.repeat.per: log.repeat.per: found"),
+        "{told}"
+    );
 }
 
 #[test]
 fn what_is_no_text_too_long_or_not_there_is_refused_by_name() {
-    let nowhere = Layers::default().file("/nowhere/router.toml").read().unwrap_err();
-    assert!(nowhere.to_string().starts_with("cannot read /nowhere/router.toml: "), "{nowhere}");
+    let nowhere = Layers::default()
+        .file("/nowhere/router.toml")
+        .read()
+        .unwrap_err();
+    assert!(
+        nowhere
+            .to_string()
+            .starts_with("cannot read /nowhere/router.toml: "),
+        "{nowhere}"
+    );
     let (_folder, path) = file("");
     fs::write(&path, b"\xff\xfe").unwrap();
-    let no_text = Layers::default().file(&path).read().unwrap_err().to_string();
-    assert!(no_text.ends_with("router.toml: not UTF-8 text"), "{no_text}");
+    let no_text = Layers::default()
+        .file(&path)
+        .read()
+        .unwrap_err()
+        .to_string();
+    assert!(
+        no_text.ends_with("router.toml: not UTF-8 text"),
+        "{no_text}"
+    );
     fs::write(&path, vec![b'#'; 1024 * 1024 + 1]).unwrap();
-    let long = Layers::default().file(&path).read().unwrap_err().to_string();
-    assert!(long.ends_with("longer than 1 MiB, which no configuration is"), "{long}");
+    let long = Layers::default()
+        .file(&path)
+        .read()
+        .unwrap_err()
+        .to_string();
+    assert!(
+        long.ends_with("longer than 1 MiB, which no configuration is"),
+        "{long}"
+    );
 }
 
 #[test]
@@ -123,7 +192,11 @@
     }
     let page = include_str!("../../../docs/CONFIG.md");
     let mut found = Vec::new();
-    keys("", &toml::Table::try_from(Config::default()).unwrap(), &mut found);
+    keys(
+        "",
+        &toml::Table::try_from(Config::default()).unwrap(),
+        &mut found,
+    );
     assert!(found.len() >= 5);
     for (key, default) in found {
         let row = format!("| `{key}` | `{default}` |");
--- a/crates/router-config/tests/logging.rs
+++ b/crates/router-config/tests/logging.rs
@@ -36,11 +36,22 @@
     tracing::subscriber::with_default(subscriber, work);
     drop(guard);
     let bytes = written.0.lock().unwrap().clone();
-    String::from_utf8(bytes).unwrap().lines().map(str::to_string).collect()
+    String::from_utf8(bytes)
+        .unwrap()
+        .lines()
+        .map(str::to_string)
+        .collect()
 }
 
 fn log(lines: u32, format: Format) -> Log {
-    Log { level: Level::Info, format, repeat: Repeat { lines, per: Span(Duration::from_secs(3600)) } }
+    Log {
+        level: Level::Info,
+        format,
+        repeat: Repeat {
+            lines,
+            per: Span(Duration::from_secs(3600)),
+        },
+    }
 }
 
 #[test]
@@ -50,10 +61,17 @@
         tracing::info!("another place has room of its own");
     });
     assert_eq!(lines.len(), 5, "{lines:?}");
-    assert!(lines[0].contains(" WARN ") && lines[0].ends_with("turned away request=0"), "{}", lines[0]);
+    assert!(
+        lines[0].contains(" WARN ") && lines[0].ends_with("turned away request=0"),
+        "{}",
+        lines[0]
+    );
     assert!(lines[3].contains("another place"), "{}", lines[3]);
     let told = &lines[4];
-    assert!(told.starts_with("WARN log: 997 more lines from ") && told.ends_with(" were left out"), "{told}");
+    assert!(
+        told.starts_with("WARN log: 997 more lines from ") && told.ends_with(" were left out"),
+        "{told}"
+    );
 }
 
 #[test]
@@ -61,10 +79,15 @@
     let lines = written(&log(1, Format::Json), || {
         (7..9).for_each(|id| tracing::error!(request = id, "failed: \"why\""));
     });
-    let objects: Vec<serde_json::Value> =
-        lines.iter().map(|line| serde_json::from_str(line).unwrap()).collect();
+    let objects: Vec<serde_json::Value> = lines
+        .iter()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
     assert_eq!(objects.len(), 2);
-    assert_eq!((&objects[0]["request"], &objects[0]["level"]), (&7.into(), &"ERROR".into()));
+    assert_eq!(
+        (&objects[0]["request"], &objects[0]["level"]),
+        (&7.into(), &"ERROR".into())
+    );
     assert_eq!(objects[0]["message"], "failed: \"why\"");
     assert_eq!(objects[1]["left_out"], 1);
 }
@@ -72,16 +95,28 @@
 #[test]
 fn a_level_that_is_off_writes_nothing_and_does_not_look_at_the_fields() {
     let mut looked = false;
-    let lines = written(&Log { level: Level::Warn, ..log(9, Format::Text) }, || {
-        tracing::info!(
-            request = {
-                looked = true;
-                1
-            },
-            "served"
-        );
-    });
+    let lines = written(
+        &Log {
+            level: Level::Warn,
+            ..log(9, Format::Text)
+        },
+        || {
+            tracing::info!(
+                request = {
+                    looked = true;
+                    1
+                },
+                "served"
+            );
+        },
+    );
     assert!(lines.is_empty() && !looked, "{lines:?}");
-    let lines = written(&Log { level: Level::Off, ..log(9, Format::Text) }, || tracing::error!("lost"));
+    let lines = written(
+        &Log {
+            level: Level::Off,
+            ..log(9, Format::Text)
+        },
+        || tracing::error!("lost"),
+    );
     assert!(lines.is_empty(), "{lines:?}");
 }
--- a/crates/routerctl/src/main.rs
+++ b/crates/routerctl/src/main.rs
@@ -35,7 +35,9 @@
 #[derive(Subcommand)]
 enum Order {
     /// Start a small fleet of real nodes before emulated servers, break things, and say what came of it
-    #[command(after_help = "Examples:\n  routerctl demo\n  routerctl demo --seed 7 --logs demo-logs")]
+    #[command(
+        after_help = "Examples:\n  routerctl demo\n  routerctl demo --seed 7 --logs demo-logs"
+    )]
     Demo {
         /// Seed of all chance
         #[arg(long, default_value_t = 1)]
@@ -80,7 +82,9 @@
     #[command(subcommand)]
     Lab(Lab),
     /// Print a completion script for a shell
-    #[command(after_help = "Example:\n  routerctl completions bash > /etc/bash_completion.d/routerctl")]
+    #[command(
+        after_help = "Example:\n  routerctl completions bash > /etc/bash_completion.d/routerctl"
+    )]
     Completions {
         /// Which shell
         shell: clap_complete::Shell,
@@ -90,9 +94,11 @@
 #[derive(Subcommand)]
 enum Lab {
     /// Play a scenario and say what came of it: 0 where the rules were kept
-    #[command(after_help = "Examples:\n  routerctl lab run crates/testbed/scenarios/storm.toml\n  \
+    #[command(
+        after_help = "Examples:\n  routerctl lab run crates/testbed/scenarios/storm.toml\n  \
                             routerctl lab run crates/testbed/scenarios/storm.toml --seed 7 --json report.json\n  \
-                            routerctl lab run crates/testbed/scenarios/demo.toml --sockets")]
+                            routerctl lab run crates/testbed/scenarios/demo.toml --sockets"
+    )]
     Run {
         /// The scenario, TOML (docs/LAB.md)
         file: PathBuf,
@@ -178,7 +184,10 @@
 
 fn rate(text: &str) -> Result<f64, String> {
     let wrong = || "write a number of requests a second, 1 to 1000000".to_string();
-    text.parse().ok().filter(|rate| (1.0..=1e6).contains(rate)).ok_or_else(wrong)
+    text.parse()
+        .ok()
+        .filter(|rate| (1.0..=1e6).contains(rate))
+        .ok_or_else(wrong)
 }
 
 #[derive(Args)]
@@ -199,12 +208,23 @@
         Order::Standing { root, journal } => standing(root, journal),
         Order::Margins { plays, table } => measure(&plays, table),
         Order::Demo { seed, sockets } => demo(seed, &sockets),
-        Order::Lab(Lab::Run { file, seed, json, sockets, with }) => run(&file, seed, json, sockets, &with),
+        Order::Lab(Lab::Run {
+            file,
+            seed,
+            json,
+            sockets,
+            with,
+        }) => run(&file, seed, json, sockets, &with),
         Order::Lab(Lab::Experiment { file, out, threads }) => experiment(&file, &out, threads),
         Order::Lab(Lab::Report { folder }) => report(&folder),
         Order::Lab(Lab::Load(arguments)) => load(&arguments),
         Order::Completions { shell } => {
-            clap_complete::generate(shell, &mut Arguments::command(), "routerctl", &mut std::io::stdout());
+            clap_complete::generate(
+                shell,
+                &mut Arguments::command(),
+                "routerctl",
+                &mut std::io::stdout(),
+            );
             Ok(true)
         }
     };
@@ -227,7 +247,9 @@
 
 fn check(file: PathBuf, set: Vec<(String, String)>, show: bool) -> Held {
     let layers = Layers::from_env().file(&file);
-    let layers = set.iter().fold(layers, |layers, (key, value)| layers.flag(key, value));
+    let layers = set
+        .iter()
+        .fold(layers, |layers, (key, value)| layers.flag(key, value));
     match layers.read() {
         Ok(config) => {
             if show {
@@ -245,7 +267,13 @@
     }
 }
 
-fn run(file: &Path, seed: Option<u64>, json: Option<PathBuf>, sockets: bool, with: &Sockets) -> Held {
+fn run(
+    file: &Path,
+    seed: Option<u64>,
+    json: Option<PathBuf>,
+    sockets: bool,
+    with: &Sockets,
+) -> Held {
     let scenario = Scenario::read(file)?;
     if !sockets && (with.node.is_some() || with.logs.is_some()) {
         return Err("--node and --logs go with --sockets".into());
@@ -257,7 +285,9 @@
     };
     print!("{report}");
     if let Some(path) = json {
-        report.save(&path).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+        report
+            .save(&path)
+            .map_err(|e| format!("cannot write {}: {e}", path.display()))?;
     }
     Ok(report.kept())
 }
@@ -275,20 +305,36 @@
     );
     let report = on_sockets(&scenario, seed, sockets)?;
     println!("\n{report}");
-    println!("The same in virtual time, or with one thing changed: `routerctl lab run FILE` (docs/LAB.md).");
+    println!(
+        "The same in virtual time, or with one thing changed: `routerctl lab run FILE` (docs/LAB.md)."
+    );
     Ok(report.kept())
 }
 
-fn on_sockets(scenario: &Scenario, seed: u64, with: &Sockets) -> Result<Report, Box<dyn std::error::Error>> {
+fn on_sockets(
+    scenario: &Scenario,
+    seed: u64,
+    with: &Sockets,
+) -> Result<Report, Box<dyn std::error::Error>> {
     let program = program::find(with.node.as_deref())?;
     let temporary = tempfile::tempdir()?;
     let folder = with.logs.as_deref().unwrap_or(temporary.path());
-    std::fs::create_dir_all(folder).map_err(|e| format!("cannot make {}: {e}", folder.display()))?;
-    let options = Options { program: &program, folder };
+    std::fs::create_dir_all(folder)
+        .map_err(|e| format!("cannot make {}: {e}", folder.display()))?;
+    let options = Options {
+        program: &program,
+        folder,
+    };
     let shown = Shown::new(scenario);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let stop = async { drop(tokio::signal::ctrl_c().await) };
-    Ok(runtime.block_on(sockets::play(scenario, seed, &options, stop, |progress| shown.step(progress)))?)
+    Ok(
+        runtime.block_on(sockets::play(scenario, seed, &options, stop, |progress| {
+            shown.step(progress)
+        }))?,
+    )
 }
 
 /// A play's progress: a bar on a terminal, else a line every few seconds.
@@ -302,20 +348,33 @@
 
     fn new(scenario: &Scenario) -> Shown {
         let bar = ProgressBar::new(scenario.length.0.as_millis() as u64);
-        let style = ProgressStyle::with_template("{bar:30} {elapsed} {msg}").expect("the template is sound");
-        Shown { bar: bar.with_style(style), lines: Cell::new(0) }
+        let style = ProgressStyle::with_template("{bar:30} {elapsed} {msg}")
+            .expect("the template is sound");
+        Shown {
+            bar: bar.with_style(style),
+            lines: Cell::new(0),
+        }
     }
 
     fn step(&self, progress: &Progress) {
         let at = progress.at.0.min(progress.at.1);
         let seconds = at as f64 / 1e6;
-        let print =
-            |line: String| if self.bar.is_hidden() { println!("{line}") } else { self.bar.println(line) };
-        progress.news.iter().for_each(|news| print(format!("{seconds:>5.1} s  {news}")));
+        let print = |line: String| {
+            if self.bar.is_hidden() {
+                println!("{line}")
+            } else {
+                self.bar.println(line)
+            }
+        };
+        progress
+            .news
+            .iter()
+            .for_each(|news| print(format!("{seconds:>5.1} s  {news}")));
         let lately = &progress.lately;
         let (nodes, servers) = progress.up;
         let service = 100.0 * lately.service();
-        let now = format!("{service:.1}% served in time, {nodes} nodes and {servers} cache servers up");
+        let now =
+            format!("{service:.1}% served in time, {nodes} nodes and {servers} cache servers up");
         if self.bar.is_hidden() && at / Shown::EVERY_US > self.lines.get() {
             self.lines.set(at / Shown::EVERY_US);
             println!("{seconds:>5.1} s  {now}");
@@ -337,11 +396,24 @@
     let stop = Arc::new(AtomicBool::new(false));
     interrupts(stop.clone())?;
     let shown = |step: &Step| {
-        let Play { scenario, seed, variant } = &step.play;
+        let Play {
+            scenario,
+            seed,
+            variant,
+        } = &step.play;
         let (done, all) = step.done;
-        println!("{done:>4} of {all}  {scenario}, seed {seed}, {variant}: service {:.4}", step.service);
+        println!(
+            "{done:>4} of {all}  {scenario}, seed {seed}, {variant}: service {:.4}",
+            step.service
+        );
     };
-    let played = experiment::run(&experiment, out, threads.map_or(cores, usize::from), &stop, shown);
+    let played = experiment::run(
+        &experiment,
+        out,
+        threads.map_or(cores, usize::from),
+        &stop,
+        shown,
+    );
     match played {
         Ok(()) => report(out),
         Err(e) => Err(e.into()),
@@ -350,7 +422,9 @@
 
 /// Sets a flag at the first Ctrl-C.
 fn interrupts(stop: Arc<AtomicBool>) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     // Ends with the process: there is nothing to wait for.
     std::thread::spawn(move || {
         let _ = runtime.block_on(tokio::signal::ctrl_c());
@@ -373,11 +447,19 @@
             d.scenario, d.variant, d.pairs, d.mean
         );
     }
-    for Play { scenario, seed, variant } in &summary.broken {
+    for Play {
+        scenario,
+        seed,
+        variant,
+    } in &summary.broken
+    {
         println!("RULES BROKEN: {scenario}, seed {seed}, {variant}");
     }
     let (there, all) = summary.plays;
-    println!("{there} of {all} plays; {} and results.jsonl beside it", folder.join("report.html").display());
+    println!(
+        "{there} of {all} plays; {} and results.jsonl beside it",
+        folder.join("report.html").display()
+    );
     Ok(summary.broken.is_empty() && there == all)
 }
 
@@ -394,7 +476,11 @@
     let bytes = usize::from(arguments.value_bytes);
     let folder = tempfile::tempdir()?;
     let through = match arguments.through {
-        true => Some(Through::start(&program::find(arguments.node.as_deref())?, folder.path(), bytes)?),
+        true => Some(Through::start(
+            &program::find(arguments.node.as_deref())?,
+            folder.path(),
+            bytes,
+        )?),
         false => None,
     };
     let alone = if arguments.to.is_none() && through.is_none() {
@@ -405,7 +491,11 @@
     let mut ways = Vec::new();
     ways.extend(arguments.to.map(|to| ("to", to)));
     ways.extend(alone.as_ref().map(|alone| ("alone", alone.address())));
-    ways.extend(through.iter().flat_map(|t| [("direct", t.server()), ("node", t.node())]));
+    ways.extend(
+        through
+            .iter()
+            .flat_map(|t| [("direct", t.server()), ("node", t.node())]),
+    );
     println!("latencies in microseconds, from the time that a request was meant for");
     println!(
         "{:<7} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>9}",
@@ -432,7 +522,9 @@
             println!("{way} bears nothing");
             return Ok(false);
         }
-        println!("{way} bears {most:.0} requests a second; at a tenth, half and nine tenths of it:");
+        println!(
+            "{way} bears {most:.0} requests a second; at a tenth, half and nine tenths of it:"
+        );
         vec![most * 0.1, most * 0.5, most * 0.9]
     } else {
         vec![load.per_s]
@@ -440,14 +532,27 @@
     let mut held = true;
     for per_s in rates {
         for (way, to) in &ways {
-            let cpu = || through.as_ref().filter(|_| *way == "node").and_then(Through::cpu);
+            let cpu = || {
+                through
+                    .as_ref()
+                    .filter(|_| *way == "node")
+                    .and_then(Through::cpu)
+            };
             let before = cpu();
-            let outcome = load::send(*to, &Load { per_s, ..load.clone() })?;
+            let outcome = load::send(
+                *to,
+                &Load {
+                    per_s,
+                    ..load.clone()
+                },
+            )?;
             shown(
                 way,
                 per_s,
                 &outcome,
-                cpu().zip(before).map(|(after, before)| after.saturating_sub(before)),
+                cpu()
+                    .zip(before)
+                    .map(|(after, before)| after.saturating_sub(before)),
             );
             held &= baseline::borne(&outcome);
         }
@@ -458,18 +563,25 @@
 fn standing(root: PathBuf, journal: Option<PathBuf>) -> Held {
     let sources = Sources::read(&root)?;
     let journal = Journal::read(&journal.unwrap_or_else(|| root.join("journal")))?;
-    journal.skipped.iter().for_each(|line| eprintln!("routerctl: passed over {line}"));
+    journal
+        .skipped
+        .iter()
+        .for_each(|line| eprintln!("routerctl: passed over {line}"));
     let verdict = Verdict::of(&journal, &sources);
     println!("{verdict}");
     Ok(verdict.holds())
 }
 
 fn measure(plays: &[PathBuf], table: bool) -> Held {
-    let mut rows =
-        String::from("| play | figure | worst | limit | distance |\n| --- | --- | --- | --- | --- |\n");
+    let mut rows = String::from(
+        "| play | figure | worst | limit | distance |\n| --- | --- | --- | --- | --- |\n",
+    );
     let mut wide = true;
     for play in plays {
-        let name = play.file_name().unwrap_or(play.as_os_str()).to_string_lossy();
+        let name = play
+            .file_name()
+            .unwrap_or(play.as_os_str())
+            .to_string_lossy();
         let margins = margins::of(play)?;
         if !table {
             println!("{name}\n{margins}");
--- a/crates/routerctl/tests/cli.rs
+++ b/crates/routerctl/tests/cli.rs
@@ -15,7 +15,11 @@
     }
     let output = command.args(arguments).output().unwrap();
     let text = |bytes| String::from_utf8(bytes).unwrap();
-    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+    (
+        output.status.code().unwrap(),
+        text(output.stdout),
+        text(output.stderr),
+    )
 }
 
 #[test]
@@ -24,16 +28,28 @@
     let path = folder.path().join("router.toml");
     let name = path.to_str().unwrap();
     fs::write(&path, "[log]\nlevel = \"debug\"\n").unwrap();
-    assert_eq!(routerctl(&["check", name]), (0, format!("{name} would do\n"), String::new()));
+    assert_eq!(
+        routerctl(&["check", name]),
+        (0, format!("{name} would do\n"), String::new())
+    );
     let (code, shown, _) = routerctl(&["check", name, "--set", "log.repeat.per=3s", "--show"]);
     assert_eq!(code, 0);
-    assert!(shown.contains("level = \"debug\"") && shown.contains("per = \"3s\""), "{shown}");
+    assert!(
+        shown.contains("level = \"debug\"") && shown.contains("per = \"3s\""),
+        "{shown}"
+    );
     fs::write(&path, "[log]\nlevle = \"debug\"\n").unwrap();
     let (code, told, _) = routerctl(&["check", name]);
     assert_eq!(code, 1);
-    assert!(told.starts_with(&format!("{name}:2:1: log.levle: there is no such key")), "{told}");
+    assert!(
+        told.starts_with(&format!("{name}:2:1: log.levle: there is no such key")),
+        "{told}"
+    );
     let (code, _, told) = routerctl(&["check", "/nowhere/router.toml"]);
-    assert!(code == 2 && told.starts_with("routerctl: cannot read /nowhere/router.toml"), "{code} {told}");
+    assert!(
+        code == 2 && told.starts_with("routerctl: cannot read /nowhere/router.toml"),
+        "{code} {told}"
+    );
 }
 
 #[test]
@@ -44,40 +60,93 @@
         (&["check", "x", "--set", "log.level"], "write KEY=VALUE"),
         (&["margins"], "<PLAYS>"),
         (&["margins", "/nowhere"], "cannot read /nowhere"),
-        (&["standing", "--root", "/nowhere"], "cannot read /nowhere/deploy/balancer.toml"),
+        (
+            &["standing", "--root", "/nowhere"],
+            "cannot read /nowhere/deploy/balancer.toml",
+        ),
         (&["completions", "cobol"], "bash"),
         (&["lab", "run"], "<FILE>"),
-        (&["lab", "run", "/nowhere.toml"], "cannot read /nowhere.toml"),
-        (&["demo", "--node", "/nowhere/cache-router"], "no program at /nowhere/cache-router"),
+        (
+            &["lab", "run", "/nowhere.toml"],
+            "cannot read /nowhere.toml",
+        ),
+        (
+            &["demo", "--node", "/nowhere/cache-router"],
+            "no program at /nowhere/cache-router",
+        ),
         (&["lab", "experiment", "/nowhere.toml"], "--out <DIR>"),
-        (&["lab", "experiment", "/nowhere.toml", "--out", "/nowhere"], "cannot read /nowhere.toml"),
         (
-            &["lab", "run", "../testbed/scenarios/calm.toml", "--logs", "x"],
+            &["lab", "experiment", "/nowhere.toml", "--out", "/nowhere"],
+            "cannot read /nowhere.toml",
+        ),
+        (
+            &[
+                "lab",
+                "run",
+                "../testbed/scenarios/calm.toml",
+                "--logs",
+                "x",
+            ],
             "--node and --logs go with --sockets",
         ),
-        (&["lab", "report", "/nowhere"], "/nowhere/experiment.json: No such file"),
-        (&["lab", "load", "--rate", "0"], "write a number of requests a second, 1 to 1000000"),
+        (
+            &["lab", "report", "/nowhere"],
+            "/nowhere/experiment.json: No such file",
+        ),
+        (
+            &["lab", "load", "--rate", "0"],
+            "write a number of requests a second, 1 to 1000000",
+        ),
         (&["lab", "load", "--lasts", "5"], "--lasts"),
-        (&["lab", "load", "--to", "127.0.0.1:1"], "Connection refused"),
+        (
+            &["lab", "load", "--to", "127.0.0.1:1"],
+            "Connection refused",
+        ),
     ] {
         let (code, _, error) = routerctl(arguments);
-        assert!(code == 2 && error.contains(told), "{arguments:?}: {code} {error}");
+        assert!(
+            code == 2 && error.contains(told),
+            "{arguments:?}: {code} {error}"
+        );
     }
 }
 
 #[test]
 fn a_play_says_what_came_of_it_and_a_report_that_cannot_be_written_is_told() {
-    let scenario = concat!(env!("CARGO_MANIFEST_DIR"), "/../testbed/scenarios/calm.toml");
+    let scenario = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../testbed/scenarios/calm.toml"
+    );
     let folder = tempfile::tempdir().unwrap();
     let short = folder.path().join("short.toml");
-    let text = fs::read_to_string(scenario).unwrap().replace("\"20s\"", "\"2s\"");
+    let text = fs::read_to_string(scenario)
+        .unwrap()
+        .replace("\"20s\"", "\"2s\"");
     fs::write(&short, text).unwrap();
     let (short, json) = (short.to_str().unwrap(), folder.path().join("report.json"));
-    let (code, told, _) = routerctl(&["lab", "run", short, "--seed", "5", "--json", json.to_str().unwrap()]);
-    assert!(code == 0 && told.starts_with("seed 5: 30 nodes, 25 cache servers, "), "{code} {told}");
-    assert!(fs::read_to_string(&json).unwrap().starts_with("{\"seed\":5,"));
+    let (code, told, _) = routerctl(&[
+        "lab",
+        "run",
+        short,
+        "--seed",
+        "5",
+        "--json",
+        json.to_str().unwrap(),
+    ]);
+    assert!(
+        code == 0 && told.starts_with("seed 5: 30 nodes, 25 cache servers, "),
+        "{code} {told}"
+    );
+    assert!(
+        fs::read_to_string(&json)
+            .unwrap()
+            .starts_with("{\"seed\":5,")
+    );
     let (code, _, told) = routerctl(&["lab", "run", short, "--json", "/dev/full"]);
-    assert!(code == 2 && told.contains("cannot write /dev/full: "), "{code} {told}");
+    assert!(
+        code == 2 && told.contains("cannot write /dev/full: "),
+        "{code} {told}"
+    );
 }
 
 #[test]
@@ -88,9 +157,17 @@
         "{help}"
     );
     for command in ["check", "standing", "margins", "completions"] {
-        assert!(routerctl(&[command, "--help"]).1.contains(&format!("  routerctl {command}")), "{command}");
+        assert!(
+            routerctl(&[command, "--help"])
+                .1
+                .contains(&format!("  routerctl {command}")),
+            "{command}"
+        );
         for shell in ["bash", "zsh", "fish"] {
-            assert!(routerctl(&["completions", shell]).1.contains(command), "{command} in {shell}");
+            assert!(
+                routerctl(&["completions", shell]).1.contains(command),
+                "{command} in {shell}"
+            );
         }
     }
 }
@@ -98,8 +175,16 @@
 #[test]
 fn a_load_is_told_with_what_it_was_and_what_was_served() {
     let (code, told, error) = routerctl(&["lab", "load", "--rate", "300", "--lasts", "1s"]);
-    let row = told.lines().last().unwrap_or_default().split_whitespace().collect::<Vec<_>>();
-    assert!(code == 0 && row[..2] == ["alone", "300"] && row[3] == "0", "{code} {told} {error}");
+    let row = told
+        .lines()
+        .last()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect::<Vec<_>>();
+    assert!(
+        code == 0 && row[..2] == ["alone", "300"] && row[3] == "0",
+        "{code} {told} {error}"
+    );
 }
 
 #[test]
@@ -115,8 +200,15 @@
     fs::write(&file, text).unwrap();
     let day = format!("base = \"{scenarios}/calm.toml\"\nlength = \"1s\"\n");
     fs::write(folder.path().join("s.toml"), day).unwrap();
-    let arguments =
-        ["lab", "experiment", file.to_str().unwrap(), "--out", out.to_str().unwrap(), "--threads", "1"];
+    let arguments = [
+        "lab",
+        "experiment",
+        file.to_str().unwrap(),
+        "--out",
+        out.to_str().unwrap(),
+        "--threads",
+        "1",
+    ];
     let mut child = Command::new(env!("CARGO_BIN_EXE_routerctl"))
         .args(arguments)
         .stdout(std::process::Stdio::piped())
@@ -124,17 +216,42 @@
         .spawn()
         .unwrap();
     let mut lines = std::io::BufRead::lines(std::io::BufReader::new(child.stdout.take().unwrap()));
-    assert!(lines.next().unwrap().unwrap().starts_with("   1 of 40  s, seed 1, a: service 0."));
+    assert!(
+        lines
+            .next()
+            .unwrap()
+            .unwrap()
+            .starts_with("   1 of 40  s, seed 1, a: service 0.")
+    );
     let interrupt = format!("kill -INT {}", child.id());
-    assert!(Command::new("/bin/sh").arg("-c").arg(interrupt).status().unwrap().success());
+    assert!(
+        Command::new("/bin/sh")
+            .arg("-c")
+            .arg(interrupt)
+            .status()
+            .unwrap()
+            .success()
+    );
     let played = 1 + lines.map_while(Result::ok).count();
     let output = child.wait_with_output().unwrap();
     let told = String::from_utf8(output.stderr).unwrap();
-    assert!(output.status.code() == Some(2) && played < 40, "{played} {told}");
-    assert!(told.contains(&format!("interrupted: {played} of 40 plays are kept")), "{told}");
+    assert!(
+        output.status.code() == Some(2) && played < 40,
+        "{played} {told}"
+    );
+    assert!(
+        told.contains(&format!("interrupted: {played} of 40 plays are kept")),
+        "{told}"
+    );
     let (code, told, _) = routerctl(&["lab", "report", out.to_str().unwrap()]);
-    assert!(code == 1 && told.contains(&format!("{played} of 40 plays; ")), "{code} {told}");
+    assert!(
+        code == 1 && told.contains(&format!("{played} of 40 plays; ")),
+        "{code} {told}"
+    );
     let (code, told, _) = routerctl(&arguments);
-    assert!(code == 0 && told.lines().count() == 40 - played + 3, "{code} {told}");
+    assert!(
+        code == 0 && told.lines().count() == 40 - played + 3,
+        "{code} {told}"
+    );
     assert!(told.contains("40 of 40 plays; ") && out.join("report.html").is_file());
 }
--- a/crates/routing-policy/src/interface.rs
+++ b/crates/routing-policy/src/interface.rs
@@ -115,7 +115,13 @@
 
 impl Default for Class {
     fn default() -> Self {
-        Class { aim: 250_000, deadline: 1_000_000, worth: 1.0, late_worth: 0.0, effect: Effect::Safe }
+        Class {
+            aim: 250_000,
+            deadline: 1_000_000,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: Effect::Safe,
+        }
     }
 }
 
@@ -202,7 +208,15 @@
 
 impl Default for ServerLine {
     fn default() -> Self {
-        ServerLine { id: 0, zone: 0, cell: 0, kind: 0, weight: 1.0, started: 0, condition: Condition::Ready }
+        ServerLine {
+            id: 0,
+            zone: 0,
+            cell: 0,
+            kind: 0,
+            weight: 1.0,
+            started: 0,
+            condition: Condition::Ready,
+        }
     }
 }
 
@@ -282,7 +296,10 @@
 impl Status {
     /// Whether this outcome proves that the attempt never ran.
     pub fn proves_not_run(self) -> bool {
-        matches!(self, Status::Miss | Status::Full | Status::ConnectFailed | Status::NotSent)
+        matches!(
+            self,
+            Status::Miss | Status::Full | Status::ConnectFailed | Status::NotSent
+        )
     }
 }
 
--- a/crates/routing-policy/src/policy.rs
+++ b/crates/routing-policy/src/policy.rs
@@ -135,9 +135,15 @@
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         match event {
-            Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
+            Event::ServerList {
+                kind: ListKind::Failed,
+                ..
+            } => self.discovery_failed(out),
             // Its silence was waited for already, and began for each balancer at a time of its own: no pause.
-            Event::ServerList { kind: ListKind::Silent, .. } => out.push(Action::Subscribe(true)),
+            Event::ServerList {
+                kind: ListKind::Silent,
+                ..
+            } => out.push(Action::Subscribe(true)),
             Event::ServerList { kind, servers } => self.server_list(kind, servers),
             Event::Request(request) => self.request(request, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
@@ -145,15 +151,23 @@
             Event::AnswerBegan { request, .. } | Event::ClientGone(request) => {
                 drop(self.held.remove(&request))
             }
-            Event::Connection { request, attempt, up } => self.connection(request, attempt, up),
+            Event::Connection {
+                request,
+                attempt,
+                up,
+            } => self.connection(request, attempt, up),
             Event::Timer(_) => self.wakes.timer_came(),
-            Event::Probed { server, ok: true, .. } => self.reached(server, out),
+            Event::Probed {
+                server, ok: true, ..
+            } => self.reached(server, out),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
         }
         while let Some(wake) = self.wakes.due(now, out) {
             match wake {
                 Wake::End(id) => self.time_up(id, out),
-                Wake::Go(id, wait) if self.held.get(&id).map(|h| h.wait) == Some(wait) => self.step(id, out),
+                Wake::Go(id, wait) if self.held.get(&id).map(|h| h.wait) == Some(wait) => {
+                    self.step(id, out)
+                }
                 Wake::Patience(id, attempt) => self.patience(id, attempt, out),
                 Wake::Subscribe if self.settings.ask_discovery => out.push(Action::Subscribe(true)),
                 Wake::Go(..) | Wake::Subscribe => {}
@@ -213,19 +227,31 @@
             (false, _) => *votes -= 1,
         }
         let told = !near && *votes >= SURE.0 && self.level < LEVEL.2;
-        if told { deadline.saturating_sub(r.time_left) } else { 0 }
+        if told {
+            deadline.saturating_sub(r.time_left)
+        } else {
+            0
+        }
     }
 
     /// A tenant's token bucket fills with this balancer's part of its quota, times the level, so that those
     /// furthest over are turned away first. A rate measured from the handful that one of many balancers sees
     /// would turn away those within their quotas.
     fn admit(&mut self, h: &mut Held, tenant: usize) -> bool {
-        let Some(sender) = self.senders.get_mut(tenant) else { return true };
+        let Some(sender) = self.senders.get_mut(tenant) else {
+            return true;
+        };
         // While all together ask for less than their quotas, chance in a small bucket turns none away.
         // A falling level empties the buckets too: what many hold back would keep a jam going for long.
         let burst = (BURST * self.level).clamp(1.0, BURST);
-        let pooled = self.pool.fill(self.now, POOL * self.quota_share * self.level, burst);
-        let quota = self.settings.tenants.get(tenant).map_or(f64::INFINITY, |t| t.quota_per_s);
+        let pooled = self
+            .pool
+            .fill(self.now, POOL * self.quota_share * self.level, burst);
+        let quota = self
+            .settings
+            .tenants
+            .get(tenant)
+            .map_or(f64::INFINITY, |t| t.quota_per_s);
         let part = self.level * quota / f64::from(self.settings.balancers.max(1));
         let room = sender.fill(self.now, part, burst + part * self.aim as f64 / 1e6);
         let admitted = room || pooled || self.level >= LEVEL.2;
@@ -246,13 +272,20 @@
         if h.write || h.missed {
             return self.origin_call(id, out);
         }
-        if !self.pick(id).is_some_and(|server| self.send(id, server, Call::Cache, out)) {
+        if !self
+            .pick(id)
+            .is_some_and(|server| self.send(id, server, Call::Cache, out))
+        {
             self.end(id, out);
         }
     }
 
     fn useful_until(&self, h: &Held) -> Micros {
-        if self.settings.classes[h.class].late_worth > 0.0 { h.ends } else { h.aim_at.min(h.ends) }
+        if self.settings.classes[h.class].late_worth > 0.0 {
+            h.ends
+        } else {
+            h.aim_at.min(h.ends)
+        }
     }
 
     // The key's order.
@@ -262,12 +295,16 @@
         let h = &self.held[&id];
         let key = if h.key == 0 { id } else { h.key };
         let left = self.useful_until(h).saturating_sub(self.now) as f64;
-        let multiple = BOUND.0 + (BOUND.1 - BOUND.0) * (self.gate.pressed.value() / BOUND.3).min(1.0);
+        let multiple =
+            BOUND.0 + (BOUND.1 - BOUND.0) * (self.gate.pressed.value() / BOUND.3).min(1.0);
         let bound = multiple * f64::from(self.cache_out + 1) / self.total;
         let floor = BOUND.2 / f64::from(self.settings.balancers.max(2)); // All of it from one is a crowd.
         let late = |s: &Server| s.quickest > left;
         let mut best = None;
-        for s in self.ready(false).filter(|s| !h.tried.contains(&s.line.id) && self.warm_enough(key, h, s)) {
+        for s in self
+            .ready(false)
+            .filter(|s| !h.tried.contains(&s.line.id) && self.warm_enough(key, h, s))
+        {
             // Last, not left out: when most look bad the cause is shared, and there is no better place.
             let aside = s.aside.0 != 0 && (self.now < s.aside.0 || s.in_flight > 0);
             let over = f64::from(s.in_flight) >= (bound * self.capacity(s)).max(floor);
@@ -281,49 +318,85 @@
             }
         }
         // Passing over a full server for one far down the order would scatter the keys and empty the caches.
-        let backlog = |s: &Server| if self.level < LEVEL.2 { self.backlog(s) } else { 0.0 };
+        let backlog = |s: &Server| {
+            if self.level < LEVEL.2 {
+                self.backlog(s)
+            } else {
+                0.0
+            }
+        };
         let full = |s: &Server| self.queue(id, s).max(backlog(s)) > left * FULL;
-        best.map(|(.., server)| &self.servers[&server]).filter(|s| !late(s) && !full(s)).map(|s| s.line.id)
+        best.map(|(.., server)| &self.servers[&server])
+            .filter(|s| !late(s) && !full(s))
+            .map(|s| s.line.id)
     }
 
     /// Wait at a server by what the list tells of the requests that all balancers together have there. Each
     /// request takes it for more or less, else all balancers would turn away, and come back, in step.
     fn queue(&self, id: RequestId, s: &Server) -> f64 {
         let wait = self.service * s.held_per_core();
-        if wait > 0.0 { wait * (0.5 + unit_hash(id, s.line.id, 2)) } else { 0.0 }
+        if wait > 0.0 {
+            wait * (0.5 + unit_hash(id, s.line.id, 2))
+        } else {
+            0.0
+        }
     }
 
     /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
     /// answers (Little's law), with a credit for a server that has had little to answer.
     fn backlog(&self, s: &Server) -> f64 {
         let aim = self.aim as f64;
-        let credit = if self.service > 0.0 { PRIOR_CORES * aim / self.service } else { 0.0 };
+        let credit = if self.service > 0.0 {
+            PRIOR_CORES * aim / self.service
+        } else {
+            0.0
+        };
         f64::from(s.in_flight) * aim / (s.answered_lately(self.now, self.aim) + credit.max(PRIOR))
     }
 
     fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
+        self.servers
+            .values()
+            .filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
     }
 
     fn weight(&self, s: &Server) -> f64 {
-        if self.settings.weights_are_sizes { f64::from(s.line.weight).max(0.01) } else { 1.0 }
+        if self.settings.weights_are_sizes {
+            f64::from(s.line.weight).max(0.01)
+        } else {
+            1.0
+        }
     }
 
     /// The part of its keys that a server is left, by what was seen of it and of all of its kind.
     fn part(&self, s: &Server) -> f64 {
-        (1.0 - s.thinned) * (1.0 - self.kinds.get(&s.line.kind).map_or(0.0, |kind| kind.thinned))
+        (1.0 - s.thinned)
+            * (1.0
+                - self
+                    .kinds
+                    .get(&s.line.kind)
+                    .map_or(0.0, |kind| kind.thinned))
     }
 
     /// What a server can do beside others when it is warm, as its weight and its kind tell.
     fn capacity(&self, s: &Server) -> f64 {
-        self.weight(s) * (1.0 - self.kinds.get(&s.line.kind).map_or(0.0, |kind| kind.thinned))
+        self.weight(s)
+            * (1.0
+                - self
+                    .kinds
+                    .get(&s.line.kind)
+                    .map_or(0.0, |kind| kind.thinned))
     }
 
     fn add_up(&mut self) {
-        let (total, count) = self.ready(false).fold((0.0, 0.0), |(t, n), s| (t + self.capacity(s), n + 1.0));
+        let (total, count) = self
+            .ready(false)
+            .fold((0.0, 0.0), |(t, n), s| (t + self.capacity(s), n + 1.0));
         (self.total, self.mean) = (total.max(0.01), total.max(0.01) / f64::max(count, 1.0));
         let warm = |kind| {
-            let of = |s: &&Server| s.line.kind == kind && s.line.started + self.settings.warm_up <= self.now;
+            let of = |s: &&Server| {
+                s.line.kind == kind && s.line.started + self.settings.warm_up <= self.now
+            };
             self.ready(false).filter(of).count() as u32
         };
         let warm: Vec<_> = self.kinds.keys().map(|kind| (*kind, warm(*kind))).collect();
@@ -335,7 +408,9 @@
     /// A server turned an attempt away or is nearly late with it: it is left less of its keys, and its kind a
     /// little less.
     fn overdone(&mut self, server: ServerId) {
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        let Some(s) = self.servers.get_mut(&server) else {
+            return;
+        };
         thin(&mut s.thinned, THIN.0.powf(self.seldom.sqrt()), THIN.2);
         let kind = self.kinds.entry(s.line.kind).or_default();
         let step = kind.step(KIND_STEP);
@@ -348,14 +423,23 @@
     fn place(&self, key: Key, s: &Server) -> f64 {
         let draw = unit_hash(key, s.line.id, 0);
         // The same order without the logarithm, which was most of a pick at 475 servers.
-        if self.settings.weights_are_sizes { -draw.ln() / self.weight(s) } else { -draw }
+        if self.settings.weights_are_sizes {
+            -draw.ln() / self.weight(s)
+        } else {
+            -draw
+        }
     }
 
     /// Part of its capacity that a server has at the least, some time after its start.
     fn warmth(&self, s: &Server) -> f64 {
-        let age = self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
+        let age =
+            self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
         let share = self.settings.cold_share;
-        if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
+        if s.line.started == 0 {
+            1.0
+        } else {
+            (share + (1.0 - share) * age).min(1.0)
+        }
     }
 
     /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same
@@ -368,7 +452,10 @@
         // A hot key would come from all balancers at once, from each within its bucket.
         let hot = || self.recent.iter().filter(|recent| **recent == key).count() > 1;
         warmth >= 1.0
-            || (h.sent == 0 && unit_hash(key, s.line.id, 1) < part && room(self.cold_bucket(s)) && !hot())
+            || (h.sent == 0
+                && unit_hash(key, s.line.id, 1) < part
+                && room(self.cold_bucket(s))
+                && !hot())
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
@@ -379,9 +466,16 @@
         let all = most * self.settings.fall_after as f64 * balancers;
         let chance = COLD_CHANCE * (1.0 - 1.0 / balancers);
         let root = ((chance * chance + 4.0 * all).sqrt() - chance) / 2.0;
-        let rate = if all > 0.0 { most * root * root / all } else { 0.0 };
+        let rate = if all > 0.0 {
+            most * root * root / all
+        } else {
+            0.0
+        };
         let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
-        (level.max(0.0), (rate * self.settings.fall_after as f64 / 2.0).max(1.0))
+        (
+            level.max(0.0),
+            (rate * self.settings.fall_after as f64 / 2.0).max(1.0),
+        )
     }
 
     /// Requests a second that a warm server like this one has from this balancer: its part of the usual ones,
@@ -397,18 +491,30 @@
 
     /// Requests a second that are this balancer's to serve.
     fn share(&self) -> f64 {
-        if self.quota_share > 0.0 { self.quota_share } else { self.admitted.per_s }
+        if self.quota_share > 0.0 {
+            self.quota_share
+        } else {
+            self.admitted.per_s
+        }
     }
 
     /// The same as it was over a longer time: what clients ask for again in a jam tells nothing of capacity.
     fn usual_share(&self) -> f64 {
-        if self.quota_share > 0.0 { self.quota_share } else { self.admitted.usual }
+        if self.quota_share > 0.0 {
+            self.quota_share
+        } else {
+            self.admitted.usual
+        }
     }
 
     // Calls to the origin.
 
     fn origin_call(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let call = if self.held[&id].write { Call::Write } else { Call::Fetch };
+        let call = if self.held[&id].write {
+            Call::Write
+        } else {
+            Call::Fetch
+        };
         // Where the gate is shut to some, what can't be answered in time takes the place of what can: the
         // origin would work for nobody, and what its client has given up by then is not stored either.
         let in_time = |h: &Held| self.now as f64 + self.gate.usual < self.useful_until(h) as f64;
@@ -435,7 +541,8 @@
     /// those would refuse what the origin has room for, as the others leave theirs unused.
     fn gate_part(&self) -> f64 {
         let slow = self.origin_aim as f64 * ORIGIN_SLOW / 1e6;
-        self.gate_part.max((self.usual_share() * slow / GATE_OUT).min(1.0))
+        self.gate_part
+            .max((self.usual_share() * slow / GATE_OUT).min(1.0))
     }
 
     /// Whether the outstanding cap and the windowed tally let one more call through.
@@ -449,8 +556,9 @@
         let tallied = |i: usize, part: f64| room(g.tally[i], tally * part);
         // Where there is less than one call out for each balancer, a write does not wait for its fetches.
         let writes = (out(0, 1.0) || g.out[0] == g.out[1]) && tallied(0, 1.0);
-        let fetches =
-            || out(0, 1.0) && out(1, GATE_FETCHES) && tallied(1, GATE_FETCHES) && self.now >= g.rest;
+        let fetches = || {
+            out(0, 1.0) && out(1, GATE_FETCHES) && tallied(1, GATE_FETCHES) && self.now >= g.rest
+        };
         let open = writes && (call == Call::Write || fetches());
         self.gate.pressed.add(f64::from(u8::from(!open)), 1.0);
         open
@@ -481,7 +589,9 @@
 
     /// Sends an attempt, or tells that a rule forbids it.
     fn send(&mut self, id: RequestId, server: ServerId, call: Call, out: &mut Vec<Action>) -> bool {
-        let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&server)) else { return false };
+        let (Some(h), Some(s)) = (self.held.get(&id), self.servers.get(&server)) else {
+            return false;
+        };
         let allowed = self.now < h.ends
             && u32::from(h.sent) < self.settings.max_attempts
             && s.line.condition == Condition::Ready
@@ -504,20 +614,38 @@
         } else {
             self.gate.enter(call);
         }
-        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after, connecting: false });
-        out.push(Action::Send { request: id, server, give_up_after: 0 });
+        self.flights.insert(
+            (id, attempt),
+            Flight {
+                server,
+                call,
+                sent,
+                aim,
+                slow_after,
+                connecting: false,
+            },
+        );
+        out.push(Action::Send {
+            request: id,
+            server,
+            give_up_after: 0,
+        });
         true
     }
 
     /// No effect twice: a repeat of what may have run goes only where and while it is dropped.
     fn may_repeat(&self, h: &Held, server: ServerId) -> bool {
-        let Some(&(_, sent, first)) = h.may_have_run.first() else { return true };
+        let Some(&(_, sent, first)) = h.may_have_run.first() else {
+            return true;
+        };
         match self.settings.classes[h.class].effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { group, window } => {
                 let (first, next) = (self.servers.get(&first), self.servers.get(&server));
-                let shared = first.zip(next).is_some_and(|(a, b)| a.shares_group(b, group));
+                let shared = first
+                    .zip(next)
+                    .is_some_and(|(a, b)| a.shares_group(b, group));
                 shared && self.now + 2 * self.settings.tick < sent + window
             }
         }
@@ -526,9 +654,13 @@
     // An attempt ends.
 
     fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.remove(&(o.request, o.attempt)) else { return };
+        let Some(flight) = self.flights.remove(&(o.request, o.attempt)) else {
+            return;
+        };
         self.learn(&flight, &o, out);
-        let Some(h) = self.held.get_mut(&o.request) else { return };
+        let Some(h) = self.held.get_mut(&o.request) else {
+            return;
+        };
         h.out -= 1;
         if o.status.proves_not_run() {
             h.may_have_run.retain(|&(attempt, ..)| attempt != o.attempt);
@@ -567,7 +699,9 @@
 
     /// What an outcome tells of its server and of the strain on the fleet, or of the origin.
     fn learn(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
-        let Some(s) = self.servers.get_mut(&flight.server) else { return };
+        let Some(s) = self.servers.get_mut(&flight.server) else {
+            return;
+        };
         s.in_flight = s.in_flight.saturating_sub(1);
         // The tables of the servers have no room for an idle connection from each of many balancers.
         if s.in_flight == 0 && self.crowded {
@@ -579,7 +713,8 @@
         self.cache_out -= 1;
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
-            self.strain.add(f64::from(u8::from(o.status == Status::Full)), 1.0);
+            self.strain
+                .add(f64::from(u8::from(o.status == Status::Full)), 1.0);
         }
         match o.status {
             Status::Full => self.overdone(flight.server),
@@ -594,7 +729,9 @@
             }
             _ => {}
         }
-        let Some(s) = self.servers.get_mut(&flight.server) else { return };
+        let Some(s) = self.servers.get_mut(&flight.server) else {
+            return;
+        };
         match o.status {
             // A server that fails each request at once looks idle and would draw ever more of them.
             Status::ConnectFailed | Status::Reset | Status::Error => {
@@ -608,14 +745,18 @@
                 if o.status == Status::Served {
                     let quicker = sample < s.quickest || s.quickest == 0.0;
                     s.quickest += if quicker { 1.0 } else { QUICKEST } * (sample - s.quickest);
-                    self.service += if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
+                    self.service +=
+                        if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
                 }
                 s.answered = 1.0 + s.answered_lately(self.now, flight.aim);
                 let away = s.unreachable && s.strikes >= STRIKES;
                 (s.heard, s.strikes) = (self.now, s.strikes.saturating_sub(1));
                 if s.aside.0 != 0 {
                     s.aside = (0, 0);
-                    out.push(Action::Log(format!("server {} answers again: let back", flight.server)));
+                    out.push(Action::Log(format!(
+                        "server {} answers again: let back",
+                        flight.server
+                    )));
                     s.unreachable = false;
                     // It refused connections for long and answers again: a new process, cold, and the list is
                     // late. Once may have been for want of room.
@@ -649,18 +790,32 @@
             g.cut_at = self.now;
             g.limit = (g.limit * GATE_CUT.0).max(least);
         }
-        log_crossing(out, was, g.limit, most / 4.0, "gate lowered: origin slow", "gate restored");
+        log_crossing(
+            out,
+            was,
+            g.limit,
+            most / 4.0,
+            "gate lowered: origin slow",
+            "gate restored",
+        );
     }
 
     /// A server that fails several times in a row, with no answer between, is set aside for a while.
     fn strike(&mut self, server: ServerId, out: &mut Vec<Action>) {
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        let Some(s) = self.servers.get_mut(&server) else {
+            return;
+        };
         s.strikes += 1;
         let trial_failed = s.aside.0 != 0 && self.now >= s.aside.0;
         // A refused connect leaves nothing to chance: no process is there, or it has no room.
         if trial_failed || (s.aside.0 == 0 && (s.strikes >= STRIKES || s.unreachable)) {
-            let (least, most) = if s.unreachable { (self.seldom, ASIDE.2) } else { (1.0, ASIDE.1) };
-            let [least, most] = [least * ASIDE.0, most].map(|aims| (self.aim as f64 * aims) as Micros);
+            let (least, most) = if s.unreachable {
+                (self.seldom, ASIDE.2)
+            } else {
+                (1.0, ASIDE.1)
+            };
+            let [least, most] =
+                [least * ASIDE.0, most].map(|aims| (self.aim as f64 * aims) as Micros);
             let time = (s.aside.1 * 2).clamp(least, most.max(least));
             s.aside = (self.now + time, time);
             // It was silent or failed: that tells nothing of how many keys it can bear, or its kind.
@@ -669,26 +824,34 @@
                 let taught = THIN.0.powf(std::mem::take(&mut s.taught));
                 kind.thinned = (1.0 - (1.0 - kind.thinned) / taught).max(0.0);
             }
-            out.push(Action::Log(format!("server {server} fails or is silent: set aside")));
+            out.push(Action::Log(format!(
+                "server {server} fails or is silent: set aside"
+            )));
         }
     }
 
     /// A connection came up later than attempts wait for one: the way is slow, but the server is there.
     fn reached(&mut self, server: ServerId, out: &mut Vec<Action>) {
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        let Some(s) = self.servers.get_mut(&server) else {
+            return;
+        };
         if s.in_flight == 0 && self.crowded {
             out.push(Action::CloseIdle(server));
         }
         if std::mem::take(&mut s.unreachable) {
             (s.strikes, s.aside) = (s.strikes.saturating_sub(1), (0, 0));
-            out.push(Action::Log(format!("server {server} is reached after all: let back")));
+            out.push(Action::Log(format!(
+                "server {server} is reached after all: let back"
+            )));
         }
     }
 
     /// A server's time counts from when an attempt is written: how long the way there took tells nothing of
     /// its load.
     fn connection(&mut self, id: RequestId, attempt: u16, up: bool) {
-        let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
+        let Some(f) = self.flights.get_mut(&(id, attempt)) else {
+            return;
+        };
         f.connecting = !up;
         if up {
             f.sent = self.now;
@@ -700,7 +863,9 @@
     /// An attempt has had no answer for long: a sign of overload, and against silent and hanging servers a
     /// strike when the server has answered nothing since.
     fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
-        let Some(&f) = self.flights.get(&(id, attempt)) else { return };
+        let Some(&f) = self.flights.get(&(id, attempt)) else {
+            return;
+        };
         let (age, patience) = (self.now - f.sent, f.slow_after + 1);
         if f.connecting {
             return self.hedge(id, f.server, out);
@@ -709,7 +874,10 @@
             return; // It was written later than sent, and is looked at again.
         }
         // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
-        self.strain.add(if age < f.aim { 0.5 } else { 0.0 }, if age < patience * 3 / 2 { 1.0 } else { 0.0 });
+        self.strain.add(
+            if age < f.aim { 0.5 } else { 0.0 },
+            if age < patience * 3 / 2 { 1.0 } else { 0.0 },
+        );
         if age < patience * 3 / 2 {
             self.hedge(id, f.server, out);
         } else if age < f.aim {
@@ -719,7 +887,11 @@
             return self.wake(patience, Wake::Patience(id, attempt));
         }
         // One strike for one attempt: a single slow request is no sign of a sick server.
-        if self.servers.get(&f.server).is_some_and(|s| s.heard < f.sent) {
+        if self
+            .servers
+            .get(&f.server)
+            .is_some_and(|s| s.heard < f.sent)
+        {
             self.strike(f.server, out);
         }
     }
@@ -727,8 +899,13 @@
     /// Against a slow or silent server, of which one of many balancers sees too little to avoid it: a read
     /// that waits long is sent to the next server too. Where it sees enough, a copy would only add a fetch.
     fn hedge(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
-        let Some(h) = self.held.get_mut(&id).filter(|h| h.out == 1 && !h.missed) else { return };
-        let known = self.servers.get(&server).is_some_and(|s| s.answered_lately(self.now, self.aim) >= PRIOR);
+        let Some(h) = self.held.get_mut(&id).filter(|h| h.out == 1 && !h.missed) else {
+            return;
+        };
+        let known = self
+            .servers
+            .get(&server)
+            .is_some_and(|s| s.answered_lately(self.now, self.aim) >= PRIOR);
         if known
             || self.settings.classes[h.class].effect != Effect::Safe
             || !self.settings.may_duplicate
@@ -737,7 +914,10 @@
             return;
         }
         h.tried.push(server);
-        if self.pick(id).is_some_and(|next| self.send(id, next, Call::Cache, out)) {
+        if self
+            .pick(id)
+            .is_some_and(|next| self.send(id, next, Call::Cache, out))
+        {
             self.repeats -= 1.0;
         }
     }
@@ -748,7 +928,11 @@
     /// can still be in time. A call to the origin runs on anyway, and its answer fills the cache.
     fn time_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
-        let origin = |attempt| self.flights.get(&(id, attempt)).is_some_and(|f| f.call != Call::Cache);
+        let origin = |attempt| {
+            self.flights
+                .get(&(id, attempt))
+                .is_some_and(|f| f.call != Call::Cache)
+        };
         if self.now >= h.ends || !(0..h.sent).any(origin) {
             self.end(id, out);
         }
@@ -759,34 +943,55 @@
         let Some(h) = self.held.get(&id) else { return };
         // A quota is of answers: what was not served is given back, else one held to its quota gets less.
         let charged = h.charged.filter(|_| self.level >= LEVEL.1);
-        charged.and_then(|tenant| self.senders.get_mut(tenant)).into_iter().for_each(Bucket::give_back);
+        charged
+            .and_then(|tenant| self.senders.get_mut(tenant))
+            .into_iter()
+            .for_each(Bucket::give_back);
         let (class, harmless) = (h.class, h.may_have_run.is_empty());
         // A refused client is told to come back after the delay of a blocked call, random as that is: told to
         // wait for longer it comes back too late, and its answer takes another's place.
-        out.push(match self.settings.classes[class].effect == Effect::Safe || harmless {
-            true => {
-                let retry_after = self.delay(class).min(self.settings.max_retry_after);
-                Action::Refuse { request: id, retry_after }
-            }
-            false => Action::Fail(id),
-        });
+        out.push(
+            match self.settings.classes[class].effect == Effect::Safe || harmless {
+                true => {
+                    let retry_after = self.delay(class).min(self.settings.max_retry_after);
+                    Action::Refuse {
+                        request: id,
+                        retry_after,
+                    }
+                }
+                false => Action::Fail(id),
+            },
+        );
         self.cancel_rest(id, out);
         self.held.remove(&id);
     }
 
     /// Work that nobody waits for is wasted and holds up the rest.
     fn cancel_rest(&self, id: RequestId, out: &mut Vec<Action>) {
-        let sent = self.held.get(&id).filter(|h| h.out > 0 && self.settings.may_cancel).map_or(0, |h| h.sent);
+        let sent = self
+            .held
+            .get(&id)
+            .filter(|h| h.out > 0 && self.settings.may_cancel)
+            .map_or(0, |h| h.sent);
         let out_still = (0..sent).filter(|attempt| self.flights.contains_key(&(id, *attempt)));
-        out.extend(out_still.map(|attempt| Action::Cancel { request: id, attempt }));
+        out.extend(out_still.map(|attempt| Action::Cancel {
+            request: id,
+            attempt,
+        }));
     }
 
     // The server list.
 
     fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>) {
-        self.subscribe_tries = if kind == ListKind::Cached { self.subscribe_tries } else { 0 };
+        self.subscribe_tries = if kind == ListKind::Cached {
+            self.subscribe_tries
+        } else {
+            0
+        };
         if kind != ListKind::Delta {
-            self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
+            self.servers
+                .values_mut()
+                .for_each(|s| s.line.condition = Condition::Gone);
         }
         let mut begun = Vec::new();
         for line in lines {
@@ -797,12 +1002,21 @@
                 (s.strikes, s.aside, s.thinned) = (0, (0, 0), 0.0);
                 begun.push(line.id);
             }
-            s.size = if self.settings.weights_are_live { s.size.max(line.weight) } else { line.weight };
-            let started = if line.started == 0 { 0 } else { line.started.max(s.line.started) };
+            s.size = if self.settings.weights_are_live {
+                s.size.max(line.weight)
+            } else {
+                line.weight
+            };
+            let started = if line.started == 0 {
+                0
+            } else {
+                line.started.max(s.line.started)
+            };
             s.line = ServerLine { started, ..line };
         }
         // Gone and owing nothing: forgotten here, as a walk over the fleet at each review cost much CPU.
-        self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
+        self.servers
+            .retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
         self.add_up();
         begun.into_iter().for_each(|id| self.begin_cold(id));
     }
@@ -810,8 +1024,14 @@
     /// The bucket of a server that has just started is full: the first attempt comes after a chance part of
     /// the time between two. A token at once from each of many balancers would push it over.
     fn begin_cold(&mut self, server: ServerId) {
-        let used = self.rng.unit() + self.servers.get(&server).map_or(1.0, |s| self.cold_bucket(s).1);
-        self.servers.entry(server).and_modify(|s| s.cold = (used, self.now));
+        let used = self.rng.unit()
+            + self
+                .servers
+                .get(&server)
+                .map_or(1.0, |s| self.cold_bucket(s).1);
+        self.servers
+            .entry(server)
+            .and_modify(|s| s.cold = (used, self.now));
     }
 
     /// Discovery has little capacity: it is asked again later each time, and not by all at once.
@@ -822,7 +1042,9 @@
         self.subscribe_tries += 1;
         let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
         self.wake(delay, Wake::Subscribe);
-        out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
+        out.push(Action::Log(
+            "discovery call failed or subscription lost: asking again".into(),
+        ));
     }
 
     // Now and then.
@@ -832,23 +1054,44 @@
         let period = (self.aim / 8).max(self.settings.tick).max(1);
         let was = self.level;
         let strain = self.strain.value();
-        let (floor, hold) = if strain > STRAIN.1 { (LEVEL.0, false) } else { (LEVEL.1, strain > STRAIN.0) };
+        let (floor, hold) = if strain > STRAIN.1 {
+            (LEVEL.0, false)
+        } else {
+            (LEVEL.1, strain > STRAIN.0)
+        };
         // It hastens in a jam, which grows by itself, and where few or no requests are left to judge by.
         let haste = strain > STRAIN.1 || was < LEVEL.1 || (self.cache_out == 0 && strain <= 0.0);
-        let part = if haste { 1.0 } else { (self.strain.fresh / LEVEL_STEPS.2).min(1.0) };
+        let part = if haste {
+            1.0
+        } else {
+            (self.strain.fresh / LEVEL_STEPS.2).min(1.0)
+        };
         self.level = match strain > STRAIN.1 || (hold && was > LEVEL.1) {
             true => (was * LEVEL_STEPS.0.powf(part)).max(floor),
             false => (was * LEVEL_STEPS.1.powf(part)).min(if hold { LEVEL.1 } else { LEVEL.2 }),
         };
-        log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
+        log_crossing(
+            out,
+            was,
+            self.level,
+            LEVEL.2,
+            "shedding over quota has begun",
+            "shedding has ended",
+        );
         let regained = period as f64 / (THIN_FOR * self.aim as f64);
         let kinds = self.kinds.values_mut().map(|kind| &mut kind.thinned);
-        let parts = self.servers.values_mut().map(|s| &mut s.thinned).chain(kinds);
+        let parts = self
+            .servers
+            .values_mut()
+            .map(|s| &mut s.thinned)
+            .chain(kinds);
         parts.for_each(|thinned| *thinned = (*thinned - regained).max(0.0));
         self.strain.fade(FADE.0, FADE.1);
         self.gate.pressed.fade(FADE.0, FADE.1);
         self.admitted.roll(period);
-        self.kinds.values_mut().for_each(|kind| kind.borne.roll(period));
+        self.kinds
+            .values_mut()
+            .for_each(|kind| kind.borne.roll(period));
         self.add_up();
         self.wake(period, Wake::Review);
     }
--- a/crates/routing-policy/src/settings.rs
+++ b/crates/routing-policy/src/settings.rs
@@ -154,7 +154,10 @@
 
 impl Default for Specifics {
     fn default() -> Self {
-        Specifics { mode: "through".into(), origin_kind: -1 }
+        Specifics {
+            mode: "through".into(),
+            origin_kind: -1,
+        }
     }
 }
 
@@ -191,19 +194,27 @@
 
 /// Reads a settings text; the error is one plain line.
 pub fn read(text: &[u8]) -> Result<Deployment, String> {
-    let wire: Wire = serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
+    let wire: Wire =
+        serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
     let mut classes = Vec::with_capacity(wire.classes.len());
     for c in &wire.classes {
         classes.push(class(c)?);
     }
-    let origin = (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
+    let origin =
+        (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
     let limits = wire.limits;
     let settings = Settings {
         balancers: wire.balancers,
         me: wire.me,
         zone: wire.zone,
         classes,
-        tenants: wire.realms.iter().map(|r| Tenant { quota_per_s: r.quota_per_s }).collect(),
+        tenants: wire
+            .realms
+            .iter()
+            .map(|r| Tenant {
+                quota_per_s: r.quota_per_s,
+            })
+            .collect(),
         ask_discovery: wire.discovery == "ask",
         ask_within: micros(wire.guarantees.ask_within_us),
         origin_kind: origin.flatten(),
@@ -217,7 +228,11 @@
         may_tell_peers: limits.peers,
         connection_price: wire.prices.connection,
         handshake_price: wire.prices.handshake,
-        max_retry_after: if limits.retry_after { micros(limits.max_retry_after_us) } else { 0 },
+        max_retry_after: if limits.retry_after {
+            micros(limits.max_retry_after_us)
+        } else {
+            0
+        },
         tick: micros(wire.period_us),
         cold_share: wire.guarantees.cold_share,
         warm_up: micros(wire.guarantees.cold_us),
@@ -246,10 +261,15 @@
     };
     let effect = match c.effect.as_str() {
         "pure" => Effect::Safe,
-        "token" => Effect::Keyed { group, window: micros(c.dedup_window_us) },
+        "token" => Effect::Keyed {
+            group,
+            window: micros(c.dedup_window_us),
+        },
         "side_effect" => Effect::Unsafe,
         other => {
-            return Err(format!("unreadable settings: unknown effect {other:?} of a class"));
+            return Err(format!(
+                "unreadable settings: unknown effect {other:?} of a class"
+            ));
         }
     };
     Ok(Class {
--- a/crates/routing-policy/src/state.rs
+++ b/crates/routing-policy/src/state.rs
@@ -276,7 +276,11 @@
     /// Fills it at a rate a second up to a depth, and tells whether there is a token to take.
     pub fn fill(&mut self, now: Micros, per_s: f64, depth: f64) -> bool {
         let more = per_s.max(0.0) * now.saturating_sub(self.filled_at) as f64 / 1e6;
-        self.tokens = if more.is_nan() { self.tokens } else { (self.tokens + more).min(depth) };
+        self.tokens = if more.is_nan() {
+            self.tokens
+        } else {
+            (self.tokens + more).min(depth)
+        };
         self.filled_at = now;
         self.tokens >= 1.0
     }
@@ -319,14 +323,24 @@
         }
         if self.armed.is_none_or(|armed| time < armed) {
             self.armed = Some(time);
-            out.push(Action::Timer { after: time - now, token: 0 });
+            out.push(Action::Timer {
+                after: time - now,
+                token: 0,
+            });
         }
         None
     }
 }
 
 /// Logs when a figure falls below a mark or rises to it again.
-pub fn log_crossing(out: &mut Vec<Action>, was: f64, is: f64, mark: f64, fallen: &str, risen: &str) {
+pub fn log_crossing(
+    out: &mut Vec<Action>,
+    was: f64,
+    is: f64,
+    mark: f64,
+    fallen: &str,
+    risen: &str,
+) {
     if (was < mark) != (is < mark) {
         out.push(Action::Log(if is < mark { fallen } else { risen }.into()));
     }
--- a/crates/routing-policy/tests/common/mod.rs
+++ b/crates/routing-policy/tests/common/mod.rs
@@ -16,11 +16,28 @@
 }
 
 pub fn settings() -> Settings {
-    let read = Class { aim: 750 * MS, deadline: 1500 * MS, ..Class::default() };
-    let keyed = Effect::Keyed { group: Group::All, window: 200 * MS };
-    let write = Class { aim: 150 * MS, deadline: 300 * MS, effect: keyed, ..Class::default() };
-    let once =
-        Class { aim: 300 * MS, deadline: SECOND, effect: Effect::Unsafe, worth: 8.0, ..Class::default() };
+    let read = Class {
+        aim: 750 * MS,
+        deadline: 1500 * MS,
+        ..Class::default()
+    };
+    let keyed = Effect::Keyed {
+        group: Group::All,
+        window: 200 * MS,
+    };
+    let write = Class {
+        aim: 150 * MS,
+        deadline: 300 * MS,
+        effect: keyed,
+        ..Class::default()
+    };
+    let once = Class {
+        aim: 300 * MS,
+        deadline: SECOND,
+        effect: Effect::Unsafe,
+        worth: 8.0,
+        ..Class::default()
+    };
     Settings {
         classes: vec![read, write, once],
         origin_kind: Some(ORIGIN_KIND),
@@ -30,19 +47,38 @@
 }
 
 pub fn server(id: ServerId) -> ServerLine {
-    ServerLine { id, ..ServerLine::default() }
+    ServerLine {
+        id,
+        ..ServerLine::default()
+    }
 }
 
 pub fn origin() -> ServerLine {
-    ServerLine { id: ORIGIN, kind: ORIGIN_KIND, ..ServerLine::default() }
+    ServerLine {
+        id: ORIGIN,
+        kind: ORIGIN_KIND,
+        ..ServerLine::default()
+    }
 }
 
 pub fn read(id: RequestId, key: Key) -> Request {
-    Request { id, key, time_left: 1500 * MS, ..Request::default() }
+    Request {
+        id,
+        key,
+        time_left: 1500 * MS,
+        ..Request::default()
+    }
 }
 
 pub fn write(id: RequestId, class: usize) -> Request {
-    Request { id, key: 5, class, write: true, time_left: 300 * MS, ..Request::default() }
+    Request {
+        id,
+        key: 5,
+        class,
+        write: true,
+        time_left: 300 * MS,
+        ..Request::default()
+    }
 }
 
 impl Node {
@@ -61,7 +97,12 @@
     /// The same with a seed of its own, as each of many balancers has.
     pub fn seeded(settings: Settings, servers: u32, seed: u64) -> Self {
         let policy = Policy::new(settings, seed);
-        let mut node = Node { policy, now: 60 * SECOND, actions: Vec::new(), timers: Vec::new() };
+        let mut node = Node {
+            policy,
+            now: 60 * SECOND,
+            actions: Vec::new(),
+            timers: Vec::new(),
+        };
         let mut lines: Vec<_> = (1..=servers).map(server).collect();
         lines.push(origin());
         node.list(ListKind::Cached, lines);
@@ -98,7 +139,16 @@
     ) -> Vec<Action> {
         let over = status == Status::Served;
         let (note, load) = (Note::None, Load::default());
-        let outcome = Outcome { request, attempt, server, status, over, note, took: MS, load };
+        let outcome = Outcome {
+            request,
+            attempt,
+            server,
+            status,
+            over,
+            note,
+            took: MS,
+            load,
+        };
         self.event(Event::Outcome(outcome))
     }
 
@@ -124,11 +174,16 @@
 }
 
 pub fn sends(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Send { .. })).count()
+    actions
+        .iter()
+        .filter(|a| matches!(a, Action::Send { .. }))
+        .count()
 }
 
 pub fn refused(actions: &[Action], id: RequestId) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+    actions
+        .iter()
+        .any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
 }
 
 pub fn failed(actions: &[Action], id: RequestId) -> bool {
@@ -137,6 +192,10 @@
 
 /// Takes out the first of the timers that is due by a time.
 pub fn take_due(timers: &mut Vec<Micros>, end: Micros) -> Option<Micros> {
-    let (at, due) = timers.iter().copied().enumerate().min_by_key(|(_, due)| *due)?;
+    let (at, due) = timers
+        .iter()
+        .copied()
+        .enumerate()
+        .min_by_key(|(_, due)| *due)?;
     (due <= end).then(|| timers.swap_remove(at))
 }
--- a/crates/routing-policy/tests/fleet.rs
+++ b/crates/routing-policy/tests/fleet.rs
@@ -45,11 +45,27 @@
     fn new(balancers: u32, seed: u64) -> Self {
         let config = Fleet::settings(balancers);
         let nodes: Vec<_> = (0..balancers)
-            .map(|me| Node::seeded(Settings { me, ..config.clone() }, SERVERS, seed * 1_000 + u64::from(me)))
+            .map(|me| {
+                Node::seeded(
+                    Settings {
+                        me,
+                        ..config.clone()
+                    },
+                    SERVERS,
+                    seed * 1_000 + u64::from(me),
+                )
+            })
             .collect();
         let told = vec![false; nodes.len()];
         let draw = Draw(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
-        Fleet { draw, nodes, due: BinaryHeap::new(), told, sent: Vec::new(), begun: 0 }
+        Fleet {
+            draw,
+            nodes,
+            due: BinaryHeap::new(),
+            told,
+            sent: Vec::new(),
+            begun: 0,
+        }
     }
 
     fn settings(balancers: u32) -> Settings {
@@ -67,7 +83,12 @@
     fn act(&mut self, at: usize, attempts: &mut [u16], actions: &[Action]) {
         let now = self.nodes[at].now;
         for action in actions {
-            let Action::Send { request, server, .. } = action else { continue };
+            let Action::Send {
+                request, server, ..
+            } = action
+            else {
+                continue;
+            };
             if COLD.contains(server) && self.begun > 0 && self.told[at] {
                 self.sent.push((now, *server));
             }
@@ -75,9 +96,14 @@
             let attempt = attempts[place];
             attempts[place] += 1;
             let (late, full) = (self.draw.below(12) == 0, self.draw.below(8) == 0);
-            let after = if late { 400 * MS } else { (15 + self.draw.below(40)) * MS };
+            let after = if late {
+                400 * MS
+            } else {
+                (15 + self.draw.below(40)) * MS
+            };
             let full = full && *server != ORIGIN;
-            self.due.push(Reverse((now + after, at, *request, attempt, *server, full)));
+            self.due
+                .push(Reverse((now + after, at, *request, attempt, *server, full)));
         }
     }
 
@@ -87,7 +113,11 @@
         let mut id = 0;
         let (start, step) = (self.nodes[0].now, 5 * MS);
         let cold_at = start + 15 * SECOND;
-        let hears: Vec<_> = self.nodes.iter().map(|_| cold_at + self.draw.below(1_500) * MS).collect();
+        let hears: Vec<_> = self
+            .nodes
+            .iter()
+            .map(|_| cold_at + self.draw.below(1_500) * MS)
+            .collect();
         for tick in 0..(25 * SECOND / step) {
             let now = start + tick * step;
             if self.begun == 0 && now >= cold_at {
@@ -98,7 +128,10 @@
                     self.told[at] = true;
                     if restarted && at % 3 == 0 {
                         let balancers = self.nodes.len() as u32;
-                        let config = Settings { me: at as u32, ..Fleet::settings(balancers) };
+                        let config = Settings {
+                            me: at as u32,
+                            ..Fleet::settings(balancers)
+                        };
                         let mut fresh = Node::seeded(config, SERVERS, self.draw.below(1 << 40));
                         fresh.now = now;
                         self.nodes[at] = fresh;
@@ -106,7 +139,10 @@
                         let due = std::mem::take(&mut self.due).into_iter();
                         self.due = due.filter(|Reverse(outcome)| outcome.1 != at).collect();
                     }
-                    let cold = COLD.map(|id| ServerLine { started: cold_at, ..server(id) });
+                    let cold = COLD.map(|id| ServerLine {
+                        started: cold_at,
+                        ..server(id)
+                    });
                     let actions = self.nodes[at].list(ListKind::Delta, cold.to_vec());
                     self.act(at, &mut attempts, &actions);
                 }
@@ -117,7 +153,9 @@
             while let Some(Reverse((due, ..))) = self.due.peek()
                 && *due <= now
             {
-                let Some(Reverse((_, at, request, attempt, server, full))) = self.due.pop() else { break };
+                let Some(Reverse((_, at, request, attempt, server, full))) = self.due.pop() else {
+                    break;
+                };
                 let miss = server != ORIGIN && self.draw.below(10) == 0;
                 let status = match (full, miss) {
                     (true, _) => Status::Full,
@@ -148,27 +186,44 @@
         let warm = RATE as f64 / f64::from(SERVERS + 1);
         let windows = self.sent.iter().map(|(from, server)| {
             let until = from + settings.fall_after;
-            let count = self.sent.iter().filter(|(at, s)| s == server && at >= from && *at < until).count();
-            let age = (until - settings.fall_after / 2 - self.begun) as f64 / settings.warm_up as f64;
+            let count = self
+                .sent
+                .iter()
+                .filter(|(at, s)| s == server && at >= from && *at < until)
+                .count();
+            let age =
+                (until - settings.fall_after / 2 - self.begun) as f64 / settings.warm_up as f64;
             let warmth = (settings.cold_share + (1.0 - settings.cold_share) * age).min(1.0);
             let n = settings.fall_multiple * warmth * warm * settings.fall_after as f64 / 1e6;
             (count, n + 2.0 * n.sqrt() + 2.0)
         });
-        windows.max_by(|a, b| (a.0 as f64 / a.1).total_cmp(&(b.0 as f64 / b.1))).expect("they are used")
+        windows
+            .max_by(|a, b| (a.0 as f64 / a.1).total_cmp(&(b.0 as f64 / b.1)))
+            .expect("they are used")
     }
 }
 
 #[test]
-fn twenty_and_thirty_balancers_together_spare_cold_servers_though_some_know_nothing_and_lists_come_late() {
+fn twenty_and_thirty_balancers_together_spare_cold_servers_though_some_know_nothing_and_lists_come_late()
+ {
     for balancers in [20, 30] {
         for restarted in [false, true] {
             for seed in 1..=3 {
                 let mut fleet = Fleet::new(balancers, seed);
                 fleet.play(restarted);
                 let (count, most) = fleet.worst();
-                println!("{balancers} {restarted} {seed}: {count} of {most:.1}, {} in all", fleet.sent.len());
-                assert!(count as f64 <= most, "{balancers} {restarted} {seed}: {count}, {most:.1} may be");
-                assert!(fleet.sent.len() >= 30, "{balancers} {restarted} {seed}: they are used");
+                println!(
+                    "{balancers} {restarted} {seed}: {count} of {most:.1}, {} in all",
+                    fleet.sent.len()
+                );
+                assert!(
+                    count as f64 <= most,
+                    "{balancers} {restarted} {seed}: {count}, {most:.1} may be"
+                );
+                assert!(
+                    fleet.sent.len() >= 30,
+                    "{balancers} {restarted} {seed}: they are used"
+                );
             }
         }
     }
--- a/crates/routing-policy/tests/properties.rs
+++ b/crates/routing-policy/tests/properties.rs
@@ -13,14 +13,36 @@
 #[derive(Debug, Clone)]
 enum Step {
     Wait(u64),
-    Ask { class: usize, tenant: usize, key: Key, write: bool, budget: u64 },
-    End { which: usize, status: usize },
-    Begin { which: usize },
-    Leave { which: usize },
-    List { which: usize, condition: u8, restarted: bool },
-    Whole { mask: u32 },
+    Ask {
+        class: usize,
+        tenant: usize,
+        key: Key,
+        write: bool,
+        budget: u64,
+    },
+    End {
+        which: usize,
+        status: usize,
+    },
+    Begin {
+        which: usize,
+    },
+    Leave {
+        which: usize,
+    },
+    List {
+        which: usize,
+        condition: u8,
+        restarted: bool,
+    },
+    Whole {
+        mask: u32,
+    },
     Lost,
-    Peer { from: u32, bytes: Vec<u8> },
+    Peer {
+        from: u32,
+        bytes: Vec<u8>,
+    },
     Restart,
 }
 
@@ -43,16 +65,37 @@
 }
 
 fn config() -> impl Strategy<Value = Settings> {
-    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
+    let flags = (
+        any::<bool>(),
+        any::<bool>(),
+        any::<bool>(),
+        any::<bool>(),
+        any::<bool>(),
+    );
     (flags, 1..5u32, 1..5u32, 0..4usize, 0..3u8, 0.0..1.0f64).prop_map(
-        |((aside, duplicate, ask, peers, sizes), max_attempts, balancers, tenants, group, cold_share)| {
+        |(
+            (aside, duplicate, ask, peers, sizes),
+            max_attempts,
+            balancers,
+            tenants,
+            group,
+            cold_share,
+        )| {
             let group = [Group::All, Group::Zone, Group::Cell][usize::from(group)];
-            let class = |effect| Class { aim: 200_000, deadline: 900_000, effect, ..Class::default() };
+            let class = |effect| Class {
+                aim: 200_000,
+                deadline: 900_000,
+                effect,
+                ..Class::default()
+            };
             Settings {
                 balancers,
                 classes: vec![
                     class(Effect::Safe),
-                    class(Effect::Keyed { group, window: 300_000 }),
+                    class(Effect::Keyed {
+                        group,
+                        window: 300_000,
+                    }),
                     class(Effect::Unsafe),
                 ],
                 tenants: vec![Tenant { quota_per_s: 5.0 }; tenants],
@@ -125,7 +168,12 @@
     }
 
     fn hear(&mut self, kind: ListKind) {
-        let servers = self.lines.values().filter(|l| l.condition != Condition::Gone).cloned().collect();
+        let servers = self
+            .lines
+            .values()
+            .filter(|l| l.condition != Condition::Gone)
+            .cloned()
+            .collect();
         self.event(Event::ServerList { kind, servers });
     }
 
@@ -140,13 +188,28 @@
 
     fn check(&mut self, action: &Action) {
         match action {
-            Action::Send { request, server, .. } => {
-                let owed = self.owed.get(request).expect("a send for a request that has ended");
+            Action::Send {
+                request, server, ..
+            } => {
+                let owed = self
+                    .owed
+                    .get(request)
+                    .expect("a send for a request that has ended");
                 let line = &self.lines[server];
-                assert_eq!(line.condition, Condition::Ready, "a send to a draining or gone server");
-                assert!(owed.sent.len() < self.settings.max_attempts as usize, "too many attempts");
+                assert_eq!(
+                    line.condition,
+                    Condition::Ready,
+                    "a send to a draining or gone server"
+                );
+                assert!(
+                    owed.sent.len() < self.settings.max_attempts as usize,
+                    "too many attempts"
+                );
                 assert!(self.now < owed.ends, "a send after the request's time");
-                assert!(self.settings.may_duplicate || owed.sent.iter().all(|a| !a.out), "two copies out");
+                assert!(
+                    self.settings.may_duplicate || owed.sent.iter().all(|a| !a.out),
+                    "two copies out"
+                );
                 let running: Vec<_> = owed.sent.iter().filter(|a| a.may_have_run).collect();
                 match self.settings.classes[owed.class].effect {
                     Effect::Safe => {}
@@ -159,11 +222,19 @@
                                 Group::Zone => first.zone == line.zone,
                                 Group::Cell => first.cell == line.cell,
                             };
-                            assert!(same && self.now < a.at + window, "a keyed request outside its group");
+                            assert!(
+                                same && self.now < a.at + window,
+                                "a keyed request outside its group"
+                            );
                         }
                     }
                 }
-                let attempt = Attempt { server: *server, at: self.now, out: true, may_have_run: true };
+                let attempt = Attempt {
+                    server: *server,
+                    at: self.now,
+                    out: true,
+                    may_have_run: true,
+                };
                 let owed = self.owed.get_mut(request).unwrap();
                 self.out.push((*request, owed.sent.len() as u16, *server));
                 owed.sent.push(attempt);
@@ -171,13 +242,18 @@
             Action::Refuse { request, .. } => {
                 let owed = self.owed.remove(request).expect("a second final answer");
                 let safe = self.settings.classes[owed.class].effect == Effect::Safe;
-                assert!(safe || owed.sent.iter().all(|a| !a.may_have_run), "a refusal of what may have run");
+                assert!(
+                    safe || owed.sent.iter().all(|a| !a.may_have_run),
+                    "a refusal of what may have run"
+                );
             }
             Action::Fail(request) => {
                 self.owed.remove(request).expect("a second final answer");
             }
             Action::Timer { after, .. } => self.timers.push(self.now + (*after).max(1)),
-            Action::Tell { bytes, .. } => assert!(self.settings.may_tell_peers && bytes.len() <= 256),
+            Action::Tell { bytes, .. } => {
+                assert!(self.settings.may_tell_peers && bytes.len() <= 256)
+            }
             Action::Probe(_) | Action::Cancel { .. } => panic!("not allowed here"),
             _ => {}
         }
@@ -189,17 +265,29 @@
             self.now = due;
             self.event(Event::Timer(0));
             let now = self.now;
-            assert!(self.owed.values().all(|o| now < o.ends), "a request without an answer at its end");
+            assert!(
+                self.owed.values().all(|o| now < o.ends),
+                "a request without an answer at its end"
+            );
         }
         self.now = end;
         let now = self.now;
-        assert!(self.owed.values().all(|o| now <= o.ends), "a request without an answer at its end");
+        assert!(
+            self.owed.values().all(|o| now <= o.ends),
+            "a request without an answer at its end"
+        );
     }
 
     fn step(&mut self, step: &Step) {
         match step {
             Step::Wait(time) => self.pass(*time),
-            Step::Ask { class, tenant, key, write, budget } => {
+            Step::Ask {
+                class,
+                tenant,
+                key,
+                write,
+                budget,
+            } => {
                 let tenant = tenant % self.settings.tenants.len().max(1);
                 let request = Request {
                     id: self.next,
@@ -210,7 +298,11 @@
                     time_left: *budget,
                     ..Request::default()
                 };
-                let owed = Owed { class: *class, ends: self.now + budget, sent: Vec::new() };
+                let owed = Owed {
+                    class: *class,
+                    ends: self.now + budget,
+                    sent: Vec::new(),
+                };
                 self.owed.insert(self.next, owed);
                 self.next += 1;
                 self.event(Event::Request(request));
@@ -259,25 +351,42 @@
                 self.owed.remove(&id);
                 self.event(Event::ClientGone(id));
             }
-            Step::List { which, condition, restarted } => {
+            Step::List {
+                which,
+                condition,
+                restarted,
+            } => {
                 let id = (which % self.lines.len()) as ServerId;
                 let line = self.lines.get_mut(&id).unwrap();
-                line.condition =
-                    [Condition::Ready, Condition::Draining, Condition::Gone][usize::from(*condition)];
+                line.condition = [Condition::Ready, Condition::Draining, Condition::Gone]
+                    [usize::from(*condition)];
                 line.started = if *restarted { self.now } else { line.started };
                 let servers = vec![line.clone()];
-                self.event(Event::ServerList { kind: ListKind::Delta, servers });
+                self.event(Event::ServerList {
+                    kind: ListKind::Delta,
+                    servers,
+                });
             }
             Step::Whole { mask } => {
                 for (id, line) in &mut self.lines {
                     let there = mask >> id & 1 == 1;
-                    line.condition = if there { Condition::Ready } else { Condition::Gone };
+                    line.condition = if there {
+                        Condition::Ready
+                    } else {
+                        Condition::Gone
+                    };
                 }
                 self.hear(ListKind::Full);
             }
-            Step::Lost => self.event(Event::ServerList { kind: ListKind::Failed, servers: Vec::new() }),
+            Step::Lost => self.event(Event::ServerList {
+                kind: ListKind::Failed,
+                servers: Vec::new(),
+            }),
             Step::Peer { from, bytes } => {
-                self.event(Event::PeerMessage { from: *from, bytes: bytes.clone() });
+                self.event(Event::PeerMessage {
+                    from: *from,
+                    bytes: bytes.clone(),
+                });
             }
             Step::Restart => {
                 self.policy = Policy::new(self.settings.clone(), 4);
@@ -293,7 +402,11 @@
 
 #[test]
 fn the_rules_hold_over_random_events_and_the_same_events_give_the_same_actions() {
-    let config_of_runs = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let config_of_runs = Config {
+        cases: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let mut runner = TestRunner::new_with_rng(config_of_runs, rng);
     let strategy = (config(), proptest::collection::vec(step(), 1..150));
--- a/crates/routing-policy/tests/size.rs
+++ b/crates/routing-policy/tests/size.rs
@@ -16,17 +16,27 @@
     let mut lines = 0;
     for file in files {
         let path = root.join(file.as_str().unwrap());
-        let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+        let text =
+            std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
         lines += text.lines().filter(|line| !line.trim().is_empty()).count();
     }
-    assert!(lines <= MAX_POLICY_LINES, "{lines} non-blank lines, {MAX_POLICY_LINES} at most");
+    assert!(
+        lines <= MAX_POLICY_LINES,
+        "{lines} non-blank lines, {MAX_POLICY_LINES} at most"
+    );
 }
 
 #[test]
 fn the_deployment_with_the_trace_counts_the_same_policy_files() {
     let read = |name: &str| -> toml::Table {
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-        std::fs::read_to_string(root.join("deploy").join(name)).unwrap().parse().unwrap()
+        std::fs::read_to_string(root.join("deploy").join(name))
+            .unwrap()
+            .parse()
+            .unwrap()
     };
-    assert_eq!(read("trace.toml")["policy"], read("balancer.toml")["policy"]);
+    assert_eq!(
+        read("trace.toml")["policy"],
+        read("balancer.toml")["policy"]
+    );
 }
--- a/crates/simulator-adapter/src/codec.rs
+++ b/crates/simulator-adapter/src/codec.rs
@@ -34,7 +34,10 @@
             number: u32_at(bytes, 16),
         };
         if header.records.saturating_mul(EVENT_SIZE) > header.length {
-            return Err(format!("batch {}: records exceed the frame's length", header.number));
+            return Err(format!(
+                "batch {}: records exceed the frame's length",
+                header.number
+            ));
         }
         Ok(header)
     }
@@ -86,7 +89,11 @@
         4 => routing_policy::Event::Request(request(r)),
         5 => {
             let settings = tail_part(tail, r, 11, 1)?;
-            return Ok(Record::Start { node, seed: u64_at(r, 3), settings });
+            return Ok(Record::Start {
+                node,
+                seed: u64_at(r, 3),
+                settings,
+            });
         }
         6 => routing_policy::Event::Probed {
             ok: u16_at(r, 3) == 200,
@@ -95,11 +102,20 @@
             load: load(r, 13),
         },
         7 => return Ok(Record::Stop(node)),
-        8 => routing_policy::Event::AnswerBegan { request: u64_at(r, 3), attempt: u16_at(r, 15) },
+        8 => routing_policy::Event::AnswerBegan {
+            request: u64_at(r, 3),
+            attempt: u16_at(r, 15),
+        },
         9 => {
             let part = tail_part(tail, r, 3, LINE_SIZE)?;
-            let lines = part.chunks_exact(LINE_SIZE).map(line).collect::<Result<_, _>>()?;
-            return Ok(Record::List { number: node, lines });
+            let lines = part
+                .chunks_exact(LINE_SIZE)
+                .map(line)
+                .collect::<Result<_, _>>()?;
+            return Ok(Record::List {
+                number: node,
+                lines,
+            });
         }
         10 => {
             let kind = match r[9] {
@@ -109,11 +125,18 @@
                 3 => ListKind::Delta,
                 other => return Err(format!("roster_change of unknown kind {other}")),
             };
-            return Ok(Record::ListHeard { node, kind, number: u16_at(r, 3) });
+            return Ok(Record::ListHeard {
+                node,
+                kind,
+                number: u16_at(r, 3),
+            });
         }
         11 => {
             let bytes = tail_part(tail, r, 7, 1)?.to_vec();
-            routing_policy::Event::PeerMessage { from: u32_at(r, 3), bytes }
+            routing_policy::Event::PeerMessage {
+                from: u32_at(r, 3),
+                bytes,
+            }
         }
         other => return Err(format!("unknown event code {other}")),
     };
@@ -168,7 +191,10 @@
 
 fn load(r: &[u8], at: usize) -> Load {
     let values = std::array::from_fn(|i| f32_at(r, at + 1 + 4 * i));
-    Load { count: r[at].min(4), values }
+    Load {
+        count: r[at].min(4),
+        values,
+    }
 }
 
 fn line(r: &[u8]) -> Result<ServerLine, String> {
@@ -193,8 +219,12 @@
 fn tail_part<'a>(tail: &'a [u8], r: &[u8], at: usize, size: usize) -> Result<&'a [u8], String> {
     let (offset, count) = (u32_at(r, at) as usize, u32_at(r, at + 4) as usize);
     let end = count.checked_mul(size).and_then(|n| n.checked_add(offset));
-    end.and_then(|end| tail.get(offset..end))
-        .ok_or_else(|| format!("event code {}: tail offset {offset} and count {count} leave the frame", r[0]))
+    end.and_then(|end| tail.get(offset..end)).ok_or_else(|| {
+        format!(
+            "event code {}: tail offset {offset} and count {count} leave the frame",
+            r[0]
+        )
+    })
 }
 
 fn u16_at(b: &[u8], at: usize) -> u16 {
@@ -231,13 +261,20 @@
         let mut r = [0u8; ACTION_SIZE];
         r[1..3].copy_from_slice(&node.to_le_bytes());
         match action {
-            Action::Send { request, server, give_up_after } => {
+            Action::Send {
+                request,
+                server,
+                give_up_after,
+            } => {
                 r[0] = 1;
                 put(&mut r, 3, &request.to_le_bytes());
                 put(&mut r, 11, &server.to_le_bytes());
                 put(&mut r, 15, &span(*give_up_after));
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 r[0] = 2;
                 put(&mut r, 3, &request.to_le_bytes());
                 put(&mut r, 11, &span(*retry_after));
@@ -312,7 +349,10 @@
 
 /// Times of actions are signed 32-bit on the wire; longer ones are cut to the longest.
 fn span(time: Micros) -> [u8; 4] {
-    u32::try_from(time).unwrap_or(u32::MAX).min(i32::MAX as u32).to_le_bytes()
+    u32::try_from(time)
+        .unwrap_or(u32::MAX)
+        .min(i32::MAX as u32)
+        .to_le_bytes()
 }
 
 #[cfg(test)]
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -32,18 +32,30 @@
         for index in 0..header.records {
             let record = codec::read_record(body, header.records, index)
                 .map_err(|e| format!("batch {}, record {index}: {e}", header.number))?;
-            self.record(header.now, record).map_err(|e| format!("batch {}: {e}", header.number))?;
+            self.record(header.now, record)
+                .map_err(|e| format!("batch {}: {e}", header.number))?;
         }
         Ok(())
     }
 
     fn record(&mut self, now: Micros, record: Record<'_>) -> Result<(), String> {
         match record {
-            Record::Start { node, seed, settings } => {
+            Record::Start {
+                node,
+                seed,
+                settings,
+            } => {
                 let settings = settings::read(settings)?.settings;
                 let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
                 let policy = Policy::new(settings, seed);
-                self.instances.insert(node, Instance { policy, classes, tenants });
+                self.instances.insert(
+                    node,
+                    Instance {
+                        policy,
+                        classes,
+                        tenants,
+                    },
+                );
                 Ok(())
             }
             Record::Stop(node) => match self.instances.remove(&node) {
@@ -52,7 +64,8 @@
             },
             Record::List { number, lines } => {
                 let slot = self.lists.get_mut(usize::from(number));
-                *slot.ok_or_else(|| format!("census with list number {number} out of range"))? = Some(lines);
+                *slot.ok_or_else(|| format!("census with list number {number} out of range"))? =
+                    Some(lines);
                 Ok(())
             }
             Record::ListHeard { node, kind, number } => {
@@ -60,7 +73,8 @@
                     ListKind::Failed | ListKind::Silent => Vec::new(),
                     _ => {
                         let list = self.lists.get(usize::from(number)).and_then(Option::as_ref);
-                        list.ok_or_else(|| format!("roster_change names unknown list {number}"))?.clone()
+                        list.ok_or_else(|| format!("roster_change names unknown list {number}"))?
+                            .clone()
                     }
                 };
                 self.event(now, node, Event::ServerList { kind, servers })
@@ -74,10 +88,16 @@
         let instance = instance.ok_or_else(|| format!("event for unknown instance {node}"))?;
         if let Event::Request(r) = &event {
             if r.class >= instance.classes {
-                return Err(format!("request of class {} that the settings do not have", r.class));
+                return Err(format!(
+                    "request of class {} that the settings do not have",
+                    r.class
+                ));
             }
             if r.tenant >= instance.tenants.max(1) {
-                return Err(format!("request of tenant {} that the settings do not have", r.tenant));
+                return Err(format!(
+                    "request of tenant {} that the settings do not have",
+                    r.tenant
+                ));
             }
         }
         instance.policy.handle(now, event, &mut self.actions);
@@ -111,14 +131,23 @@
         let header = BatchHeader::read(&header_bytes)?;
         // Read through `take`, so that a false length does not reserve memory that never fills.
         body.clear();
-        let got = input.by_ref().take(header.length as u64).read_to_end(&mut body);
+        let got = input
+            .by_ref()
+            .take(header.length as u64)
+            .read_to_end(&mut body);
         let got = got.map_err(|e| format!("reading the input failed: {e}"))?;
         if got < header.length {
-            return Err(format!("truncated frame: batch {} ended after {got} bytes", header.number));
+            return Err(format!(
+                "truncated frame: batch {} ended after {got} bytes",
+                header.number
+            ));
         }
         host.batch(header, &body)?;
         host.reply.finish(header.number, &mut frame);
-        output.write_all(&frame).and_then(|()| output.flush()).map_err(|e| format!("writing failed: {e}"))?;
+        output
+            .write_all(&frame)
+            .and_then(|()| output.flush())
+            .map_err(|e| format!("writing failed: {e}"))?;
     }
     Ok(())
 }
--- a/crates/simulator-adapter/tests/frames.rs
+++ b/crates/simulator-adapter/tests/frames.rs
@@ -57,12 +57,33 @@
 
     fn demand(&mut self, node: u16, id: u64, key: u64) -> &mut Self {
         let budget = 1_500_000u32.to_le_bytes();
-        self.record(4, node, &[(3, &id.to_le_bytes()), (19, &key.to_le_bytes()), (31, &budget)])
+        self.record(
+            4,
+            node,
+            &[
+                (3, &id.to_le_bytes()),
+                (19, &key.to_le_bytes()),
+                (31, &budget),
+            ],
+        )
     }
 
     fn report(&mut self, node: u16, id: u64, attempt: u16, server: u32, code: u16) -> &mut Self {
-        let (id, attempt, server) = (id.to_le_bytes(), attempt.to_le_bytes(), server.to_le_bytes());
-        self.record(3, node, &[(3, &id), (19, &attempt), (22, &code.to_le_bytes()), (24, &server)])
+        let (id, attempt, server) = (
+            id.to_le_bytes(),
+            attempt.to_le_bytes(),
+            server.to_le_bytes(),
+        );
+        self.record(
+            3,
+            node,
+            &[
+                (3, &id),
+                (19, &attempt),
+                (22, &code.to_le_bytes()),
+                (24, &server),
+            ],
+        )
     }
 
     fn frame(&self, now: u64, number: u32) -> Vec<u8> {
@@ -79,7 +100,10 @@
 
 fn spawn() -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"));
-    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
     command.spawn().expect("the wirehost starts")
 }
 
@@ -101,7 +125,11 @@
         let (count, length) = (u32_at(out, 0) as usize, u32_at(out, 4) as usize);
         assert!(length >= count * 24);
         let body = &out[12..12 + length];
-        replies.push((0..count).map(|i| body[i * 24..(i + 1) * 24].to_vec()).collect());
+        replies.push(
+            (0..count)
+                .map(|i| body[i * 24..(i + 1) * 24].to_vec())
+                .collect(),
+        );
         out = &out[12 + length..];
     }
     replies
@@ -116,7 +144,9 @@
 
 #[test]
 fn an_empty_batch_has_the_reply_of_the_protocol_page() {
-    let input = [0x5a, 0x5c, 0x80, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0];
+    let input = [
+        0x5a, 0x5c, 0x80, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0,
+    ];
     let output = run(&input);
     assert!(output.status.success());
     assert_eq!(output.stdout, [0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0]);
@@ -142,10 +172,16 @@
         replies(&[&header[..], &body[..]].concat()).remove(0)
     };
     let mut first = Batch::default();
-    first.start(3, SETTINGS).list(3, 0, 1, &[(11, 0), (500, 1)]).demand(3, 77, 9);
+    first
+        .start(3, SETTINGS)
+        .list(3, 0, 1, &[(11, 0), (500, 1)])
+        .demand(3, 77, 9);
     let answer = ask(&first, 1_000_000, 1);
     assert_eq!(sends(&answer), [(3, 77, 11)]);
-    assert!(answer.iter().any(|r| r[0] == 11 && r[3] == 1), "subscribes where discovery is asked");
+    assert!(
+        answer.iter().any(|r| r[0] == 11 && r[3] == 1),
+        "subscribes where discovery is asked"
+    );
     let mut second = Batch::default();
     second.report(3, 77, 0, 11, 204);
     assert_eq!(sends(&ask(&second, 1_010_000, 2)), [(3, 77, 500)]);
@@ -170,7 +206,11 @@
 fn an_instance_killed_and_started_in_one_batch_begins_anew() {
     let mut batch = Batch::default();
     batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]);
-    batch.record(7, 0, &[]).start(0, SETTINGS).list(0, 1, 1, &[(12, 0)]).demand(0, 1, 9);
+    batch
+        .record(7, 0, &[])
+        .start(0, SETTINGS)
+        .list(0, 1, 1, &[(12, 0)])
+        .demand(0, 1, 9);
     let output = run(&batch.frame(1_000_000, 1));
     assert_eq!(sends(&replies(&output.stdout)[0]), [(0, 1, 12)]);
 }
@@ -178,15 +218,33 @@
 #[test]
 fn every_event_of_the_wire_is_read() {
     let mut batch = Batch::default();
-    batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]).demand(0, 1, 9);
+    batch
+        .start(0, SETTINGS)
+        .list(0, 0, 1, &[(11, 0)])
+        .demand(0, 1, 9);
     let blob = batch.part(b"hello", 5);
     batch.record(1, 0, &[(3, &99u64.to_le_bytes())]);
     batch.record(2, 0, &[(3, &5u32.to_le_bytes())]);
-    batch.record(6, 0, &[(3, &200u16.to_le_bytes()), (9, &11u32.to_le_bytes()), (13, &[4])]);
-    batch.record(8, 0, &[(3, &1u64.to_le_bytes()), (11, &11u32.to_le_bytes())]);
+    batch.record(
+        6,
+        0,
+        &[
+            (3, &200u16.to_le_bytes()),
+            (9, &11u32.to_le_bytes()),
+            (13, &[4]),
+        ],
+    );
+    batch.record(
+        8,
+        0,
+        &[(3, &1u64.to_le_bytes()), (11, &11u32.to_le_bytes())],
+    );
     batch.record(10, 0, &[(9, &[2])]);
     batch.record(11, 0, &[(3, &1u32.to_le_bytes()), (7, &blob)]);
-    for (attempt, code) in [200, 502, 429, 408, 521, 520, 444, 409, 204].into_iter().enumerate() {
+    for (attempt, code) in [200, 502, 429, 408, 521, 520, 444, 409, 204]
+        .into_iter()
+        .enumerate()
+    {
         batch.report(0, 1, attempt as u16, 11, code);
     }
     assert!(run(&batch.frame(1_000_000, 1)).status.success());
@@ -288,8 +346,14 @@
         let output = run(&input);
         let message = String::from_utf8(output.stderr).unwrap();
         assert_eq!(output.status.code(), Some(1), "{expected}: {message}");
-        assert!(message.contains(expected), "expected {expected:?} in {message:?}");
+        assert!(
+            message.contains(expected),
+            "expected {expected:?} in {message:?}"
+        );
         assert_eq!(message.lines().count(), 1, "{message}");
-        assert!(output.stdout.is_empty(), "{expected}: no reply half written");
+        assert!(
+            output.stdout.is_empty(),
+            "{expected}: no reply half written"
+        );
     }
 }
--- a/crates/simulator-adapter/tests/parts/codec.rs
+++ b/crates/simulator-adapter/tests/parts/codec.rs
@@ -15,30 +15,67 @@
 fn record(code: u8, fields: &[(usize, &[u8])]) -> Vec<u8> {
     let mut r = vec![0; ACTION_SIZE];
     (r[0], r[1]) = (code, 3);
-    fields.iter().for_each(|(at, bytes)| r[*at..at + bytes.len()].copy_from_slice(bytes));
+    fields
+        .iter()
+        .for_each(|(at, bytes)| r[*at..at + bytes.len()].copy_from_slice(bytes));
     r
 }
 
 #[test]
 fn every_action_has_its_code_and_its_fields_in_their_places() {
-    let (id, server, tail) = (0x0002_dd71_5d3a_91c4u64, 0x0312_4a07u32, vec![0, 0, 0, 0, 2, 0, 0, 0]);
+    let (id, server, tail) = (
+        0x0002_dd71_5d3a_91c4u64,
+        0x0312_4a07u32,
+        vec![0, 0, 0, 0, 2, 0, 0, 0],
+    );
     let (i, s) = (id.to_le_bytes(), server.to_le_bytes());
     let cases = [
         (
-            Action::Send { request: id, server, give_up_after: 80_000 },
+            Action::Send {
+                request: id,
+                server,
+                give_up_after: 80_000,
+            },
             record(1, &[(3, &i), (11, &s), (15, &80_000u32.to_le_bytes())]),
         ),
-        (Action::Refuse { request: id, retry_after: 7 }, record(2, &[(3, &i), (11, &7u32.to_le_bytes())])),
+        (
+            Action::Refuse {
+                request: id,
+                retry_after: 7,
+            },
+            record(2, &[(3, &i), (11, &7u32.to_le_bytes())]),
+        ),
         (Action::Fail(id), record(3, &[(3, &i)])),
-        (Action::Cancel { request: id, attempt: 2 }, record(4, &[(3, &i), (11, &[2])])),
         (
-            Action::Timer { after: 500_000, token: 77 },
+            Action::Cancel {
+                request: id,
+                attempt: 2,
+            },
+            record(4, &[(3, &i), (11, &[2])]),
+        ),
+        (
+            Action::Timer {
+                after: 500_000,
+                token: 77,
+            },
             record(5, &[(3, &500_000u32.to_le_bytes()), (7, &[77])]),
         ),
         (Action::Probe(server), record(6, &[(3, &s)])),
         (Action::CloseIdle(server), record(7, &[(3, &s)])),
-        (Action::Tell { to: None, bytes: b"hi".to_vec() }, record(8, &[(3, &[0xff; 4]), (7, &tail)])),
-        (Action::Tell { to: Some(4), bytes: b"hi".to_vec() }, record(8, &[(3, &[4]), (7, &tail)])),
+        (
+            Action::Tell {
+                to: None,
+                bytes: b"hi".to_vec(),
+            },
+            record(8, &[(3, &[0xff; 4]), (7, &tail)]),
+        ),
+        (
+            Action::Tell {
+                to: Some(4),
+                bytes: b"hi".to_vec(),
+            },
+            record(8, &[(3, &[4]), (7, &tail)]),
+        ),
         (Action::Log("hi".into()), record(9, &[(3, &tail)])),
         (Action::Fault("hi".into()), record(10, &[(3, &tail)])),
         (Action::Subscribe(true), record(11, &[(3, &[1])])),
@@ -48,7 +85,10 @@
     for (action, expected) in cases {
         let (got, rest) = encoded(action.clone());
         assert_eq!(got, expected, "{action:?}");
-        let text = matches!(action, Action::Tell { .. } | Action::Log(_) | Action::Fault(_));
+        let text = matches!(
+            action,
+            Action::Tell { .. } | Action::Log(_) | Action::Fault(_)
+        );
         assert_eq!(rest, if text { b"hi".to_vec() } else { Vec::new() });
     }
 }
@@ -65,7 +105,13 @@
     body[19] = 5; // key
     body[32] = 1; // time budget 256
     let r = EVENT_SIZE;
-    (body[r], body[r + 3], body[r + 11], body[r + 15], body[r + 19]) = (3, 9, 3, 40, 1);
+    (
+        body[r],
+        body[r + 3],
+        body[r + 11],
+        body[r + 15],
+        body[r + 19],
+    ) = (3, 9, 3, 40, 1);
     body[r + 21] = 1;
     body[r + 22..r + 24].copy_from_slice(&429u16.to_le_bytes());
     (body[r + 24], body[r + 28]) = (6, 1);
@@ -81,8 +127,14 @@
         cost: Some(50),
         size: 0.0,
     };
-    assert_eq!(read_record(&body, 2, 0), Ok(Record::Event(0, routing_policy::Event::Request(request))));
-    let load = Load { count: 1, values: [1.5, 0.0, 0.0, 0.0] };
+    assert_eq!(
+        read_record(&body, 2, 0),
+        Ok(Record::Event(0, routing_policy::Event::Request(request)))
+    );
+    let load = Load {
+        count: 1,
+        values: [1.5, 0.0, 0.0, 0.0],
+    };
     let outcome = Outcome {
         request: 9,
         attempt: 1,
@@ -93,5 +145,8 @@
         took: 40,
         load,
     };
-    assert_eq!(read_record(&body, 2, 1), Ok(Record::Event(0, routing_policy::Event::Outcome(outcome))));
+    assert_eq!(
+        read_record(&body, 2, 1),
+        Ok(Record::Event(0, routing_policy::Event::Outcome(outcome)))
+    );
 }
--- a/crates/testbed/src/baseline.rs
+++ b/crates/testbed/src/baseline.rs
@@ -13,7 +13,9 @@
 use tokio::sync::oneshot;
 
 use crate::load::{Instantly, Load, Outcome, send};
-use crate::scenario::{Class, Front, Kind, List, Load as Clients, Network, Origin, Rules, Scenario};
+use crate::scenario::{
+    Class, Front, Kind, List, Load as Clients, Network, Origin, Rules, Scenario,
+};
 use crate::sockets::SocketError;
 use crate::sockets::doors::{self, Shared, lock};
 use crate::sockets::link;
@@ -105,7 +107,11 @@
     ///
     /// # Errors
     /// Where the system gives no port or process, or the node does not start.
-    pub fn start(program: &Path, folder: &Path, value_bytes: usize) -> Result<Through, SocketError> {
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        value_bytes: usize,
+    ) -> Result<Through, SocketError> {
         let system = |e| SocketError::System("cannot start the servers", e);
         let servers = (0..SERVERS).map(|_| Instantly::start(value_bytes, Duration::ZERO));
         let servers: Vec<Instantly> = servers.collect::<Result<_, _>>().map_err(system)?;
@@ -114,18 +120,36 @@
         let (stop, stopped) = oneshot::channel();
         let (tell, told) = channel();
         let thread = std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
             let failed = |e| drop(tell.send(Err(SocketError::System("cannot start a runtime", e))));
             match runtime {
-                Ok(runtime) => {
-                    runtime.block_on(keep(&program, &folder, value_bytes as u64, addresses, &tell, stopped))
-                }
+                Ok(runtime) => runtime.block_on(keep(
+                    &program,
+                    &folder,
+                    value_bytes as u64,
+                    addresses,
+                    &tell,
+                    stopped,
+                )),
                 Err(e) => failed(e),
             }
         });
-        let never = || SocketError::System("the node's keeper has ended", std::io::ErrorKind::Other.into());
+        let never = || {
+            SocketError::System(
+                "the node's keeper has ended",
+                std::io::ErrorKind::Other.into(),
+            )
+        };
         let (node, pid) = told.recv().map_err(|_| never())??;
-        Ok(Through { servers, node, pid, stop: Some(stop), thread: Some(thread) })
+        Ok(Through {
+            servers,
+            node,
+            pid,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
     }
 
     /// Where the node is.
@@ -148,7 +172,8 @@
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).ok()?;
         // After the name, which may hold anything but ends with the last bracket: user and system ticks of 10 ms.
         let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
-        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let ticks: u64 =
+            fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
         Some(Duration::from_millis(ticks * 10))
     }
 }
@@ -156,7 +181,10 @@
 impl Drop for Through {
     fn drop(&mut self) {
         drop(self.stop.take());
-        self.thread.take().into_iter().for_each(|thread| drop(thread.join()));
+        self.thread
+            .take()
+            .into_iter()
+            .for_each(|thread| drop(thread.join()));
     }
 }
 
@@ -195,7 +223,11 @@
     };
     match begun.await {
         Ok((mut node, _doors)) => {
-            let pid = node.child.as_ref().and_then(tokio::process::Child::id).unwrap_or(0);
+            let pid = node
+                .child
+                .as_ref()
+                .and_then(tokio::process::Child::id)
+                .unwrap_or(0);
             let _ = tell.send(Ok((node.address(), pid)));
             let _ = stopped.await;
             // Told first, so that what it was started under, such as a profiler, can say what it has seen.
@@ -220,9 +252,19 @@
 ///
 /// # Errors
 /// Where the address can't be reached.
-pub fn most(to: SocketAddr, load: &Load, mut tried: impl FnMut(f64, &Outcome)) -> std::io::Result<f64> {
+pub fn most(
+    to: SocketAddr,
+    load: &Load,
+    mut tried: impl FnMut(f64, &Outcome),
+) -> std::io::Result<f64> {
     let mut bears = |per_s: f64| {
-        let outcome = send(to, &Load { per_s, ..load.clone() })?;
+        let outcome = send(
+            to,
+            &Load {
+                per_s,
+                ..load.clone()
+            },
+        )?;
         tried(per_s, &outcome);
         Ok::<_, std::io::Error>(borne(&outcome))
     };
--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -79,7 +79,8 @@
     /// Clients of a scenario whose first tries come from a time on.
     pub fn new(scenario: &'a Scenario, seed: u64, begin: Micros) -> Self {
         let part = |part: Part| chance(seed, part as u64);
-        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are sound");
+        let histogram =
+            || Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are sound");
         let zipf = Zipf::new(scenario.load.keys as f64, scenario.load.zipf.max(0.0));
         Clients {
             begin,
@@ -93,7 +94,11 @@
             keys: part(Part::Keys),
             work: part(Part::Work),
             windows: Vec::new(),
-            classes: scenario.class.iter().map(|_| (Counts::default(), histogram())).collect(),
+            classes: scenario
+                .class
+                .iter()
+                .map(|_| (Counts::default(), histogram()))
+                .collect(),
             scenario,
         }
     }
@@ -132,8 +137,24 @@
         let deadline = now + us(spec.deadline);
         let load = &self.scenario.load;
         let gives_up = load.give_up > 0.0 && self.arrivals.random::<f64>() < load.give_up;
-        let leaves = if gives_up { deadline.min(now + us(load.give_up_after)) } else { deadline };
-        self.open.insert(id, Client { class, key, work, first: now, deadline, leaves, tries: 0, at: None });
+        let leaves = if gives_up {
+            deadline.min(now + us(load.give_up_after))
+        } else {
+            deadline
+        };
+        self.open.insert(
+            id,
+            Client {
+                class,
+                key,
+                work,
+                first: now,
+                deadline,
+                leaves,
+                tries: 0,
+                at: None,
+            },
+        );
         id
     }
 
@@ -150,7 +171,10 @@
     fn key(&mut self, now: Micros) -> u64 {
         let load = &self.scenario.load;
         // Drawn in any case, so that what is hot or scanned does not shift the chance of what comes after it.
-        let (rank, draw) = (self.zipf.sample(&mut self.keys) as u64, self.keys.random::<f64>());
+        let (rank, draw) = (
+            self.zipf.sample(&mut self.keys) as u64,
+            self.keys.random::<f64>(),
+        );
         if draw < self.hot {
             // None of the popular ones, so that its fame is new.
             return load.keys.div_ceil(2);
@@ -179,7 +203,9 @@
 
     /// Its try is with a node.
     pub fn with_node(&mut self, id: u64, node: NodeId, number: u64) {
-        self.open.entry(id).and_modify(|client| client.at = Some((node, number)));
+        self.open
+            .entry(id)
+            .and_modify(|client| client.at = Some((node, number)));
     }
 
     /// A client has an answer: when it comes again, or `None` where its request has ended.
@@ -202,7 +228,11 @@
                 if harmless && more && now + pause < client.leaves {
                     return Some(now + pause);
                 }
-                if matches!(reply, Reply::Failed) { End::Failed } else { End::Refused }
+                if matches!(reply, Reply::Failed) {
+                    End::Failed
+                } else {
+                    End::Refused
+                }
             }
         };
         if matches!(reply, Reply::Served) {
@@ -222,7 +252,9 @@
     }
 
     fn end(&mut self, id: u64, end: End) {
-        let Some(client) = self.open.remove(&id) else { return };
+        let Some(client) = self.open.remove(&id) else {
+            return;
+        };
         let worth = self.scenario.class[client.class].worth;
         self.classes[client.class].0.end(end, worth);
         self.count(client.first, |counts| counts.end(end, worth));
@@ -244,7 +276,9 @@
 
     /// Counts of all so far.
     pub fn sum(&self) -> Counts {
-        self.windows.iter().fold(Counts::default(), |sum, window| sum.and(window))
+        self.windows
+            .iter()
+            .fold(Counts::default(), |sum, window| sum.and(window))
     }
 
     /// What came of all so far: part of the worth served, by class, by five seconds.
@@ -254,7 +288,10 @@
         for (spec, (counts, histogram)) in self.scenario.class.iter().zip(&self.classes) {
             all.worth += counts.worth;
             all.served += counts.served;
-            let of = OfClass { counts: counts.clone(), latency: Latency::of(histogram) };
+            let of = OfClass {
+                counts: counts.clone(),
+                latency: Latency::of(histogram),
+            };
             classes.insert(spec.name.clone(), of);
         }
         (all.service(), classes, self.windows.clone())
@@ -267,6 +304,7 @@
         return 1.0;
     }
     let variance = (1.0 + deviation * deviation).ln();
-    let normal = LogNormal::new(-variance / 2.0, variance.sqrt()).expect("the deviation is a number");
+    let normal =
+        LogNormal::new(-variance / 2.0, variance.sqrt()).expect("the deviation is a number");
     normal.sample(chance)
 }
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -38,7 +38,9 @@
 
 /// All differences of an experiment: per scenario and variant the service, per class, and per five seconds.
 pub fn differences(experiment: &Experiment, reports: &BTreeMap<Play, Report>) -> Vec<Difference> {
-    let Some((first, others)) = experiment.variant.split_first() else { return Vec::new() };
+    let Some((first, others)) = experiment.variant.split_first() else {
+        return Vec::new();
+    };
     let mut found = Vec::new();
     let mut scenarios: Vec<&str> = reports.keys().map(|play| play.scenario.as_str()).collect();
     scenarios.dedup();
@@ -46,7 +48,11 @@
         for variant in others {
             let of = |seed: u64, variant: &str| {
                 let (scenario, variant) = (scenario.to_string(), variant.to_string());
-                reports.get(&Play { scenario, seed, variant })
+                reports.get(&Play {
+                    scenario,
+                    seed,
+                    variant,
+                })
             };
             let pairs: Vec<(&Report, &Report)> = experiment
                 .seeds
@@ -54,12 +60,15 @@
                 .filter_map(|seed| of(*seed, &first.name).zip(of(*seed, &variant.name)))
                 .collect();
             let mut add = |what: String, value: &dyn Fn(&Report) -> Option<f64>| {
-                let values = pairs.iter().filter_map(|(base, other)| value(base).zip(value(other)));
+                let values = pairs
+                    .iter()
+                    .filter_map(|(base, other)| value(base).zip(value(other)));
                 let values: Vec<(f64, f64)> = values.collect();
                 if values.is_empty() {
                     return;
                 }
-                let differences: Vec<f64> = values.iter().map(|(base, other)| other - base).collect();
+                let differences: Vec<f64> =
+                    values.iter().map(|(base, other)| other - base).collect();
                 found.push(Difference {
                     scenario: scenario.into(),
                     variant: variant.name.clone(),
@@ -72,15 +81,23 @@
                 });
             };
             add("service".into(), &|report| Some(report.service));
-            let classes = pairs.first().map(|(base, _)| base.classes.keys().cloned().collect::<Vec<_>>());
+            let classes = pairs
+                .first()
+                .map(|(base, _)| base.classes.keys().cloned().collect::<Vec<_>>());
             for class in classes.unwrap_or_default() {
                 let service = |report: &Report| Some(report.classes.get(&class)?.counts.service());
                 add(format!("class {class}"), &service);
             }
-            let windows = pairs.iter().map(|(base, _)| base.windows.len()).max().unwrap_or(0);
+            let windows = pairs
+                .iter()
+                .map(|(base, _)| base.windows.len())
+                .max()
+                .unwrap_or(0);
             for window in 0..windows {
                 let from = window as u64 * WINDOW / 1_000_000;
-                add(format!("{from}s"), &|report| Some(report.windows.get(window)?.service()));
+                add(format!("{from}s"), &|report| {
+                    Some(report.windows.get(window)?.service())
+                });
             }
         }
     }
@@ -89,7 +106,11 @@
 
 fn mean(values: impl Iterator<Item = f64>) -> f64 {
     let (sum, count) = values.fold((0.0, 0), |(sum, count), value| (sum + value, count + 1));
-    if count == 0 { 0.0 } else { sum / f64::from(count) }
+    if count == 0 {
+        0.0
+    } else {
+        sum / f64::from(count)
+    }
 }
 
 /// The interval of a mean by drawing as many values anew, with the same draws each time.
@@ -112,12 +133,24 @@
     let ranks = |values: &[f64]| -> Vec<f64> {
         let below = |value: &f64| values.iter().filter(|other| *other < value).count() as f64;
         let alike = |value: &f64| values.iter().filter(|other| *other == value).count() as f64;
-        values.iter().map(|value| below(value) + (alike(value) + 1.0) / 2.0).collect()
+        values
+            .iter()
+            .map(|value| below(value) + (alike(value) + 1.0) / 2.0)
+            .collect()
     };
     let (a, b) = (ranks(a), ranks(b));
     let (mean_a, mean_b) = (mean(a.iter().copied()), mean(b.iter().copied()));
-    let both: f64 = a.iter().zip(&b).map(|(a, b)| (a - mean_a) * (b - mean_b)).sum();
-    let of = |values: &[f64], mean: f64| values.iter().map(|value| (value - mean).powi(2)).sum::<f64>();
+    let both: f64 = a
+        .iter()
+        .zip(&b)
+        .map(|(a, b)| (a - mean_a) * (b - mean_b))
+        .sum();
+    let of = |values: &[f64], mean: f64| {
+        values
+            .iter()
+            .map(|value| (value - mean).powi(2))
+            .sum::<f64>()
+    };
     let spread = (of(&a, mean_a) * of(&b, mean_b)).sqrt();
     (spread > 0.0 && a.len() == b.len()).then(|| both / spread)
 }
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -9,8 +9,8 @@
 use cluster_model::rules::{Effect as RuleEffect, Figures, Rules};
 use cluster_model::server::Spec as CacheSpec;
 use routing_policy::{
-    Action, Event as ModuleEvent, ListKind, Note, Outcome, Policy, Request, RequestId, ServerId, ServerLine,
-    Settings, Status,
+    Action, Event as ModuleEvent, ListKind, Note, Outcome, Policy, Request, RequestId, ServerId,
+    ServerLine, Settings, Status,
 };
 use serde_json::{Value, json};
 
@@ -35,7 +35,9 @@
 
 /// The settings text of a node, as a deployment has it (`crates/routing-policy/src/settings.rs`).
 pub fn settings_text(scenario: &Scenario, me: NodeId) -> Value {
-    let Scenario { class, kind, rules, .. } = scenario;
+    let Scenario {
+        class, kind, rules, ..
+    } = scenario;
     let classes = class.iter().map(|class| {
         let (effect, window) = match class.effect {
             Effect::Pure => ("pure", 0),
@@ -67,7 +69,9 @@
 /// The same as the decision module has it.
 pub fn settings(scenario: &Scenario, me: NodeId) -> Settings {
     let text = settings_text(scenario, me).to_string();
-    routing_policy::settings::read(text.as_bytes()).expect("the text is made above").settings
+    routing_policy::settings::read(text.as_bytes())
+        .expect("the text is made above")
+        .settings
 }
 
 /// A cache server of a kind.
@@ -97,9 +101,22 @@
 pub fn origin(scenario: &Scenario, now: Micros) -> Origin {
     let origin = &scenario.origin;
     let (cores, slots, waiting) = (origin.cores, origin.slots, origin.waiting);
-    let machine = MachineSpec { cores, slots, waiting, ..MachineSpec::default() };
+    let machine = MachineSpec {
+        cores,
+        slots,
+        waiting,
+        ..MachineSpec::default()
+    };
     let (fall_after, back_after) = (us(origin.fall_after), us(origin.back_after));
-    Origin::new(OriginSpec { machine, fall_after, relief: RELIEF, back_after }, now)
+    Origin::new(
+        OriginSpec {
+            machine,
+            fall_after,
+            relief: RELIEF,
+            back_after,
+        },
+        now,
+    )
 }
 
 /// How calls to the origin fail in a scenario's words.
@@ -113,20 +130,33 @@
 /// The list service.
 pub fn list(scenario: &Scenario) -> ListSpec {
     let list = &scenario.list;
-    ListSpec { call: us(list.call), timeout: us(list.timeout), ..ListSpec::default() }
+    ListSpec {
+        call: us(list.call),
+        timeout: us(list.timeout),
+        ..ListSpec::default()
+    }
 }
 
 /// The network.
 pub fn network(scenario: &Scenario) -> Network {
     let network = &scenario.network;
     let (same, cross) = (us(network.same), us(network.cross));
-    Network::new(NetworkSpec { same, cross, jitter: network.jitter, lost: network.lost })
+    Network::new(NetworkSpec {
+        same,
+        cross,
+        jitter: network.jitter,
+        lost: network.lost,
+    })
 }
 
 /// The rules, with what a driver forgives of sends that come after a request's end.
 pub fn rules(scenario: &Scenario, sent_grace: Micros) -> Rules {
     let drain_grace = us(scenario.rules.drain_grace);
-    Rules::new(Figures { drain_grace, sent_grace, ..Figures::default() })
+    Rules::new(Figures {
+        drain_grace,
+        sent_grace,
+        ..Figures::default()
+    })
 }
 
 /// What running twice does to requests of a class.
@@ -140,18 +170,46 @@
 
 /// Keys and the servers that hold them at the beginning, the most popular last: servers that run since long ago hold
 /// what they were asked for lately, and a module sends a key there while all is well.
-pub fn held_at_first(scenario: &Scenario, now: Micros, servers: Vec<ServerLine>) -> Vec<(u64, ServerId)> {
-    let Some(read) = scenario.class.iter().position(|class| !class.write) else { return Vec::new() };
-    let mut policy = Policy::new(Settings { ask_discovery: false, ..settings(scenario, 0) }, 0);
+pub fn held_at_first(
+    scenario: &Scenario,
+    now: Micros,
+    servers: Vec<ServerLine>,
+) -> Vec<(u64, ServerId)> {
+    let Some(read) = scenario.class.iter().position(|class| !class.write) else {
+        return Vec::new();
+    };
+    let mut policy = Policy::new(
+        Settings {
+            ask_discovery: false,
+            ..settings(scenario, 0)
+        },
+        0,
+    );
     let mut actions = Vec::new();
-    policy.handle(now, ModuleEvent::ServerList { kind: ListKind::Full, servers }, &mut actions);
+    policy.handle(
+        now,
+        ModuleEvent::ServerList {
+            kind: ListKind::Full,
+            servers,
+        },
+        &mut actions,
+    );
     let bytes = scenario.load.value_bytes.max(1);
-    let room: u64 =
-        scenario.kind.iter().map(|kind| kind.memory_bytes / bytes * u64::from(kind.servers)).sum();
+    let room: u64 = scenario
+        .kind
+        .iter()
+        .map(|kind| kind.memory_bytes / bytes * u64::from(kind.servers))
+        .sum();
     let mut held = Vec::new();
     for key in (1..=scenario.load.keys.min(HELD_AT_FIRST).min(room)).rev() {
         actions.clear();
-        let request = Request { id: key, key, class: read, time_left: 1_000_000, ..Request::default() };
+        let request = Request {
+            id: key,
+            key,
+            class: read,
+            time_left: 1_000_000,
+            ..Request::default()
+        };
         policy.handle(now, ModuleEvent::Request(request), &mut actions);
         let sent = actions.iter().find_map(|action| match action {
             Action::Send { server, .. } => Some(*server),
@@ -167,7 +225,22 @@
 }
 
 /// An attempt's outcome with nothing told beside it.
-pub fn outcome(request: RequestId, attempt: u16, server: ServerId, status: Status, over: bool) -> Outcome {
+pub fn outcome(
+    request: RequestId,
+    attempt: u16,
+    server: ServerId,
+    status: Status,
+    over: bool,
+) -> Outcome {
     let (note, load) = (Note::None, routing_policy::Load::default());
-    Outcome { request, attempt, server, status, over, note, took: 0, load }
+    Outcome {
+        request,
+        attempt,
+        server,
+        status,
+        over,
+        note,
+        took: 0,
+        load,
+    }
 }
--- a/crates/testbed/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -106,7 +106,10 @@
     pub fn read(path: &Path) -> Result<Experiment, ExperimentError> {
         let mut found: Experiment = router_config::read_toml(path, &[], Experiment::impossible)?;
         let beside = path.parent().unwrap_or(Path::new(""));
-        found.scenarios.iter_mut().for_each(|scenario| *scenario = beside.join(&*scenario));
+        found
+            .scenarios
+            .iter_mut()
+            .for_each(|scenario| *scenario = beside.join(&*scenario));
         for variant in &mut found.variant {
             variant.node = variant.node.take().map(|node| beside.join(node));
             for scenario in &found.scenarios {
@@ -130,7 +133,10 @@
         }
         let plays = self.scenarios.len() * self.seeds.len() * self.variant.len();
         if plays > MOST {
-            return wrong("seeds".into(), format!("{plays} plays in all: write at most {MOST}"));
+            return wrong(
+                "seeds".into(),
+                format!("{plays} plays in all: write at most {MOST}"),
+            );
         }
         // Plays are told apart by the scenario's name and the seed.
         let mut stems = BTreeSet::new();
@@ -143,20 +149,33 @@
         }
         let mut seeds = BTreeSet::new();
         if let Some(twice) = self.seeds.iter().find(|seed| !seeds.insert(**seed)) {
-            return wrong("seeds".into(), format!("found {twice} twice: write each once"));
+            return wrong(
+                "seeds".into(),
+                format!("found {twice} twice: write each once"),
+            );
         }
         let mut names = BTreeSet::new();
         for (i, variant) in self.variant.iter().enumerate() {
             let key = |name: &str| format!("variant.{i}.{name}");
             if !names.insert(&variant.name) {
-                return wrong(key("name"), format!("found {:?} twice: write another", variant.name));
+                return wrong(
+                    key("name"),
+                    format!("found {:?} twice: write another", variant.name),
+                );
             }
             if variant.node.is_some() && variant.commit.is_some() {
-                return wrong(key("commit"), "there is a node as well: write one of them".into());
+                return wrong(
+                    key("commit"),
+                    "there is a node as well: write one of them".into(),
+                );
             }
             let sockets = variant.driver.unwrap_or(self.driver) == Driver::Sockets;
             if !sockets && (variant.node.is_some() || variant.commit.is_some()) {
-                let name = if variant.node.is_some() { "node" } else { "commit" };
+                let name = if variant.node.is_some() {
+                    "node"
+                } else {
+                    "commit"
+                };
                 let what = "a node program runs on sockets only: write driver = \"sockets\"";
                 return wrong(key(name), what.into());
             }
@@ -168,10 +187,18 @@
     pub fn plays(&self) -> Vec<Play> {
         let mut plays = Vec::new();
         for scenario in &self.scenarios {
-            let name = scenario.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+            let name = scenario
+                .file_stem()
+                .unwrap_or_default()
+                .to_string_lossy()
+                .into_owned();
             for seed in &self.seeds {
                 for variant in &self.variant {
-                    plays.push(Play { scenario: name.clone(), seed: *seed, variant: variant.name.clone() });
+                    plays.push(Play {
+                        scenario: name.clone(),
+                        seed: *seed,
+                        variant: variant.name.clone(),
+                    });
                 }
             }
         }
@@ -182,7 +209,10 @@
 impl Variant {
     /// Its changes as keys and values.
     fn changes(&self) -> Vec<(String, String)> {
-        self.set.iter().map(|(key, value)| (key.clone(), value.to_string())).collect()
+        self.set
+            .iter()
+            .map(|(key, value)| (key.clone(), value.to_string()))
+            .collect()
     }
 
     /// The node program that it plays with on sockets.
@@ -201,10 +231,21 @@
 fn build(commit: &str, folder: &Path) -> Result<PathBuf, ProgramError> {
     let failed = |what: String| ProgramError::Build(format!(" at {commit}: {what}"));
     let run = |command: &mut Command| {
-        let output = command.stdin(Stdio::null()).output().map_err(|e| failed(e.to_string()))?;
+        let output = command
+            .stdin(Stdio::null())
+            .output()
+            .map_err(|e| failed(e.to_string()))?;
         let error = String::from_utf8_lossy(&output.stderr);
-        let last = error.lines().last().unwrap_or("no reason given").to_string();
-        if output.status.success() { Ok(output.stdout) } else { Err(failed(last)) }
+        let last = error
+            .lines()
+            .last()
+            .unwrap_or("no reason given")
+            .to_string();
+        if output.status.success() {
+            Ok(output.stdout)
+        } else {
+            Err(failed(last))
+        }
     };
     let name = run(Command::new("git")
         .args(["rev-parse", "--verify", "--quiet", "--end-of-options"])
@@ -221,18 +262,34 @@
     // What an interrupted build has left is no work tree that could be trusted.
     let _ = std::fs::remove_dir_all(&tree);
     run(Command::new("git").args(["worktree", "prune"]))?;
-    run(Command::new("git").args(["worktree", "add", "--detach", "--force"]).arg(&tree).arg(&name))?;
-    let binary = if tree.join("crates/cache-router").is_dir() { "cache-router" } else { EARLIER_BINARY };
+    run(Command::new("git")
+        .args(["worktree", "add", "--detach", "--force"])
+        .arg(&tree)
+        .arg(&name))?;
+    let binary = if tree.join("crates/cache-router").is_dir() {
+        "cache-router"
+    } else {
+        EARLIER_BINARY
+    };
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let built = run(Command::new(cargo)
-        .args(["build", "--release", "--locked", "--bin", binary, "--target-dir"])
+        .args([
+            "build",
+            "--release",
+            "--locked",
+            "--bin",
+            binary,
+            "--target-dir",
+        ])
         .arg(folder.join("builds/target"))
         .current_dir(&tree));
     let copied = built.and_then(|_| {
         let made = folder.join("builds/target/release").join(binary);
         std::fs::copy(made, &program).map_err(|e| failed(e.to_string()))
     });
-    let _ = run(Command::new("git").args(["worktree", "remove", "--force"]).arg(&tree));
+    let _ = run(Command::new("git")
+        .args(["worktree", "remove", "--force"])
+        .arg(&tree));
     copied.map(|_| program)
 }
 
@@ -250,11 +307,20 @@
 impl Play {
     /// Where a folder has its report.
     pub fn file(&self, folder: &Path) -> PathBuf {
-        let Play { scenario, seed, variant } = self;
+        let Play {
+            scenario,
+            seed,
+            variant,
+        } = self;
         // Names may hold what no file's name may.
-        let clean = |name: &str| name.replace(|c: char| !c.is_ascii_alphanumeric() && c != '-', "_");
+        let clean =
+            |name: &str| name.replace(|c: char| !c.is_ascii_alphanumeric() && c != '-', "_");
         let hash = xxh3_64(format!("{scenario}\n{variant}").as_bytes()) as u16;
-        folder.join(format!("{}-{seed}-{}-{hash:04x}.json", clean(scenario), clean(variant)))
+        folder.join(format!(
+            "{}-{seed}-{}-{hash:04x}.json",
+            clean(scenario),
+            clean(variant)
+        ))
     }
 }
 
@@ -290,35 +356,64 @@
     keep_plan(experiment, folder)?;
     let plays = experiment.plays();
     let all = plays.len();
-    let missing: VecDeque<Play> =
-        plays.into_iter().filter(|play| read_report(&play.file(folder)).is_none()).collect();
+    let missing: VecDeque<Play> = plays
+        .into_iter()
+        .filter(|play| read_report(&play.file(folder)).is_none())
+        .collect();
     let mut done = all - missing.len();
-    let variant = |name: &str| experiment.variant.iter().find(|variant| variant.name == name);
-    let driver = |play: &Play| variant(&play.variant).and_then(|v| v.driver).unwrap_or(experiment.driver);
-    let (on_sockets, in_memory): (VecDeque<Play>, VecDeque<Play>) =
-        missing.into_iter().partition(|play| driver(play) == Driver::Sockets);
+    let variant = |name: &str| {
+        experiment
+            .variant
+            .iter()
+            .find(|variant| variant.name == name)
+    };
+    let driver = |play: &Play| {
+        variant(&play.variant)
+            .and_then(|v| v.driver)
+            .unwrap_or(experiment.driver)
+    };
+    let (on_sockets, in_memory): (VecDeque<Play>, VecDeque<Play>) = missing
+        .into_iter()
+        .partition(|play| driver(play) == Driver::Sockets);
     let scenario = |play: &Play| {
-        let of =
-            |path: &&PathBuf| path.file_stem().is_some_and(|stem| stem.to_string_lossy() == play.scenario);
-        let path = experiment.scenarios.iter().find(of).cloned().unwrap_or_default();
-        let set = variant(&play.variant).map(Variant::changes).unwrap_or_default();
-        Scenario::read_with(&path, &set).map_err(|e| ExperimentError::Variant(play.variant.clone(), e))
+        let of = |path: &&PathBuf| {
+            path.file_stem()
+                .is_some_and(|stem| stem.to_string_lossy() == play.scenario)
+        };
+        let path = experiment
+            .scenarios
+            .iter()
+            .find(of)
+            .cloned()
+            .unwrap_or_default();
+        let set = variant(&play.variant)
+            .map(Variant::changes)
+            .unwrap_or_default();
+        Scenario::read_with(&path, &set)
+            .map_err(|e| ExperimentError::Variant(play.variant.clone(), e))
     };
     let mut keep = |play: &Play, report: &Report| {
         let path = play.file(folder);
         report.save(&path).map_err(file(&path))?;
         done += 1;
-        step(&Step { play: play.clone(), service: report.service, done: (done, all) });
+        step(&Step {
+            play: play.clone(),
+            service: report.service,
+            done: (done, all),
+        });
         Ok::<_, ExperimentError>(())
     };
     let queue = Mutex::new(in_memory);
-    let (tell, told) = mpsc::sync_channel::<Result<(Play, Report), ExperimentError>>(threads.max(1));
+    let (tell, told) =
+        mpsc::sync_channel::<Result<(Play, Report), ExperimentError>>(threads.max(1));
     std::thread::scope(|scope| {
         for _ in 0..threads.max(1) {
             let (tell, queue, scenario) = (tell.clone(), &queue, &scenario);
             scope.spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
-                    let Some(play) = lock(queue).pop_front() else { return };
+                    let Some(play) = lock(queue).pop_front() else {
+                        return;
+                    };
                     let report = scenario(&play).map(|s| virtual_time::play(&s, play.seed));
                     // Nobody listens any more: another play has failed.
                     if tell.send(report.map(|report| (play, report))).is_err() {
@@ -352,12 +447,19 @@
             Ok(report) => keep(&play, &report)?,
             Err(SocketError::Interrupted) => break,
             Err(e) => {
-                let name = format!("{} with seed {}, variant {}", play.scenario, play.seed, play.variant);
+                let name = format!(
+                    "{} with seed {}, variant {}",
+                    play.scenario, play.seed, play.variant
+                );
                 return Err(ExperimentError::Play(name, e));
             }
         }
     }
-    if done < all { Err(ExperimentError::Interrupted(done, all)) } else { Ok(()) }
+    if done < all {
+        Err(ExperimentError::Interrupted(done, all))
+    } else {
+        Ok(())
+    }
 }
 
 /// One play on sockets, given up soon after `stop` is set.
@@ -369,14 +471,26 @@
 ) -> Result<Report, SocketError> {
     let system = |e| SocketError::System("cannot start a play", e);
     let folder = tempfile::tempdir().map_err(system)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(system)?;
-    let options = Options { program, folder: folder.path() };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(system)?;
+    let options = Options {
+        program,
+        folder: folder.path(),
+    };
     let stopped = async {
         while !stop.load(Ordering::Relaxed) {
             tokio::time::sleep(std::time::Duration::from_millis(50)).await;
         }
     };
-    runtime.block_on(sockets::play(scenario, play.seed, &options, stopped, |_| ()))
+    runtime.block_on(sockets::play(
+        scenario,
+        play.seed,
+        &options,
+        stopped,
+        |_| (),
+    ))
 }
 
 const PLAN: &str = "experiment.json";
@@ -392,15 +506,24 @@
 /// Writes the experiment into its folder, or compares it with the one that is there.
 fn keep_plan(experiment: &Experiment, folder: &Path) -> Result<(), ExperimentError> {
     let path = folder.join(PLAN);
-    let file = |source| ExperimentError::File { path: path.clone(), source };
+    let file = |source| ExperimentError::File {
+        path: path.clone(),
+        source,
+    };
     let mut scenarios = BTreeMap::new();
     for variant in &experiment.variant {
-        let read = experiment.scenarios.iter().map(|path| Scenario::read_with(path, &variant.changes()));
+        let read = experiment
+            .scenarios
+            .iter()
+            .map(|path| Scenario::read_with(path, &variant.changes()));
         let read = read.collect::<Result<_, _>>();
         let read = read.map_err(|e| ExperimentError::Variant(variant.name.clone(), e))?;
         scenarios.insert(variant.name.clone(), read);
     }
-    let plan = Plan { experiment: experiment.clone(), scenarios };
+    let plan = Plan {
+        experiment: experiment.clone(),
+        scenarios,
+    };
     let text = serde_json::to_string(&plan).map_err(|e| file(e.into()))? + "\n";
     match std::fs::read_to_string(&path) {
         Ok(there) if there == text => Ok(()),
@@ -426,7 +549,10 @@
 /// Where the folder holds none, or one that can't be read.
 pub fn results(folder: &Path) -> Result<(Experiment, BTreeMap<Play, Report>), ExperimentError> {
     let path = folder.join(PLAN);
-    let file = |source| ExperimentError::File { path: path.clone(), source };
+    let file = |source| ExperimentError::File {
+        path: path.clone(),
+        source,
+    };
     let text = std::fs::read(&path).map_err(file)?;
     let Plan { experiment, .. } = serde_json::from_slice(&text).map_err(|e| file(e.into()))?;
     let reports = experiment.plays().into_iter().filter_map(|play| {
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -116,11 +116,15 @@
     while readers.iter().any(|reader| !reader.is_finished()) && Instant::now() < until {
         thread::sleep(Duration::from_millis(1));
     }
-    streams.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    streams
+        .iter()
+        .for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
     let (mut latency, mut uncorrected, mut sum) = (histogram(), histogram(), Ends::default());
     let mut last = begin;
     for reader in readers {
-        let Ok((read, its, raw, at)) = reader.join() else { continue };
+        let Ok((read, its, raw, at)) = reader.join() else {
+            continue;
+        };
         sum.served += read.served;
         sum.refused += read.refused;
         sum.failed += read.failed;
@@ -128,10 +132,24 @@
         uncorrected.add(&raw).expect("bounds are the same");
         last = last.max(at);
     }
-    let Ends { served, refused, failed } = sum;
+    let Ends {
+        served,
+        refused,
+        failed,
+    } = sum;
     let unanswered = meant.saturating_sub(unsent + served + refused + failed);
     let took = last - begin;
-    Ok(Outcome { meant, served, refused, failed, unanswered, unsent, latency, uncorrected, took })
+    Ok(Outcome {
+        meant,
+        served,
+        refused,
+        failed,
+        unanswered,
+        unsent,
+        latency,
+        uncorrected,
+        took,
+    })
 }
 
 fn write(lanes: &mut [(TcpStream, SyncSender<Sent>)], load: &Load, begin: Instant) -> (u64, u64) {
@@ -150,13 +168,21 @@
         wait_until(due);
         meant += 1;
         let key = format!("{:016x}", zipf.sample(&mut keys) as u64);
-        let words = [&b"OBJ.GET"[..], key.as_bytes(), &id(load.seed, meant), facts.as_bytes()];
+        let words = [
+            &b"OBJ.GET"[..],
+            key.as_bytes(),
+            &id(load.seed, meant),
+            facts.as_bytes(),
+        ];
         let command = command(&words);
         // The next connection with room; a full or broken one is passed over.
         let sent = (0..lanes.len()).any(|_| {
             lane = (lane + 1) % lanes.len();
             let (stream, tell) = &mut lanes[lane];
-            match tell.try_send(Sent { meant: due, at: Instant::now() }) {
+            match tell.try_send(Sent {
+                meant: due,
+                at: Instant::now(),
+            }) {
                 Ok(()) => stream.write_all(&command).is_ok(),
                 Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
             }
@@ -182,7 +208,10 @@
 }
 
 /// Reads answers until the connection ends or nothing is waited for any more.
-fn read(input: &mut TcpStream, sent: &Receiver<Sent>) -> (Ends, Histogram<u64>, Histogram<u64>, Instant) {
+fn read(
+    input: &mut TcpStream,
+    sent: &Receiver<Sent>,
+) -> (Ends, Histogram<u64>, Histogram<u64>, Instant) {
     let (mut latency, mut uncorrected, mut read) = (histogram(), histogram(), Ends::default());
     let (mut buffer, mut part) = (BytesMut::new(), vec![0; 64 * 1024]);
     let mut last = Instant::now();
@@ -231,7 +260,8 @@
         let address = listener.local_addr()?;
         let incoming = listener.try_clone()?;
         let value = "v".repeat(value_bytes);
-        let answer = format!("*3\r\n${value_bytes}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n").into_bytes();
+        let answer =
+            format!("*3\r\n${value_bytes}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n").into_bytes();
         let thread = thread::spawn(move || {
             for stream in incoming.incoming() {
                 // It is told to end by its listener being shut.
@@ -241,7 +271,11 @@
                 thread::spawn(move || drop(answer_all(stream, &answer, pause)));
             }
         });
-        Ok(Instantly { address, listener, thread: Some(thread) })
+        Ok(Instantly {
+            address,
+            listener,
+            thread: Some(thread),
+        })
     }
 
     /// Where it listens.
@@ -253,7 +287,10 @@
 impl Drop for Instantly {
     fn drop(&mut self) {
         let _ = socket2::SockRef::from(&self.listener).shutdown(Shutdown::Both);
-        self.thread.take().into_iter().for_each(|thread| drop(thread.join()));
+        self.thread
+            .take()
+            .into_iter()
+            .for_each(|thread| drop(thread.join()));
     }
 }
 
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -30,21 +30,33 @@
             let me = std::env::current_exe().map_err(ProgramError::Lost)?;
             let folder = me.parent().unwrap_or(Path::new("."));
             // Tests are a folder further down.
-            let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
-            if let (Some(cargo), Some(manifest)) =
-                (std::env::var_os("CARGO"), std::env::var_os("CARGO_MANIFEST_DIR"))
-            {
+            let folder = if folder.ends_with("deps") {
+                folder.parent().unwrap_or(folder)
+            } else {
+                folder
+            };
+            if let (Some(cargo), Some(manifest)) = (
+                std::env::var_os("CARGO"),
+                std::env::var_os("CARGO_MANIFEST_DIR"),
+            ) {
                 build(&cargo, Path::new(&manifest), folder)?;
             }
             folder.join("cache-router")
         }
     };
-    if program.is_file() { Ok(program) } else { Err(ProgramError::Missing(program)) }
+    if program.is_file() {
+        Ok(program)
+    } else {
+        Err(ProgramError::Missing(program))
+    }
 }
 
 /// Builds it in the workspace that a manifest's folder belongs to, with the profile that a folder is for.
 fn build(cargo: &OsStr, manifest: &Path, folder: &Path) -> Result<(), ProgramError> {
-    let Some(root) = manifest.ancestors().find(|root| root.join("crates/cache-router").is_dir()) else {
+    let Some(root) = manifest
+        .ancestors()
+        .find(|root| root.join("crates/cache-router").is_dir())
+    else {
         return Ok(());
     };
     let mut build = Command::new(cargo);
--- a/crates/testbed/src/queue.rs
+++ b/crates/testbed/src/queue.rs
@@ -35,7 +35,10 @@
 
 impl<W> Queue<W> {
     pub(crate) fn new() -> Self {
-        Queue { entries: BinaryHeap::new(), entered: 0 }
+        Queue {
+            entries: BinaryHeap::new(),
+            entered: 0,
+        }
     }
 
     pub(crate) fn push(&mut self, at: Micros, what: W) {
@@ -45,7 +48,9 @@
 
     /// The next, with its time.
     pub(crate) fn pop(&mut self) -> Option<(Micros, W)> {
-        self.entries.pop().map(|Reverse(Entry(at, _, what))| (at, what))
+        self.entries
+            .pop()
+            .map(|Reverse(Entry(at, _, what))| (at, what))
     }
 
     /// The time of the next.
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -19,10 +19,18 @@
 
 /// The first broken rules, their times counted from a beginning, and how many there are.
 pub(crate) fn breaks(rules: &Rules, begin: Micros) -> (Vec<String>, usize) {
-    let relative =
-        |broken: &Break| Break { at: broken.at.saturating_sub(begin), ..broken.clone() }.to_string();
+    let relative = |broken: &Break| {
+        Break {
+            at: broken.at.saturating_sub(begin),
+            ..broken.clone()
+        }
+        .to_string()
+    };
     let breaks = rules.breaks();
-    (breaks.iter().take(SPELLED_OUT).map(relative).collect(), breaks.len())
+    (
+        breaks.iter().take(SPELLED_OUT).map(relative).collect(),
+        breaks.len(),
+    )
 }
 
 /// Writes a file as a whole: where that fails, what stood in its place is left as it was.
@@ -33,7 +41,10 @@
         file.write_all(bytes)?;
         return file.flush();
     }
-    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let folder = path
+        .parent()
+        .filter(|folder| !folder.as_os_str().is_empty())
+        .unwrap_or(Path::new("."));
     let mut file = tempfile::NamedTempFile::new_in(folder)?;
     file.write_all(bytes)?;
     file.as_file().sync_all()?;
@@ -107,7 +118,12 @@
         }
     }
 
-    fn with(&self, other: &Counts, count: fn(u64, u64) -> u64, worth: fn(f64, f64) -> f64) -> Counts {
+    fn with(
+        &self,
+        other: &Counts,
+        count: fn(u64, u64) -> u64,
+        worth: fn(f64, f64) -> f64,
+    ) -> Counts {
         Counts {
             asked: count(self.asked, other.asked),
             in_time: count(self.in_time, other.in_time),
@@ -137,7 +153,11 @@
 
     /// Part of the worth asked for that was served in time.
     pub fn service(&self) -> f64 {
-        if self.worth > 0.0 { self.served / self.worth } else { 1.0 }
+        if self.worth > 0.0 {
+            self.served / self.worth
+        } else {
+            1.0
+        }
     }
 }
 
@@ -156,7 +176,11 @@
     /// Out of a histogram.
     pub fn of(histogram: &Histogram<u64>) -> Latency {
         let at = |part| histogram.value_at_quantile(part);
-        Latency { p50_us: at(0.5), p99_us: at(0.99), p999_us: at(0.999) }
+        Latency {
+            p50_us: at(0.5),
+            p99_us: at(0.99),
+            p999_us: at(0.999),
+        }
     }
 }
 
@@ -212,8 +236,18 @@
 
 impl Display for Report {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let Report { seed, nodes, servers, service, events, .. } = self;
-        writeln!(f, "seed {seed}: {nodes} nodes, {servers} cache servers, {events} events")?;
+        let Report {
+            seed,
+            nodes,
+            servers,
+            service,
+            events,
+            ..
+        } = self;
+        writeln!(
+            f,
+            "seed {seed}: {nodes} nodes, {servers} cache servers, {events} events"
+        )?;
         writeln!(f, "served in time, by worth: {service:.4}")?;
         writeln!(
             f,
@@ -240,7 +274,11 @@
             )?;
         }
         for (name, class) in &self.classes {
-            let Latency { p50_us, p99_us, p999_us } = class.latency;
+            let Latency {
+                p50_us,
+                p99_us,
+                p999_us,
+            } = class.latency;
             let ms = |us: u64| us as f64 / 1e3;
             writeln!(
                 f,
@@ -255,7 +293,9 @@
             0 => writeln!(f, "rules kept"),
             count => {
                 writeln!(f, "RULES BROKEN, {count} times:")?;
-                self.broken.iter().try_for_each(|line| writeln!(f, "  {line}"))
+                self.broken
+                    .iter()
+                    .try_for_each(|line| writeln!(f, "  {line}"))
             }
         }
     }
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -221,7 +221,12 @@
 impl Default for Network {
     fn default() -> Self {
         let us = |us| Span(std::time::Duration::from_micros(us));
-        Network { same: us(200), cross: us(4_000), jitter: 0.2, lost: 0.0 }
+        Network {
+            same: us(200),
+            cross: us(4_000),
+            jitter: 0.2,
+            lost: 0.0,
+        }
     }
 }
 
@@ -240,7 +245,11 @@
 impl Default for List {
     fn default() -> Self {
         let ms = |ms| Span(std::time::Duration::from_millis(ms));
-        List { call: ms(10), notice: ms(1_500), timeout: ms(2_000) }
+        List {
+            call: ms(10),
+            notice: ms(1_500),
+            timeout: ms(2_000),
+        }
     }
 }
 
@@ -261,7 +270,12 @@
 impl Default for Rules {
     fn default() -> Self {
         let ms = |ms| Span(std::time::Duration::from_millis(ms));
-        Rules { fall_multiple: 2.5, fall_after: ms(2_000), fall_slack: 10.0, drain_grace: ms(500) }
+        Rules {
+            fall_multiple: 2.5,
+            fall_after: ms(2_000),
+            fall_slack: 10.0,
+            drain_grace: ms(500),
+        }
     }
 }
 
@@ -462,49 +476,104 @@
         let percent = |part: &f64| format!("{:.0}%", part * 100.0);
         match self {
             Event::Replace { part, over, .. } => {
-                write!(f, "{} of the cache servers are replaced within {over}", percent(part))
+                write!(
+                    f,
+                    "{} of the cache servers are replaced within {over}",
+                    percent(part)
+                )
             }
             Event::KillNodes { part, back, .. } => {
-                write!(f, "{} of the nodes are killed, back after {back}", percent(part))
+                write!(
+                    f,
+                    "{} of the nodes are killed, back after {back}",
+                    percent(part)
+                )
             }
             Event::StopNodes { part, lasts, .. } => {
                 write!(f, "{} of the nodes are stopped for {lasts}", percent(part))
             }
             Event::RestartNodes { part, over, .. } => {
-                write!(f, "{} of the nodes are restarted within {over}", percent(part))
+                write!(
+                    f,
+                    "{} of the nodes are restarted within {over}",
+                    percent(part)
+                )
             }
             Event::MoveList { .. } => write!(f, "the list service moves"),
             Event::CutZone { zone, lasts, .. } => write!(f, "zone {zone} is cut off for {lasts}"),
             Event::LoseServers { part, back, .. } => {
-                write!(f, "{} of the cache servers die, back cold after {back}", percent(part))
+                write!(
+                    f,
+                    "{} of the cache servers die, back cold after {back}",
+                    percent(part)
+                )
             }
             Event::ListDown { lasts, .. } => write!(f, "the list service is down for {lasts}"),
             Event::Burst { factor, lasts, .. } => {
                 write!(f, "clients ask {factor} times as often for {lasts}")
             }
-            Event::OriginFails { part, how, lasts, .. } => {
-                let how = if *how == Failure::Late { "fail after their work" } else { "are turned away" };
-                write!(f, "{} of the origin's calls {how} for {lasts}", percent(part))
+            Event::OriginFails {
+                part, how, lasts, ..
+            } => {
+                let how = if *how == Failure::Late {
+                    "fail after their work"
+                } else {
+                    "are turned away"
+                };
+                write!(
+                    f,
+                    "{} of the origin's calls {how} for {lasts}",
+                    percent(part)
+                )
             }
-            Event::BreakAnswers { lost, spoilt, reset, lasts, .. } => {
+            Event::BreakAnswers {
+                lost,
+                spoilt,
+                reset,
+                lasts,
+                ..
+            } => {
                 let (lost, spoilt, reset) = (percent(lost), percent(spoilt), percent(reset));
-                write!(f, "{lost} of the answers are lost, {spoilt} spoilt, {reset} reset for {lasts}")
+                write!(
+                    f,
+                    "{lost} of the answers are lost, {spoilt} spoilt, {reset} reset for {lasts}"
+                )
             }
             Event::Rubbish { per_s, lasts, .. } => {
-                write!(f, "{per_s} peers a second send rubbish or nothing for {lasts}")
+                write!(
+                    f,
+                    "{per_s} peers a second send rubbish or nothing for {lasts}"
+                )
             }
             Event::OriginSlow { taken, lasts, .. } => {
-                write!(f, "the origin loses {} of its cores for {lasts}", percent(taken))
+                write!(
+                    f,
+                    "the origin loses {} of its cores for {lasts}",
+                    percent(taken)
+                )
             }
             Event::HotKey { part, lasts, .. } => {
-                write!(f, "{} of the clients ask for one key for {lasts}", percent(part))
+                write!(
+                    f,
+                    "{} of the clients ask for one key for {lasts}",
+                    percent(part)
+                )
             }
             Event::Scan { part, lasts, .. } => {
-                write!(f, "{} of the clients go through all keys for {lasts}", percent(part))
+                write!(
+                    f,
+                    "{} of the clients go through all keys for {lasts}",
+                    percent(part)
+                )
             }
-            Event::Neighbour { part, taken, lasts, .. } => {
+            Event::Neighbour {
+                part, taken, lasts, ..
+            } => {
                 let (part, taken) = (percent(part), percent(taken));
-                write!(f, "neighbours take {taken} of {part} of the cache servers for {lasts}")
+                write!(
+                    f,
+                    "neighbours take {taken} of {part} of the cache servers for {lasts}"
+                )
             }
         }
     }
@@ -545,17 +614,32 @@
         };
         let part = |key: &str, value: f64| {
             let outside = !(0.0..=1.0).contains(&value);
-            outside.then(|| (key.to_string(), format!("found {value}: write a part, 0 to 1")))
+            outside.then(|| {
+                (
+                    key.to_string(),
+                    format!("found {value}: write a part, 0 to 1"),
+                )
+            })
         };
         if self.nodes == 0 || self.nodes > MOST.0 {
-            return wrong("nodes", format!("found {}: write 1 to {}", self.nodes, MOST.0));
+            return wrong(
+                "nodes",
+                format!("found {}: write 1 to {}", self.nodes, MOST.0),
+            );
         }
         if self.zones == 0 || self.zones > 16 {
             return wrong("zones", format!("found {}: write 1 to 16", self.zones));
         }
-        let servers: u32 = self.kind.iter().map(|kind| kind.servers.min(MOST.1 + 1)).sum();
+        let servers: u32 = self
+            .kind
+            .iter()
+            .map(|kind| kind.servers.min(MOST.1 + 1))
+            .sum();
         if servers == 0 || servers > MOST.1 {
-            return wrong("kind", format!("there are {servers} servers: write 1 to {} in all", MOST.1));
+            return wrong(
+                "kind",
+                format!("there are {servers} servers: write 1 to {} in all", MOST.1),
+            );
         }
         if self.class.is_empty() {
             return wrong("class", "there is none: write a [[class]]".into());
@@ -570,18 +654,31 @@
                 format!("{requests:.0} requests in all: write at most {:.0}", MOST.2),
             );
         }
-        let figures = [("load.per_s", self.load.per_s), ("origin.cores", self.origin.cores)];
+        let figures = [
+            ("load.per_s", self.load.per_s),
+            ("origin.cores", self.origin.cores),
+        ];
         let kinds = self.kind.iter().enumerate().flat_map(|(i, kind)| {
-            [(format!("kind.{i}.cores"), kind.cores), (format!("kind.{i}.speed"), kind.speed)]
+            [
+                (format!("kind.{i}.cores"), kind.cores),
+                (format!("kind.{i}.speed"), kind.speed),
+            ]
         });
-        let named = figures.into_iter().map(|(key, value)| (key.to_string(), value)).chain(kinds);
-        if let Some(found) = named.into_iter().find_map(|(key, value)| above(&key, value)) {
+        let named = figures
+            .into_iter()
+            .map(|(key, value)| (key.to_string(), value))
+            .chain(kinds);
+        if let Some(found) = named
+            .into_iter()
+            .find_map(|(key, value)| above(&key, value))
+        {
             return Some(found);
         }
         for (i, class) in self.class.iter().enumerate() {
             if class.deadline < class.aim {
                 let (aim, deadline) = (class.aim, class.deadline);
-                let what = format!("found {deadline}, which is before the aim: write {aim} or more");
+                let what =
+                    format!("found {deadline}, which is before the aim: write {aim} or more");
                 return wrong(&format!("class.{i}.deadline"), what);
             }
             if let Some(found) = part(&format!("class.{i}.share"), class.share) {
@@ -599,10 +696,15 @@
                 | Event::HotKey { part: share, .. }
                 | Event::Scan { part: share, .. }
                 | Event::LoseServers { part: share, .. } => part(&key("part"), *share),
-                Event::Neighbour { part: share, taken, .. } => {
-                    part(&key("part"), *share).or_else(|| part(&key("taken"), *taken))
-                }
-                Event::BreakAnswers { lost, spoilt, reset, .. } => part(&key("lost"), *lost)
+                Event::Neighbour {
+                    part: share, taken, ..
+                } => part(&key("part"), *share).or_else(|| part(&key("taken"), *taken)),
+                Event::BreakAnswers {
+                    lost,
+                    spoilt,
+                    reset,
+                    ..
+                } => part(&key("lost"), *lost)
                     .or_else(|| part(&key("spoilt"), *spoilt))
                     .or_else(|| part(&key("reset"), *reset))
                     .or_else(|| part(&key("lost"), lost + spoilt + reset)),
@@ -612,9 +714,10 @@
                 Event::Rubbish { per_s, .. } => above(&key("per_s"), *per_s),
                 Event::OriginSlow { taken, .. } => part(&key("taken"), *taken),
                 Event::Burst { factor, .. } => above(&key("factor"), *factor),
-                Event::CutZone { zone, .. } if *zone >= self.zones => {
-                    wrong(&key("zone"), format!("found {zone}: write 0 to {}", self.zones - 1))
-                }
+                Event::CutZone { zone, .. } if *zone >= self.zones => wrong(
+                    &key("zone"),
+                    format!("found {zone}: write 0 to {}", self.zones - 1),
+                ),
                 Event::CutZone { .. } | Event::ListDown { .. } | Event::MoveList { .. } => None,
             };
             if found.is_some() {
@@ -622,11 +725,15 @@
             }
             if event.at() > self.length {
                 let (at, length) = (event.at(), self.length);
-                return wrong(&key("at"), format!("found {at}, after the end: write at most {length}"));
+                return wrong(
+                    &key("at"),
+                    format!("found {at}, after the end: write at most {length}"),
+                );
             }
         }
         part("load.give_up", self.load.give_up).or_else(|| {
-            part("network.lost", self.network.lost).or_else(|| part("network.jitter", self.network.jitter))
+            part("network.lost", self.network.lost)
+                .or_else(|| part("network.jitter", self.network.jitter))
         })
     }
 }
--- a/crates/testbed/src/sockets/clients.rs
+++ b/crates/testbed/src/sockets/clients.rs
@@ -35,7 +35,10 @@
 impl Connections {
     /// None yet.
     pub fn new(address: SocketAddr) -> Connections {
-        Connections { address, idle: Mutex::new(Vec::new()) }
+        Connections {
+            address,
+            idle: Mutex::new(Vec::new()),
+        }
     }
 
     /// Closes them all.
@@ -57,9 +60,13 @@
                 Err(Ended { untouched: false }) => return Err(NoAnswer::BrokenOff),
             }
         }
-        let mut stream = TcpStream::connect(self.address).await.map_err(|_| NoAnswer::Unreached)?;
+        let mut stream = TcpStream::connect(self.address)
+            .await
+            .map_err(|_| NoAnswer::Unreached)?;
         let _ = stream.set_nodelay(true);
-        let frame = exchange(&mut stream, command).await.map_err(|_| NoAnswer::BrokenOff)?;
+        let frame = exchange(&mut stream, command)
+            .await
+            .map_err(|_| NoAnswer::BrokenOff)?;
         self.keep(stream, &frame, value)
     }
 
@@ -79,7 +86,10 @@
 
 /// Writes a command and reads one answer.
 async fn exchange(stream: &mut TcpStream, command: &[u8]) -> Result<BytesFrame, Ended> {
-    stream.write_all(command).await.map_err(|_| Ended { untouched: true })?;
+    stream
+        .write_all(command)
+        .await
+        .map_err(|_| Ended { untouched: true })?;
     let mut input = BytesMut::with_capacity(512);
     loop {
         match decode_bytes_mut(&mut input) {
@@ -88,7 +98,11 @@
             Err(_) => return Err(Ended { untouched: false }),
         }
         let untouched = input.is_empty();
-        if !stream.read_buf(&mut input).await.is_ok_and(|count| count > 0) {
+        if !stream
+            .read_buf(&mut input)
+            .await
+            .is_ok_and(|count| count > 0)
+        {
             return Err(Ended { untouched });
         }
     }
@@ -101,7 +115,9 @@
         frame => Some(frame),
     };
     Ok(match frame {
-        _ if matches!(served, Some(BytesFrame::BulkString(bytes)) if bytes[..] == *value) => Reply::Served,
+        _ if matches!(served, Some(BytesFrame::BulkString(bytes)) if bytes[..] == *value) => {
+            Reply::Served
+        }
         // A value that no server made for it: the request is lost.
         _ if matches!(served, Some(BytesFrame::BulkString(_))) => return Err(NoAnswer::BrokenOff),
         BytesFrame::Error(line) if line.split(' ').next() == Some("BUSY") => {
@@ -114,8 +130,11 @@
 
 /// A command of words.
 pub fn command(words: &[&[u8]]) -> BytesMut {
-    let words = words.iter().map(|word| BytesFrame::BulkString(bytes::Bytes::copy_from_slice(word)));
+    let words = words
+        .iter()
+        .map(|word| BytesFrame::BulkString(bytes::Bytes::copy_from_slice(word)));
     let mut out = BytesMut::new();
-    extend_encode(&mut out, &BytesFrame::Array(words.collect()), false).expect("an array can be encoded");
+    extend_encode(&mut out, &BytesFrame::Array(words.collect()), false)
+        .expect("an array can be encoded");
     out
 }
--- a/crates/testbed/src/sockets/doors.rs
+++ b/crates/testbed/src/sockets/doors.rs
@@ -55,7 +55,10 @@
 
 /// Unix time in microseconds.
 pub fn unix() -> Micros {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_micros() as Micros
 }
 
 impl Shared {
@@ -98,7 +101,9 @@
         let addresses = lock(&self.addresses);
         let entry = |line: &Line| {
             let server = stage.servers.get(&line.server)?;
-            let address = addresses.get(usize::from(zone))?.get(line.server as usize - 1)?;
+            let address = addresses
+                .get(usize::from(zone))?
+                .get(line.server as usize - 1)?;
             let status = match line.condition {
                 Condition::Active => "active",
                 Condition::Leaving => "leaving",
@@ -159,11 +164,17 @@
     }
 }
 
-async fn connection(shared: Arc<Shared>, mut stream: TcpStream, server: Number) -> std::io::Result<()> {
+async fn connection(
+    shared: Arc<Shared>,
+    mut stream: TcpStream,
+    server: Number,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut input, mut output) = (BytesMut::with_capacity(4096), BytesMut::new());
     loop {
-        let Ok(command) = decode_bytes_mut(&mut input) else { return Ok(()) };
+        let Ok(command) = decode_bytes_mut(&mut input) else {
+            return Ok(());
+        };
         let Some((command, ..)) = command else {
             if input.len() > LONGEST || stream.read_buf(&mut input).await? == 0 {
                 return Ok(());
@@ -223,7 +234,11 @@
             BytesFrame::BulkString(Bytes::from_static(b"hit")),
             BytesFrame::Null,
         ])),
-        Said::Miss => Some(BytesFrame::Array(vec![BytesFrame::Null, BytesFrame::Null, BytesFrame::Null])),
+        Said::Miss => Some(BytesFrame::Array(vec![
+            BytesFrame::Null,
+            BytesFrame::Null,
+            BytesFrame::Null,
+        ])),
         Said::Busy => Some(BytesFrame::Error("BUSY".into())),
         Said::Failed => Some(BytesFrame::Error("ERR failed".into())),
         Said::Died => None,
@@ -245,12 +260,20 @@
 
 /// Serves the origin's connections.
 pub async fn origin(shared: Arc<Shared>, listener: TcpListener) -> std::io::Result<()> {
-    let routes = Router::new().route("/{key}", get(fetch).put(fetch)).with_state(shared);
+    let routes = Router::new()
+        .route("/{key}", get(fetch).put(fetch))
+        .with_state(shared);
     axum::serve(listener, routes).await
 }
 
-async fn fetch(State(shared): State<Arc<Shared>>, Path(_key): Path<String>, headers: HeaderMap) -> Response {
-    let id = headers.get("x-correlation-id").and_then(|id| id.to_str().ok());
+async fn fetch(
+    State(shared): State<Arc<Shared>>,
+    Path(_key): Path<String>,
+    headers: HeaderMap,
+) -> Response {
+    let id = headers
+        .get("x-correlation-id")
+        .and_then(|id| id.to_str().ok());
     let Some(number) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
         return (StatusCode::BAD_REQUEST, "no request of a client").into_response();
     };
@@ -258,10 +281,14 @@
     // Bound outside of the match: the lock is not held while it waits.
     let attempt = shared.stage().origin_call(now, number);
     shared.wake.notify_one();
-    let Some(attempt) = attempt else { return StatusCode::INTERNAL_SERVER_ERROR.into_response() };
+    let Some(attempt) = attempt else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
     match attempt.said.await {
         Ok(Said::Value) => shared.value.clone().into_response(),
-        Ok(Said::Busy) => (StatusCode::SERVICE_UNAVAILABLE, [("x-unprocessed", "1")]).into_response(),
+        Ok(Said::Busy) => {
+            (StatusCode::SERVICE_UNAVAILABLE, [("x-unprocessed", "1")]).into_response()
+        }
         Ok(Said::Nothing) => std::future::pending().await,
         Ok(Said::Rubbish) => (StatusCode::IM_A_TEAPOT, "?!").into_response(),
         Ok(Said::Failed | Said::Miss) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
@@ -286,8 +313,15 @@
 }
 
 /// Serves the list to one node, which is known by the door that it comes through.
-pub async fn list(shared: Arc<Shared>, listener: TcpListener, node: NodeId, zone: u8) -> std::io::Result<()> {
-    let routes = Router::new().route("/v1/servers", get(servers)).with_state((shared, node, zone));
+pub async fn list(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    node: NodeId,
+    zone: u8,
+) -> std::io::Result<()> {
+    let routes = Router::new()
+        .route("/v1/servers", get(servers))
+        .with_state((shared, node, zone));
     axum::serve(listener, routes).await
 }
 
@@ -310,8 +344,19 @@
     /// The next list or change as a line; `None` when the call failed or the watch has ended.
     async fn next(&mut self) -> Option<Bytes> {
         let told = self.told.recv().await?;
-        let Told::Lines { version, whole, lines } = &told else { return None };
-        let line = self.shared.listing(self.zone, *version, *whole, lines).to_string() + "\n";
+        let Told::Lines {
+            version,
+            whole,
+            lines,
+        } = &told
+        else {
+            return None;
+        };
+        let line = self
+            .shared
+            .listing(self.zone, *version, *whole, lines)
+            .to_string()
+            + "\n";
         let now = self.shared.now();
         self.shared.stage().written(now, self.node, &told);
         Some(line.into())
@@ -322,26 +367,40 @@
     State((shared, node, zone)): State<(Arc<Shared>, NodeId, u8)>,
     Query(asked): Query<Asked>,
 ) -> Response {
-    let call = if asked.watch == 0 { Call::Whole } else { Call::Watch { after: asked.after } };
+    let call = if asked.watch == 0 {
+        Call::Whole
+    } else {
+        Call::Watch { after: asked.after }
+    };
     let now = shared.now();
     let told = shared.stage().call(now, node, call);
     shared.wake.notify_one();
-    let Some(told) = told else { return StatusCode::SERVICE_UNAVAILABLE.into_response() };
-    let mut watch = Watch { shared, node, zone, told };
-    let Some(first) = watch.next().await else { return StatusCode::SERVICE_UNAVAILABLE.into_response() };
+    let Some(told) = told else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let mut watch = Watch {
+        shared,
+        node,
+        zone,
+        told,
+    };
+    let Some(first) = watch.next().await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
     let json = [(header::CONTENT_TYPE, "application/json")];
     if asked.watch == 0 {
         return (json, first).into_response();
     }
-    let lines = futures_util::stream::unfold((watch, Some(first)), |(mut watch, first)| async move {
-        let line = match first {
-            Some(first) => first,
-            None => match tokio::time::timeout(QUIET, watch.next()).await {
-                Ok(line) => line?,
-                Err(_) => Bytes::from_static(b"\n"),
-            },
-        };
-        Some((Ok::<_, std::convert::Infallible>(line), (watch, None)))
-    });
+    let lines =
+        futures_util::stream::unfold((watch, Some(first)), |(mut watch, first)| async move {
+            let line = match first {
+                Some(first) => first,
+                None => match tokio::time::timeout(QUIET, watch.next()).await {
+                    Ok(line) => line?,
+                    Err(_) => Bytes::from_static(b"\n"),
+                },
+            };
+            Some((Ok::<_, std::convert::Infallible>(line), (watch, None)))
+        });
     (json, Body::from_stream(lines)).into_response()
 }
