--- a/crates/testbed/src/sockets/link.rs
+++ b/crates/testbed/src/sockets/link.rs
@@ -36,7 +36,12 @@
 
 impl Default for State {
     fn default() -> Self {
-        State { listens: true, delay: (Duration::ZERO, Duration::ZERO), silent: (false, false), resets: 0 }
+        State {
+            listens: true,
+            delay: (Duration::ZERO, Duration::ZERO),
+            silent: (false, false),
+            resets: 0,
+        }
     }
 }
 
@@ -58,7 +63,11 @@
         let address = listener.local_addr()?;
         let (state, changes) = watch::channel(state);
         let task = AbortOnDropHandle::new(tokio::spawn(keep(address, to, listener, changes)));
-        Ok(Link { address, state, _task: task })
+        Ok(Link {
+            address,
+            state,
+            _task: task,
+        })
     }
 
     /// Where it is entered.
@@ -83,13 +92,22 @@
 
 /// A listener whose address can be taken again at once after it was closed.
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
 
-async fn keep(at: SocketAddr, to: SocketAddr, listener: TcpListener, mut state: watch::Receiver<State>) {
+async fn keep(
+    at: SocketAddr,
+    to: SocketAddr,
+    listener: TcpListener,
+    mut state: watch::Receiver<State>,
+) {
     let mut listener = Some(listener);
     let mut carried = JoinSet::new();
     loop {
@@ -125,7 +143,10 @@
         Err(_) => return drop(near.set_zero_linger()),
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let Ok(ends) = [near.as_fd(), far.as_fd()].map(|end| end.try_clone_to_owned()).into_iter().collect()
+    let Ok(ends) = [near.as_fd(), far.as_fd()]
+        .map(|end| end.try_clone_to_owned())
+        .into_iter()
+        .collect()
     else {
         return;
     };
@@ -133,8 +154,12 @@
     // Halves that shut nothing down when they are dropped: a reset must not look like an end.
     let (near_in, near_out) = tokio::io::split(near);
     let (far_in, far_out) = tokio::io::split(far);
-    let there = one_way(near_in, far_out, state.clone(), |state| (state.delay.0, state.silent.0));
-    let back = one_way(far_in, near_out, state.clone(), |state| (state.delay.1, state.silent.1));
+    let there = one_way(near_in, far_out, state.clone(), |state| {
+        (state.delay.0, state.silent.0)
+    });
+    let back = one_way(far_in, near_out, state.clone(), |state| {
+        (state.delay.1, state.silent.1)
+    });
     let both = async { tokio::try_join!(there, back).is_ok() };
     let ended_well = tokio::select! {
         well = both => well,
@@ -162,7 +187,10 @@
             let count = from.read(&mut buffer).await?;
             let (delay, _) = part(&delay.borrow());
             // An empty part is the end of the stream, which takes its time as well.
-            let whole = (Instant::now() + delay, Bytes::copy_from_slice(&buffer[..count]));
+            let whole = (
+                Instant::now() + delay,
+                Bytes::copy_from_slice(&buffer[..count]),
+            );
             if send.send(whole).await.is_err() || count == 0 {
                 return Ok::<_, std::io::Error>(());
             }
--- a/crates/testbed/src/sockets/mod.rs
+++ b/crates/testbed/src/sockets/mod.rs
@@ -205,7 +205,12 @@
 ) -> std::io::Result<(SocketAddr, AbortHandle)> {
     let listener = link::listen(address(3, number))?;
     let list = listener.local_addr()?;
-    let serve = doors::list(shared.clone(), listener, number, deployment::zone(scenario, number));
+    let serve = doors::list(
+        shared.clone(),
+        listener,
+        number,
+        deployment::zone(scenario, number),
+    );
     let door = doors.spawn(async move { drop(serve.await) });
     Ok((list, door))
 }
@@ -224,7 +229,10 @@
         let at = origin.local_addr().map_err(port)?;
         let stage = Stage::new(scenario, seed, now);
         let shared = Arc::new(Shared::new(scenario, stage, now, at));
-        let (tick, fetch) = (doors::tick(shared.clone()), doors::origin(shared.clone(), origin));
+        let (tick, fetch) = (
+            doors::tick(shared.clone()),
+            doors::origin(shared.clone(), origin),
+        );
         doors.spawn(tick);
         doors.spawn(async move { drop(fetch.await) });
         let (mut nodes, mut lists) = (Vec::new(), Vec::new());
@@ -272,7 +280,8 @@
     async fn open_server(&mut self, number: Number) -> std::io::Result<()> {
         let listener = link::listen(address(1, number))?;
         let door = listener.local_addr()?;
-        self.doors.spawn(doors::cache(self.shared.clone(), listener, number));
+        self.doors
+            .spawn(doors::cache(self.shared.clone(), listener, number));
         let (zone, up) = {
             let stage = self.shared.stage();
             let server = &stage.servers[&number];
@@ -280,8 +289,16 @@
         };
         for from in 0..self.scenario.zones {
             let network = &self.scenario.network;
-            let delay = if from == zone { network.same.0 } else { network.cross.0 };
-            let state = State { listens: up, delay: (delay, delay), ..State::default() };
+            let delay = if from == zone {
+                network.same.0
+            } else {
+                network.cross.0
+            };
+            let state = State {
+                listens: up,
+                delay: (delay, delay),
+                ..State::default()
+            };
             let way = Link::open(address(10 + from, number), door, state).await?;
             lock(&self.shared.addresses)[usize::from(from)].push(way.address());
             self.ways[usize::from(from)].push(way);
@@ -293,7 +310,8 @@
     async fn begin(&mut self) -> Result<(), SocketError> {
         self.hold_at_first();
         for number in 0..self.scenario.nodes {
-            self.start_node(number).map_err(|e| SocketError::System("cannot start a node", e))?;
+            self.start_node(number)
+                .map_err(|e| SocketError::System("cannot start a node", e))?;
         }
         let mut look = tokio::time::interval(START_LOOK);
         while self.up.len() < self.nodes.len() {
@@ -340,13 +358,20 @@
             ..ServerLine::default()
         };
         let lines = stage.servers.iter().map(line).chain([origin]).collect();
-        let numbers: std::collections::BTreeMap<ServerId, Number> =
-            stage.servers.keys().map(|number| (id(*number), *number)).collect();
+        let numbers: std::collections::BTreeMap<ServerId, Number> = stage
+            .servers
+            .keys()
+            .map(|number| (id(*number), *number))
+            .collect();
         let now = self.shared.now();
         for (key, server) in deployment::held_at_first(self.scenario, now, lines) {
-            let server = numbers.get(&server).and_then(|number| stage.servers.get_mut(number));
+            let server = numbers
+                .get(&server)
+                .and_then(|number| stage.servers.get_mut(number));
             let bytes = self.scenario.load.value_bytes;
-            server.into_iter().for_each(|server| server.cache.memory().store(now, key, bytes));
+            server
+                .into_iter()
+                .for_each(|server| server.cache.memory().store(now, key, bytes));
         }
     }
 
@@ -389,7 +414,10 @@
         let now = self.shared.now();
         let (counted, fallen) = {
             let mut stage = self.shared.stage();
-            (std::mem::take(&mut stage.counted), std::mem::take(&mut stage.fallen))
+            (
+                std::mem::take(&mut stage.counted),
+                std::mem::take(&mut stage.fallen),
+            )
         };
         for (first, counted) in counted {
             self.clients.count(first, |counts| match counted {
@@ -410,14 +438,21 @@
         let running = {
             let mut stage = self.shared.stage();
             stage.sweep(now);
-            stage.servers.values().filter(|server| server.cache.up()).count()
+            stage
+                .servers
+                .values()
+                .filter(|server| server.cache.up())
+                .count()
         };
         for node in 0..self.nodes.len() as u32 {
-            let Some(status) = self.nodes[node as usize].ended() else { continue };
+            let Some(status) = self.nodes[node as usize].ended() else {
+                continue;
+            };
             self.nodes[node as usize].clients.close();
             self.up.retain(|up| *up != node);
             if !self.nodes[node as usize].ending || !status.success() {
-                self.crashes.push(format!("crash: node {node} ended by itself with {status}"));
+                self.crashes
+                    .push(format!("crash: node {node} ended by itself with {status}"));
             }
             self.shared.stage().ended(now, node);
             self.at(now, What::Back(node));
@@ -439,9 +474,11 @@
         match input {
             Input::Ended(client, number, Some(reply)) => {
                 match reply {
-                    Ok(reply) => {
-                        self.shared.stage().answered(now, number, matches!(reply, Reply::Refused(_)))
-                    }
+                    Ok(reply) => self.shared.stage().answered(
+                        now,
+                        number,
+                        matches!(reply, Reply::Refused(_)),
+                    ),
                     Err(NoAnswer::Unreached) => self.shared.stage().gone(now, number),
                     Err(NoAnswer::BrokenOff) => self.shared.stage().broken_off(now, number),
                 }
@@ -465,7 +502,8 @@
                     }
                     self.news.push(format!("node {node} is back"));
                 } else {
-                    self.crashes.push(self.nodes[node as usize].refusal().to_string());
+                    self.crashes
+                        .push(self.nodes[node as usize].refusal().to_string());
                 }
             }
         }
@@ -485,7 +523,11 @@
             What::Event(number) => self.event(number, now).await,
             What::Drain(server) => {
                 let mut stage = self.shared.stage();
-                stage.servers.get_mut(&server).into_iter().for_each(|server| server.cache.drain());
+                stage
+                    .servers
+                    .get_mut(&server)
+                    .into_iter()
+                    .for_each(|server| server.cache.drain());
                 drop(stage);
                 self.notice(now, server, Condition::Leaving, 0);
             }
@@ -493,7 +535,11 @@
             What::Start(server) => {
                 {
                     let mut stage = self.shared.stage();
-                    stage.servers.get_mut(&server).into_iter().for_each(|s| s.cache.restart(now));
+                    stage
+                        .servers
+                        .get_mut(&server)
+                        .into_iter()
+                        .for_each(|s| s.cache.restart(now));
                 }
                 self.ways_of(server, |way| way.set(|state| state.listens = true));
                 self.notice(now, server, Condition::Active, now);
@@ -503,7 +549,8 @@
             What::Back(node) if self.nodes[node as usize].child.is_some() => {}
             What::Back(node) => {
                 if let Err(e) = self.start_node(node) {
-                    self.crashes.push(format!("node {node} could not be started again: {e}"));
+                    self.crashes
+                        .push(format!("node {node} could not be started again: {e}"));
                 }
             }
             What::Continue(node) => {
@@ -554,13 +601,17 @@
     // Clients.
 
     fn try_node(&mut self, id: u64) {
-        let Some(client) = self.clients.begin_try(id) else { return };
+        let Some(client) = self.clients.begin_try(id) else {
+            return;
+        };
         let number = self.next_try;
         self.next_try += 1;
         let ended = self.ended.0.clone();
         if self.up.is_empty() {
             self.tries.spawn(async move {
-                let _ = ended.send(Input::Ended(id, number, Some(Err(NoAnswer::Unreached)))).await;
+                let _ = ended
+                    .send(Input::Ended(id, number, Some(Err(NoAnswer::Unreached))))
+                    .await;
             });
             return;
         }
@@ -576,7 +627,12 @@
             _ => format!("c={},d={left_ms}", class.name),
         };
         let name = format!("{number:016x}");
-        let mut words = vec![&b"OBJ.GET"[..], key.as_bytes(), name.as_bytes(), facts.as_bytes()];
+        let mut words = vec![
+            &b"OBJ.GET"[..],
+            key.as_bytes(),
+            name.as_bytes(),
+            facts.as_bytes(),
+        ];
         let value = vec![b'v'; self.scenario.load.value_bytes as usize];
         if class.write {
             words[0] = b"OBJ.SET";
@@ -586,7 +642,8 @@
         let connections = self.nodes[node as usize].clients.clone();
         let shared = self.shared.clone();
         self.tries.spawn(async move {
-            let asked = tokio::time::timeout_at(until, connections.ask(&command, shared.value())).await;
+            let asked =
+                tokio::time::timeout_at(until, connections.ask(&command, shared.value())).await;
             let _ = ended.send(Input::Ended(id, number, asked.ok())).await;
         });
     }
@@ -623,7 +680,12 @@
         let (version, lines) = self.shared.stage().begin_node(self.shared.now(), number);
         let known = self.shared.listing(zone, version, true, &lines);
         let node = &mut self.nodes[number as usize];
-        node.start(self.options.program, self.scenario, known, self.seeds.random())?;
+        node.start(
+            self.options.program,
+            self.scenario,
+            known,
+            self.seeds.random(),
+        )?;
         let (life, ready, tell) = (node.life, node.ready(), self.ended.0.clone());
         self.tries.spawn(async move {
             let ready = ready.await;
@@ -635,7 +697,10 @@
     // Servers.
 
     fn ways_of(&self, server: Number, change: impl Fn(&Link)) {
-        self.ways.iter().filter_map(|ways| ways.get(server as usize - 1)).for_each(change);
+        self.ways
+            .iter()
+            .filter_map(|ways| ways.get(server as usize - 1))
+            .for_each(change);
     }
 
     fn end_server(&mut self, now: Micros, server: Number) {
@@ -646,13 +711,24 @@
 
     fn take(&mut self, now: Micros, server: Number, part: f64) {
         let mut stage = self.shared.stage();
-        stage.servers.get_mut(&server).into_iter().for_each(|server| server.cache.take(now, part));
+        stage
+            .servers
+            .get_mut(&server)
+            .into_iter()
+            .for_each(|server| server.cache.take(now, part));
     }
 
     /// How a server is becomes known some time later.
     fn notice(&mut self, now: Micros, server: Number, condition: Condition, started: Micros) {
         let at = now + us(self.scenario.list.notice);
-        self.at(at, What::Known(Line { server, condition, started }));
+        self.at(
+            at,
+            What::Known(Line {
+                server,
+                condition,
+                started,
+            }),
+        );
     }
 
     /// Cuts a zone off from the others, or mends it. A new connection into a cut comes up and stays silent, as no
@@ -661,7 +737,12 @@
         self.shared.stage().cut(self.shared.now(), zone, cut);
         for (from, ways) in self.ways.iter().enumerate() {
             for (i, way) in ways.iter().enumerate() {
-                let server = self.shared.stage().servers.get(&(i as Number + 1)).map(|server| server.zone);
+                let server = self
+                    .shared
+                    .stage()
+                    .servers
+                    .get(&(i as Number + 1))
+                    .map(|server| server.zone);
                 let crosses = server.is_some_and(|server| (from as u8 == zone) != (server == zone));
                 if crosses {
                     way.set(|state| state.silent = (cut, cut));
@@ -676,14 +757,17 @@
         let event = self.scenario.event[number].clone();
         self.news.push(event.to_string());
         match event {
-            Event::Replace { part, over, drain, .. } => {
+            Event::Replace {
+                part, over, drain, ..
+            } => {
                 let servers = self.shared.stage().some_servers(part);
                 let count = servers.len().max(1) as Micros;
                 for (i, server) in servers.into_iter().enumerate() {
                     let at = now + us(over) * i as Micros / count;
                     let new = self.shared.stage().new_server(now, server);
                     if let Err(e) = self.open_server(new).await {
-                        self.crashes.push(format!("no port for {}: {e}", doors::name(new)));
+                        self.crashes
+                            .push(format!("no port for {}: {e}", doors::name(new)));
                         continue;
                     }
                     self.at(at, What::Drain(server));
@@ -699,7 +783,10 @@
                     self.nodes[node as usize].kill().await;
                     self.shared.stage().killed(self.shared.now(), node);
                     let life = self.nodes[node as usize].life;
-                    self.at(now + us(self.scenario.front.notice), What::Noticed(node, life));
+                    self.at(
+                        now + us(self.scenario.front.notice),
+                        What::Noticed(node, life),
+                    );
                     self.at(now + us(back), What::Back(node));
                 }
             }
@@ -724,10 +811,12 @@
                 // The new service's doors are there before any node is told; nothing new is taken at the old ones.
                 let old = std::mem::take(&mut self.lists);
                 for number in 0..self.nodes.len() as u32 {
-                    let moved =
-                        self.open_list(number).and_then(|list| self.nodes[number as usize].move_list(list));
+                    let moved = self
+                        .open_list(number)
+                        .and_then(|list| self.nodes[number as usize].move_list(list));
                     if let Err(e) = moved {
-                        self.crashes.push(format!("the list of node {number} could not be moved: {e}"));
+                        self.crashes
+                            .push(format!("the list of node {number} could not be moved: {e}"));
                     }
                 }
                 old.into_iter().for_each(|door| door.abort());
@@ -752,15 +841,32 @@
                 self.clients.quicken(factor);
                 self.at(now + us(lasts), What::Calm(factor));
             }
-            Event::OriginFails { part, how, lasts, .. } => {
-                self.shared.stage().origin.fail(Some((deployment::fault(how), part)));
+            Event::OriginFails {
+                part, how, lasts, ..
+            } => {
+                self.shared
+                    .stage()
+                    .origin
+                    .fail(Some((deployment::fault(how), part)));
                 self.at(now + us(lasts), What::OriginWell);
             }
-            Event::BreakAnswers { lost, spoilt, reset, lasts, .. } => {
-                self.shared.stage().network.break_answers(Breaks { lost, spoilt, reset });
+            Event::BreakAnswers {
+                lost,
+                spoilt,
+                reset,
+                lasts,
+                ..
+            } => {
+                self.shared.stage().network.break_answers(Breaks {
+                    lost,
+                    spoilt,
+                    reset,
+                });
                 self.at(now + us(lasts), What::AnswersWhole);
             }
-            Event::Rubbish { per_s, lasts, .. } => self.at(now, What::Rubbish(per_s, now + us(lasts))),
+            Event::Rubbish { per_s, lasts, .. } => {
+                self.at(now, What::Rubbish(per_s, now + us(lasts)))
+            }
             Event::OriginSlow { taken, lasts, .. } => {
                 self.shared.stage().origin.take(now, taken);
                 self.at(now + us(lasts), What::OriginQuick);
@@ -773,7 +879,9 @@
                 self.clients.scan(part);
                 self.at(now + us(lasts), What::Scanned(part));
             }
-            Event::Neighbour { part, taken, lasts, .. } => {
+            Event::Neighbour {
+                part, taken, lasts, ..
+            } => {
                 let servers = self.shared.stage().some_servers(part);
                 for server in servers {
                     self.take(now, server, taken);
@@ -796,9 +904,9 @@
             if let Some(child) = &mut node.child {
                 match tokio::time::timeout_at(until, child.wait()).await {
                     Ok(Ok(status)) if status.success() => {}
-                    Ok(status) => {
-                        self.crashes.push(format!("crash: a node ended with {status:?} when told to end"))
-                    }
+                    Ok(status) => self.crashes.push(format!(
+                        "crash: a node ended with {status:?} when told to end"
+                    )),
                     Err(_) => self.crashes.push("a node did not end when told to".into()),
                 }
             }
@@ -817,6 +925,17 @@
         let servers = self.scenario.kind.iter().map(|kind| kind.servers).sum();
         let (nodes, events) = (self.scenario.nodes, self.queue.entered());
         let load = std::mem::take(&mut stage.load);
-        Report { seed, nodes, servers, service, classes, windows, load, events, broken, broken_in_all }
+        Report {
+            seed,
+            nodes,
+            servers,
+            service,
+            classes,
+            windows,
+            load,
+            events,
+            broken,
+            broken_in_all,
+        }
     }
 }
--- a/crates/testbed/src/sockets/nodes.rs
+++ b/crates/testbed/src/sockets/nodes.rs
@@ -165,7 +165,10 @@
     pub fn refusal(&self) -> SocketError {
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
         let last = log.lines().last().unwrap_or("its log is empty").to_string();
-        SocketError::NotReady { node: self.number, last }
+        SocketError::NotReady {
+            node: self.number,
+            last,
+        }
     }
 }
 
--- a/crates/testbed/src/sockets/stage.rs
+++ b/crates/testbed/src/sockets/stage.rs
@@ -146,7 +146,14 @@
             for _ in 0..spec.servers {
                 let number = servers.len() as Number + 1;
                 let cache = Cache::new(deployment::cache(scenario, spec), 0, now);
-                servers.insert(number, Server { cache, kind, zone: deployment::zone(scenario, number) });
+                servers.insert(
+                    number,
+                    Server {
+                        cache,
+                        kind,
+                        zone: deployment::zone(scenario, number),
+                    },
+                );
             }
         }
         Stage {
@@ -180,27 +187,46 @@
         let (class, key, work, first) = (client.class, client.key, client.work, client.first);
         let (missed, ended) = (Vec::new(), None);
         let begun = now;
-        self.tries
-            .insert(number, Try { node, class, key, work, first, begun, attempts: 0, out: 0, missed, ended });
+        self.tries.insert(
+            number,
+            Try {
+                node,
+                class,
+                key,
+                work,
+                first,
+                begun,
+                attempts: 0,
+                out: 0,
+                missed,
+                ended,
+            },
+        );
     }
 
     /// A try has its answer; whether it is a refusal.
     pub fn answered(&mut self, now: Micros, number: u64, refused: bool) {
-        let Some(node) = self.end_try(now, number) else { return };
+        let Some(node) = self.end_try(now, number) else {
+            return;
+        };
         self.rules.answered(now, (node, number), refused);
         self.forget(now, number);
     }
 
     /// Nothing is owed for a try any more: its client has gone, or its node was killed.
     pub fn gone(&mut self, now: Micros, number: u64) {
-        let Some(node) = self.end_try(now, number) else { return };
+        let Some(node) = self.end_try(now, number) else {
+            return;
+        };
         self.rules.client_gone(now, (node, number));
         self.forget(now, number);
     }
 
     /// A try's connection was ended by its node without an answer.
     pub fn broken_off(&mut self, now: Micros, number: u64) {
-        let Some(node) = self.end_try(now, number) else { return };
+        let Some(node) = self.end_try(now, number) else {
+            return;
+        };
         self.rules.broken_off(now, (node, number));
         self.forget(now, number);
     }
@@ -240,9 +266,16 @@
         let started = s.cache.started();
         let line = self.held.get(&node).and_then(|(_, held)| held.get(&server));
         let heard = line.is_some_and(|line| line.started >= started);
-        let known = self.known.get(&server).is_some_and(|at| now >= at + Figures::default().told_after);
+        let known = self
+            .known
+            .get(&server)
+            .is_some_and(|at| now >= at + Figures::default().told_after);
         let (job, said) = self.job(Some(server), number, attempt);
-        let ask = Ask { key, work, knew: heard || known };
+        let ask = Ask {
+            key,
+            work,
+            knew: heard || known,
+        };
         match self.servers.get_mut(&server)?.cache.arrive(now, job, ask) {
             Taken::Held => {}
             Taken::Answered(Answer::Refused) => self.say(now, job, Said::Died),
@@ -252,8 +285,11 @@
             }
             Taken::FellOver(held) => {
                 let fall = self.servers.get(&server).and_then(|s| s.cache.fall());
-                fall.into_iter().for_each(|fall| self.rules.fell(server, fall));
-                held.into_iter().chain([job]).for_each(|job| self.say(now, job, Said::Died));
+                fall.into_iter()
+                    .for_each(|fall| self.rules.fell(server, fall));
+                held.into_iter()
+                    .chain([job])
+                    .for_each(|job| self.say(now, job, Said::Died));
                 self.fallen.push(server);
             }
         }
@@ -270,9 +306,10 @@
         match self.origin.arrive(now, job, work, &mut self.work) {
             OriginTaken::Held => {}
             OriginTaken::Answered(answer) => self.say(now, job, origin_says(answer)),
-            OriginTaken::FellOver(held) => {
-                held.into_iter().chain([job]).for_each(|job| self.say(now, job, Said::Died))
-            }
+            OriginTaken::FellOver(held) => held
+                .into_iter()
+                .chain([job])
+                .for_each(|job| self.say(now, job, Said::Died)),
         }
         Some(Attempt { job, said })
     }
@@ -285,9 +322,18 @@
         let near = deployment::zone(&self.scenario, t.node);
         let there = self.servers.get(&server).map_or(near, |server| server.zone);
         let network = &self.scenario.network;
-        let mut sent = now - us(if near == there { network.same } else { network.cross });
+        let mut sent = now
+            - us(if near == there {
+                network.same
+            } else {
+                network.cross
+            });
         // What a cut has held up was sent at some time since the cut.
-        let cuts = if near == there { &[][..] } else { &[near, there][..] };
+        let cuts = if near == there {
+            &[][..]
+        } else {
+            &[near, there][..]
+        };
         for (cut, mended) in cuts.iter().filter_map(|zone| self.cuts.get(zone)) {
             if now < mended + HELD_UP {
                 sent = sent.min(t.begun.max(*cut));
@@ -297,24 +343,61 @@
         Some((t.node, attempt))
     }
 
-    fn job(&mut self, server: Option<Number>, number: u64, attempt: u16) -> (JobId, oneshot::Receiver<Said>) {
+    fn job(
+        &mut self,
+        server: Option<Number>,
+        number: u64,
+        attempt: u16,
+    ) -> (JobId, oneshot::Receiver<Said>) {
         let (say, said) = oneshot::channel();
         self.next_job += 1;
-        self.jobs.insert(self.next_job, (server, Job { number, attempt, say }));
+        self.jobs.insert(
+            self.next_job,
+            (
+                server,
+                Job {
+                    number,
+                    attempt,
+                    say,
+                },
+            ),
+        );
         (self.next_job, said)
     }
 
     /// The connection of an attempt has ended before its answer. The origin works on.
     pub fn cancel(&mut self, now: Micros, job: JobId) {
-        let Some((Some(server), _)) = self.jobs.get(&job) else { return };
-        let dropped = self.servers.get_mut(server).is_some_and(|s| s.cache.cancel(now, job));
-        if dropped && let Some((_, Job { number, attempt, .. })) = self.jobs.remove(&job) {
+        let Some((Some(server), _)) = self.jobs.get(&job) else {
+            return;
+        };
+        let dropped = self
+            .servers
+            .get_mut(server)
+            .is_some_and(|s| s.cache.cancel(now, job));
+        if dropped
+            && let Some((
+                _,
+                Job {
+                    number, attempt, ..
+                },
+            )) = self.jobs.remove(&job)
+        {
             self.out(now, number, attempt, true);
         }
     }
 
     fn say(&mut self, now: Micros, job: JobId, said: Said) {
-        let Some((server, Job { number, attempt, say })) = self.jobs.remove(&job) else { return };
+        let Some((
+            server,
+            Job {
+                number,
+                attempt,
+                say,
+            },
+        )) = self.jobs.remove(&job)
+        else {
+            return;
+        };
         if said == Said::Value && server.is_none() {
             self.fetched(now, number);
         }
@@ -329,11 +412,18 @@
         };
         // Nobody may wait for it any more.
         let _ = say.send(said);
-        self.out(now, number, attempt, matches!(said, Said::Miss | Said::Busy));
+        self.out(
+            now,
+            number,
+            attempt,
+            matches!(said, Said::Miss | Said::Busy),
+        );
     }
 
     fn out(&mut self, now: Micros, number: u64, attempt: u16, never_ran: bool) {
-        let Some(t) = self.tries.get_mut(&number) else { return };
+        let Some(t) = self.tries.get_mut(&number) else {
+            return;
+        };
         t.out -= 1;
         if never_ran {
             self.rules.never_ran((t.node, number), attempt);
@@ -343,14 +433,26 @@
 
     /// The origin has answered: a read that is waited for is stored where it missed, a write voids the copies.
     fn fetched(&mut self, now: Micros, number: u64) {
-        let Some(t) = self.tries.get(&number) else { return };
+        let Some(t) = self.tries.get(&number) else {
+            return;
+        };
         if self.scenario.class[t.class].write {
             let key = t.key;
-            return self.servers.values_mut().for_each(|server| server.cache.memory().drop_key(key));
+            return self
+                .servers
+                .values_mut()
+                .for_each(|server| server.cache.memory().drop_key(key));
         }
         for server in t.missed.iter().take(2) {
-            if let Some(server) = self.servers.get_mut(server).filter(|server| server.cache.up()) {
-                server.cache.memory().store(now, t.key, self.scenario.load.value_bytes);
+            if let Some(server) = self
+                .servers
+                .get_mut(server)
+                .filter(|server| server.cache.up())
+            {
+                server
+                    .cache
+                    .memory()
+                    .store(now, t.key, self.scenario.load.value_bytes);
             }
         }
     }
@@ -377,7 +479,10 @@
 
     fn tell(&mut self, node: NodeId, told: Told) {
         let failed = told == Told::Failed;
-        let written = self.waiting.get(&node).is_some_and(|tell| tell.try_send(told).is_ok());
+        let written = self
+            .waiting
+            .get(&node)
+            .is_some_and(|tell| tell.try_send(told).is_ok());
         if failed || !written {
             self.waiting.remove(&node);
             self.list.hang_up(node);
@@ -386,31 +491,49 @@
 
     /// A list or a change was written to a node.
     pub fn written(&mut self, now: Micros, node: NodeId, told: &Told) {
-        let Told::Lines { version, whole, lines } = told else { return };
+        let Told::Lines {
+            version,
+            whole,
+            lines,
+        } = told
+        else {
+            return;
+        };
         let (held_version, held) = self.held.entry(node).or_default();
         *held_version = *version;
         let mut gone = Vec::new();
         if *whole {
-            gone = held.keys().copied().filter(|s| lines.iter().all(|line| line.server != *s)).collect();
+            gone = held
+                .keys()
+                .copied()
+                .filter(|s| lines.iter().all(|line| line.server != *s))
+                .collect();
             held.clear();
         }
         held.extend(lines.iter().map(|line| (line.server, *line)));
-        gone.into_iter().for_each(|server| self.rules.told(now, node, server, false));
+        gone.into_iter()
+            .for_each(|server| self.rules.told(now, node, server, false));
         for line in lines {
-            self.rules.told(now, node, line.server, line.condition == Condition::Active);
+            self.rules
+                .told(now, node, line.server, line.condition == Condition::Active);
         }
     }
 
     /// A node's process begins with the list that the one before it held: its version and lines.
     pub fn begin_node(&mut self, now: Micros, node: NodeId) -> (u64, Vec<Line>) {
         let first = || {
-            let lines = self.list.lines().into_iter().map(|line| (line.server, line));
+            let lines = self
+                .list
+                .lines()
+                .into_iter()
+                .map(|line| (line.server, line));
             (self.list.version(), lines.collect())
         };
         let (version, held) = self.held.entry(node).or_insert_with(first);
         let (version, lines): (_, Vec<Line>) = (*version, held.values().copied().collect());
         for line in &lines {
-            self.rules.told(now, node, line.server, line.condition == Condition::Active);
+            self.rules
+                .told(now, node, line.server, line.condition == Condition::Active);
         }
         (version, lines)
     }
@@ -446,12 +569,22 @@
     /// What is due by now happens.
     pub fn work(&mut self, now: Micros) {
         for number in self.servers.keys().copied().collect::<Vec<_>>() {
-            let Some(server) = self.servers.get_mut(&number) else { continue };
+            let Some(server) = self.servers.get_mut(&number) else {
+                continue;
+            };
             if server.cache.due().is_none_or(|due| due > now) {
                 continue;
             }
             for (job, answer) in server.cache.finish(now) {
-                self.say(now, job, if answer == Answer::Hit { Said::Value } else { Said::Miss });
+                self.say(
+                    now,
+                    job,
+                    if answer == Answer::Hit {
+                        Said::Value
+                    } else {
+                        Said::Miss
+                    },
+                );
             }
         }
         if self.origin.due().is_some_and(|due| due <= now) {
@@ -466,22 +599,39 @@
 
     /// When something is due next.
     pub fn due(&self) -> Option<Micros> {
-        let servers = self.servers.values().filter_map(|server| server.cache.due());
-        servers.chain(self.origin.due()).chain(self.list.due()).min()
+        let servers = self
+            .servers
+            .values()
+            .filter_map(|server| server.cache.due());
+        servers
+            .chain(self.origin.due())
+            .chain(self.list.due())
+            .min()
     }
 
     // What goes wrong.
 
     /// A server's process ends: what it held has no answer.
     pub fn end_server(&mut self, now: Micros, number: Number) {
-        let held = self.servers.get_mut(&number).map(|server| server.cache.stop()).unwrap_or_default();
-        held.into_iter().for_each(|job| self.say(now, job, Said::Died));
+        let held = self
+            .servers
+            .get_mut(&number)
+            .map(|server| server.cache.stop())
+            .unwrap_or_default();
+        held.into_iter()
+            .for_each(|job| self.say(now, job, Said::Died));
     }
 
     /// A machine like another, which has not started yet.
     pub fn new_server(&mut self, now: Micros, like: Number) -> Number {
-        let (kind, zone) = self.servers.get(&like).map_or((0, 0), |server| (server.kind, server.zone));
-        let number = self.servers.last_key_value().map_or(1, |(number, _)| number + 1);
+        let (kind, zone) = self
+            .servers
+            .get(&like)
+            .map_or((0, 0), |server| (server.kind, server.zone));
+        let number = self
+            .servers
+            .last_key_value()
+            .map_or(1, |(number, _)| number + 1);
         let spec = deployment::cache(&self.scenario, &self.scenario.kind[kind]);
         let mut cache = Cache::new(spec, now, now);
         cache.stop();
@@ -492,13 +642,21 @@
     /// A zone was cut off from the others, or mended.
     pub fn cut(&mut self, now: Micros, zone: Zone, cut: bool) {
         let latest = self.cuts.entry(zone).or_insert((now, now));
-        *latest = if cut { (now, Micros::MAX - HELD_UP) } else { (latest.0, now) };
+        *latest = if cut {
+            (now, Micros::MAX - HELD_UP)
+        } else {
+            (latest.0, now)
+        };
     }
 
     /// A part of the servers that are up, by chance.
     pub fn some_servers(&mut self, part: f64) -> Vec<Number> {
-        let up: Vec<_> =
-            self.servers.iter().filter(|(_, s)| s.cache.up()).map(|(number, _)| *number).collect();
+        let up: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(_, s)| s.cache.up())
+            .map(|(number, _)| *number)
+            .collect();
         self.some(up, part)
     }
 
--- a/crates/testbed/src/virtual_time.rs
+++ b/crates/testbed/src/virtual_time.rs
@@ -13,8 +13,8 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 use routing_policy::{
-    Action, Condition, Event as ModuleEvent, ListKind, Policy, Request, RequestId, ServerId, ServerLine,
-    Status,
+    Action, Condition, Event as ModuleEvent, ListKind, Policy, Request, RequestId, ServerId,
+    ServerLine, Status,
 };
 
 use crate::clients::{Clients, Part, Reply, spread};
@@ -193,7 +193,15 @@
             for _ in 0..spec.servers {
                 let id = servers.len() as ServerId + 1;
                 let cache = Cache::new(deployment::cache(scenario, spec), 0, BEGIN);
-                servers.insert(id, Server { cache, kind, zone: deployment::zone(scenario, id), due: 0 });
+                servers.insert(
+                    id,
+                    Server {
+                        cache,
+                        kind,
+                        zone: deployment::zone(scenario, id),
+                        due: 0,
+                    },
+                );
             }
         }
         World {
@@ -226,7 +234,12 @@
 
     fn begin(&mut self) {
         self.hold_at_first();
-        let lines: BTreeMap<_, _> = self.list.lines().into_iter().map(|line| (line.server, line)).collect();
+        let lines: BTreeMap<_, _> = self
+            .list
+            .lines()
+            .into_iter()
+            .map(|line| (line.server, line))
+            .collect();
         for id in 0..self.scenario.nodes {
             let policy = Policy::new(deployment::settings(self.scenario, id), self.seeds.random());
             let zone = deployment::zone(self.scenario, id);
@@ -257,7 +270,10 @@
         let servers = self.lines(self.list.lines().iter());
         for (key, server) in deployment::held_at_first(self.scenario, BEGIN, servers) {
             if let Some(server) = self.servers.get_mut(&server) {
-                server.cache.memory().store(BEGIN, key, self.scenario.load.value_bytes);
+                server
+                    .cache
+                    .memory()
+                    .store(BEGIN, key, self.scenario.load.value_bytes);
             }
         }
     }
@@ -291,7 +307,10 @@
             What::Known(line) => self.become_known(line),
             What::Event(number) => self.event(number),
             What::Drain(server) => {
-                self.servers.get_mut(&server).into_iter().for_each(|s| s.cache.drain());
+                self.servers
+                    .get_mut(&server)
+                    .into_iter()
+                    .for_each(|s| s.cache.drain());
                 self.notice(server, Listed::Leaving, 0);
             }
             What::End(server) => self.end_server(server),
@@ -320,7 +339,10 @@
             What::Restart(node) => {
                 let life = self.nodes[node as usize].life;
                 if self.nodes[node as usize].up {
-                    self.at(self.now + LEAVES.as_micros() as Micros, What::Leave(node, life));
+                    self.at(
+                        self.now + LEAVES.as_micros() as Micros,
+                        What::Leave(node, life),
+                    );
                 }
             }
             What::Leave(node, life) if self.lives(node, life) => {
@@ -362,13 +384,18 @@
     fn ask(&mut self) {
         self.next_ask();
         let id = self.clients.ask(self.now);
-        let leaves = self.clients.get(id).map_or(self.now, |client| client.leaves);
+        let leaves = self
+            .clients
+            .get(id)
+            .map_or(self.now, |client| client.leaves);
         self.at(leaves, What::Deadline(id));
         self.try_node(id);
     }
 
     fn try_node(&mut self, id: u64) {
-        let Some(client) = self.clients.begin_try(id) else { return };
+        let Some(client) = self.clients.begin_try(id) else {
+            return;
+        };
         if self.up.is_empty() {
             return self.at(self.now + CLIENT_WAY, What::Told(id, Reply::Failed));
         }
@@ -382,14 +409,31 @@
         let n = &mut self.nodes[node as usize];
         let request = n.next;
         n.next += 1;
-        let open =
-            Open { client: id, ends: self.now + left, sent: 0, out: 0, over: false, missed: Vec::new() };
+        let open = Open {
+            client: id,
+            ends: self.now + left,
+            sent: 0,
+            out: 0,
+            over: false,
+            missed: Vec::new(),
+        };
         n.open.insert(request, open);
         self.clients.with_node(id, node, request);
         let effect = deployment::effect(self.scenario, client.class);
         self.rules.taken((node, request), self.now + left, effect);
-        let (class, key, write) = (client.class, client.key, self.scenario.class[client.class].write);
-        let request = Request { id: request, class, key, write, time_left: left, ..Request::default() };
+        let (class, key, write) = (
+            client.class,
+            client.key,
+            self.scenario.class[client.class].write,
+        );
+        let request = Request {
+            id: request,
+            class,
+            key,
+            write,
+            time_left: left,
+            ..Request::default()
+        };
         self.tell(node, ModuleEvent::Request(request));
     }
 
@@ -400,7 +444,9 @@
     }
 
     fn deadline(&mut self, id: u64) {
-        let Some((node, request)) = self.clients.time_up(id) else { return };
+        let Some((node, request)) = self.clients.time_up(id) else {
+            return;
+        };
         self.rules.client_gone(self.now, (node, request));
         // It has waited to the end and is owed nothing more: the node hears that it has gone.
         if let Some(open) = self.nodes[node as usize].open.get_mut(&request)
@@ -414,7 +460,10 @@
 
     /// Counts something for the request of a client, or for now where that has ended.
     fn count(&mut self, client: u64, add: impl FnOnce(&mut Counts)) {
-        let first = self.clients.get(client).map_or(self.now, |client| client.first);
+        let first = self
+            .clients
+            .get(client)
+            .map_or(self.now, |client| client.first);
         self.clients.count(first, add);
     }
 
@@ -423,10 +472,21 @@
     fn start_node(&mut self, node: NodeId) {
         let lines: Vec<_> = self.nodes[node as usize].list.values().copied().collect();
         for line in &lines {
-            self.rules.told(self.now, node, line.server, line.condition == Listed::Active);
+            self.rules.told(
+                self.now,
+                node,
+                line.server,
+                line.condition == Listed::Active,
+            );
         }
         let servers = self.lines(lines.iter());
-        self.tell(node, ModuleEvent::ServerList { kind: ListKind::Cached, servers });
+        self.tell(
+            node,
+            ModuleEvent::ServerList {
+                kind: ListKind::Cached,
+                servers,
+            },
+        );
     }
 
     fn lines<'l>(&self, lines: impl Iterator<Item = &'l Line>) -> Vec<ServerLine> {
@@ -445,8 +505,11 @@
                 ..ServerLine::default()
             }
         };
-        let origin =
-            ServerLine { id: ORIGIN, kind: self.scenario.kind.len() as u16, ..ServerLine::default() };
+        let origin = ServerLine {
+            id: ORIGIN,
+            kind: self.scenario.kind.len() as u16,
+            ..ServerLine::default()
+        };
         lines.map(line).chain([origin]).collect()
     }
 
@@ -465,10 +528,13 @@
     fn act(&mut self, node: NodeId, action: Action) {
         let life = self.nodes[node as usize].life;
         match action {
-            Action::Send { request, server, .. } => self.send(node, request, server),
-            Action::Refuse { request, retry_after } => {
-                self.answer(node, request, Reply::Refused(retry_after))
-            }
+            Action::Send {
+                request, server, ..
+            } => self.send(node, request, server),
+            Action::Refuse {
+                request,
+                retry_after,
+            } => self.answer(node, request, Reply::Refused(retry_after)),
             Action::Fail(request) => self.answer(node, request, Reply::Failed),
             Action::Cancel { request, attempt } => self.cancel(node, request, attempt),
             Action::Timer { after, token } => {
@@ -490,12 +556,20 @@
     }
 
     fn answer(&mut self, node: NodeId, request: RequestId, reply: Reply) {
-        let Some(open) = self.nodes[node as usize].open.get_mut(&request).filter(|open| !open.over) else {
+        let Some(open) = self.nodes[node as usize]
+            .open
+            .get_mut(&request)
+            .filter(|open| !open.over)
+        else {
             return;
         };
         open.over = true;
         let client = open.client;
-        self.rules.answered(self.now, (node, request), matches!(reply, Reply::Refused(_)));
+        self.rules.answered(
+            self.now,
+            (node, request),
+            matches!(reply, Reply::Refused(_)),
+        );
         self.at(self.now + CLIENT_WAY, What::Told(client, reply));
         self.close(node, request);
     }
@@ -503,7 +577,10 @@
     /// Forgets a request that is over and has no attempt out.
     fn close(&mut self, node: NodeId, request: RequestId) {
         let open = &mut self.nodes[node as usize].open;
-        if open.get(&request).is_some_and(|open| open.over && open.out == 0) {
+        if open
+            .get(&request)
+            .is_some_and(|open| open.over && open.out == 0)
+        {
             open.remove(&request);
             self.rules.forget((node, request));
         }
@@ -513,7 +590,9 @@
 
     fn send(&mut self, node: NodeId, request: RequestId, server: ServerId) {
         let n = &mut self.nodes[node as usize];
-        let Some(open) = n.open.get_mut(&request) else { return };
+        let Some(open) = n.open.get_mut(&request) else {
+            return;
+        };
         let (attempt, client, ends) = (open.sent, open.client, open.ends);
         open.sent += 1;
         open.out += 1;
@@ -521,7 +600,16 @@
         let from = n.zone;
         let job = self.next_job;
         self.next_job += 1;
-        self.jobs.insert(job, Job { node, request, attempt, server, client });
+        self.jobs.insert(
+            job,
+            Job {
+                node,
+                request,
+                attempt,
+                server,
+                client,
+            },
+        );
         self.by_attempt.insert((node, request, attempt), job);
         if !allowed {
             return self.at(self.now, What::Answer(job, Status::NotSent));
@@ -532,7 +620,11 @@
             *self.load.entry(server).or_default() += 1;
         }
         self.count(client, |counts| {
-            *(if to_origin { &mut counts.origin } else { &mut counts.attempts }) += 1
+            *(if to_origin {
+                &mut counts.origin
+            } else {
+                &mut counts.attempts
+            }) += 1
         });
         if let Some(way) = self.way(from, server) {
             self.at(self.now + way, What::Reach(job));
@@ -547,7 +639,9 @@
     }
 
     fn reach(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         let Some(client) = self.clients.get(job.client) else {
             // Its client is gone, and with it what the work would be; the node still gives it up by itself.
             return;
@@ -560,16 +654,29 @@
             return match taken {
                 OriginTaken::Held => {}
                 OriginTaken::Answered(answer) => self.back(id, origin_status(answer)),
-                OriginTaken::FellOver(held) => {
-                    held.into_iter().chain([id]).for_each(|job| self.back(job, Status::Reset))
-                }
+                OriginTaken::FellOver(held) => held
+                    .into_iter()
+                    .chain([id])
+                    .for_each(|job| self.back(job, Status::Reset)),
             };
         }
         let started = self.servers.get(&server).map_or(0, |s| s.cache.started());
-        let heard = self.nodes[node as usize].list.get(&server).is_some_and(|line| line.started >= started);
-        let known = self.known.get(&server).is_some_and(|at| self.now >= at + Figures::default().told_after);
-        let ask = Ask { key: client.key, work: client.work, knew: heard || known };
-        let Some(s) = self.servers.get_mut(&server) else { return self.back(id, Status::ConnectFailed) };
+        let heard = self.nodes[node as usize]
+            .list
+            .get(&server)
+            .is_some_and(|line| line.started >= started);
+        let known = self
+            .known
+            .get(&server)
+            .is_some_and(|at| self.now >= at + Figures::default().told_after);
+        let ask = Ask {
+            key: client.key,
+            work: client.work,
+            knew: heard || known,
+        };
+        let Some(s) = self.servers.get_mut(&server) else {
+            return self.back(id, Status::ConnectFailed);
+        };
         match s.cache.arrive(self.now, id, ask) {
             Taken::Held => {}
             Taken::Answered(Answer::Refused) => self.back(id, Status::ConnectFailed),
@@ -579,8 +686,11 @@
             }
             Taken::FellOver(held) => {
                 let fall = s.cache.fall();
-                fall.into_iter().for_each(|fall| self.rules.fell(server, fall));
-                held.into_iter().chain([id]).for_each(|job| self.back(job, Status::Reset));
+                fall.into_iter()
+                    .for_each(|fall| self.rules.fell(server, fall));
+                held.into_iter()
+                    .chain([id])
+                    .for_each(|job| self.back(job, Status::Reset));
                 self.notice(server, Listed::Left, 0);
             }
         }
@@ -589,7 +699,9 @@
 
     /// An answer sets out to its node, if the way is open.
     fn back(&mut self, id: JobId, status: Status) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         let (zone, server) = (self.nodes[job.node as usize].zone, job.server);
         let there = self.servers.get(&server).map_or(zone, |server| server.zone);
         let fate = self.network.fate(&mut self.ways);
@@ -598,19 +710,31 @@
                 Fate::Lost => {}
                 Fate::Whole => self.at(self.now + way, What::Answer(id, status)),
                 // A node ends a connection that brings rubbish, which is the same to its module.
-                Fate::Spoilt | Fate::Reset => self.at(self.now + way, What::Answer(id, Status::Reset)),
+                Fate::Spoilt | Fate::Reset => {
+                    self.at(self.now + way, What::Answer(id, Status::Reset))
+                }
             }
         }
     }
 
     fn outcome(&mut self, id: JobId, status: Status) {
-        let Some(job) = self.jobs.remove(&id) else { return };
-        let Job { node, request, attempt, server, .. } = job;
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        let Job {
+            node,
+            request,
+            attempt,
+            server,
+            ..
+        } = job;
         self.by_attempt.remove(&(node, request, attempt));
         if status.proves_not_run() {
             self.rules.never_ran((node, request), attempt);
         }
-        let Some(open) = self.nodes[node as usize].open.get_mut(&request) else { return };
+        let Some(open) = self.nodes[node as usize].open.get_mut(&request) else {
+            return;
+        };
         open.out -= 1;
         if status == Status::Miss {
             open.missed.push(server);
@@ -641,7 +765,9 @@
 
     /// The server of an attempt hears that nobody waits for it.
     fn call_off(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
         let server = job.server;
         if let Some(s) = self.servers.get_mut(&server) {
             s.cache.cancel(self.now, id);
@@ -650,7 +776,9 @@
     }
 
     fn cache_again(&mut self, id: ServerId) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
         server.due += 1;
         let (due, number) = (server.cache.due(), server.due);
         if let Some(due) = due {
@@ -659,9 +787,19 @@
     }
 
     fn cache_due(&mut self, id: ServerId, number: u64) {
-        let Some(server) = self.servers.get_mut(&id).filter(|server| server.due == number) else { return };
+        let Some(server) = self
+            .servers
+            .get_mut(&id)
+            .filter(|server| server.due == number)
+        else {
+            return;
+        };
         for (job, answer) in server.cache.finish(self.now) {
-            let status = if answer == Answer::Hit { Status::Served } else { Status::Miss };
+            let status = if answer == Answer::Hit {
+                Status::Served
+            } else {
+                Status::Miss
+            };
             self.back(job, status);
         }
         self.cache_again(id);
@@ -689,17 +827,29 @@
 
     /// The origin has answered: a read that is waited for is stored where it missed, a write voids the copies.
     fn fetched(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let Some(client) = self.clients.get(job.client) else { return };
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let Some(client) = self.clients.get(job.client) else {
+            return;
+        };
         let (key, bytes) = (client.key, self.scenario.load.value_bytes);
         if self.scenario.class[client.class].write {
-            self.servers.values_mut().for_each(|server| server.cache.memory().drop_key(key));
+            self.servers
+                .values_mut()
+                .for_each(|server| server.cache.memory().drop_key(key));
             return;
         }
-        let missed =
-            self.nodes[job.node as usize].open.get(&job.request).map_or(&[][..], |open| &open.missed);
+        let missed = self.nodes[job.node as usize]
+            .open
+            .get(&job.request)
+            .map_or(&[][..], |open| &open.missed);
         for server in missed.iter().take(2) {
-            if let Some(server) = self.servers.get_mut(server).filter(|server| server.cache.up()) {
+            if let Some(server) = self
+                .servers
+                .get_mut(server)
+                .filter(|server| server.cache.up())
+            {
                 server.cache.memory().store(self.now, key, bytes);
             }
         }
@@ -727,8 +877,16 @@
     }
 
     fn hear(&mut self, node: NodeId, told: Told) {
-        let Told::Lines { version, whole, lines } = told else {
-            let event = ModuleEvent::ServerList { kind: ListKind::Failed, servers: Vec::new() };
+        let Told::Lines {
+            version,
+            whole,
+            lines,
+        } = told
+        else {
+            let event = ModuleEvent::ServerList {
+                kind: ListKind::Failed,
+                servers: Vec::new(),
+            };
             return self.tell(node, event);
         };
         let n = &mut self.nodes[node as usize];
@@ -737,16 +895,30 @@
         }
         n.version = version;
         if whole {
-            let gone: Vec<_> =
-                n.list.keys().copied().filter(|id| !lines.iter().any(|l| l.server == *id)).collect();
+            let gone: Vec<_> = n
+                .list
+                .keys()
+                .copied()
+                .filter(|id| !lines.iter().any(|l| l.server == *id))
+                .collect();
             n.list.clear();
-            gone.into_iter().for_each(|server| self.rules.told(self.now, node, server, false));
+            gone.into_iter()
+                .for_each(|server| self.rules.told(self.now, node, server, false));
         }
         for line in &lines {
             self.nodes[node as usize].list.insert(line.server, *line);
-            self.rules.told(self.now, node, line.server, line.condition == Listed::Active);
+            self.rules.told(
+                self.now,
+                node,
+                line.server,
+                line.condition == Listed::Active,
+            );
         }
-        let kind = if whole { ListKind::Full } else { ListKind::Delta };
+        let kind = if whole {
+            ListKind::Full
+        } else {
+            ListKind::Delta
+        };
         let servers = self.lines(lines.iter());
         self.tell(node, ModuleEvent::ServerList { kind, servers });
     }
@@ -754,7 +926,14 @@
     /// How a server is becomes known some time later.
     fn notice(&mut self, server: ServerId, condition: Listed, started: Micros) {
         let at = self.now + us(self.scenario.list.notice);
-        self.at(at, What::Known(Line { server, condition, started }));
+        self.at(
+            at,
+            What::Known(Line {
+                server,
+                condition,
+                started,
+            }),
+        );
     }
 
     fn become_known(&mut self, line: Line) {
@@ -772,7 +951,9 @@
 
     fn event(&mut self, number: usize) {
         match self.scenario.event[number].clone() {
-            Event::Replace { part, over, drain, .. } => {
+            Event::Replace {
+                part, over, drain, ..
+            } => {
                 let servers = self.some_servers(part);
                 let count = servers.len().max(1) as Micros;
                 for (i, server) in servers.into_iter().enumerate() {
@@ -800,7 +981,10 @@
                 let nodes = self.some_nodes(part);
                 let count = nodes.len().max(1) as Micros;
                 for (i, node) in nodes.into_iter().enumerate() {
-                    self.at(self.now + us(over) * i as Micros / count, What::Restart(node));
+                    self.at(
+                        self.now + us(over) * i as Micros / count,
+                        What::Restart(node),
+                    );
                 }
             }
             Event::MoveList { .. } => {
@@ -829,12 +1013,24 @@
                 self.clients.quicken(factor);
                 self.at(self.now + us(lasts), What::Calm(factor));
             }
-            Event::OriginFails { part, how, lasts, .. } => {
+            Event::OriginFails {
+                part, how, lasts, ..
+            } => {
                 self.origin.fail(Some((deployment::fault(how), part)));
                 self.at(self.now + us(lasts), What::OriginWell);
             }
-            Event::BreakAnswers { lost, spoilt, reset, lasts, .. } => {
-                self.network.break_answers(Breaks { lost, spoilt, reset });
+            Event::BreakAnswers {
+                lost,
+                spoilt,
+                reset,
+                lasts,
+                ..
+            } => {
+                self.network.break_answers(Breaks {
+                    lost,
+                    spoilt,
+                    reset,
+                });
                 self.at(self.now + us(lasts), What::AnswersWhole);
             }
             // What is no command never reaches a module.
@@ -852,7 +1048,9 @@
                 self.clients.scan(part);
                 self.at(self.now + us(lasts), What::Scanned(part));
             }
-            Event::Neighbour { part, taken, lasts, .. } => {
+            Event::Neighbour {
+                part, taken, lasts, ..
+            } => {
                 for server in self.some_servers(part) {
                     self.take(server, taken);
                     self.at(self.now + us(lasts), What::Alone(server));
@@ -871,7 +1069,11 @@
 
     /// A part of the servers that are up, by chance.
     fn some_servers(&mut self, part: f64) -> Vec<ServerId> {
-        let up = self.servers.iter().filter(|(_, server)| server.cache.up()).map(|(id, _)| *id);
+        let up = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.cache.up())
+            .map(|(id, _)| *id);
         let mut up: Vec<_> = up.collect();
         up.shuffle(&mut self.faults);
         up.truncate((up.len() as f64 * part).round() as usize);
@@ -879,30 +1081,55 @@
     }
 
     fn take(&mut self, id: ServerId, part: f64) {
-        self.servers.get_mut(&id).into_iter().for_each(|server| server.cache.take(self.now, part));
+        self.servers
+            .get_mut(&id)
+            .into_iter()
+            .for_each(|server| server.cache.take(self.now, part));
         self.cache_again(id);
     }
 
     /// A machine of the same kind that has not started yet.
     fn new_server(&mut self, like: ServerId) -> ServerId {
-        let (kind, zone) = self.servers.get(&like).map_or((0, 0), |server| (server.kind, server.zone));
+        let (kind, zone) = self
+            .servers
+            .get(&like)
+            .map_or((0, 0), |server| (server.kind, server.zone));
         let id = self.servers.last_key_value().map_or(1, |(id, _)| id + 1);
-        let mut cache =
-            Cache::new(deployment::cache(self.scenario, &self.scenario.kind[kind]), self.now, self.now);
+        let mut cache = Cache::new(
+            deployment::cache(self.scenario, &self.scenario.kind[kind]),
+            self.now,
+            self.now,
+        );
         cache.stop();
-        self.servers.insert(id, Server { cache, kind, zone, due: 0 });
+        self.servers.insert(
+            id,
+            Server {
+                cache,
+                kind,
+                zone,
+                due: 0,
+            },
+        );
         id
     }
 
     fn start_server(&mut self, id: ServerId) {
         let now = self.now;
-        self.servers.get_mut(&id).into_iter().for_each(|server| server.cache.restart(now));
+        self.servers
+            .get_mut(&id)
+            .into_iter()
+            .for_each(|server| server.cache.restart(now));
         self.notice(id, Listed::Active, now);
     }
 
     fn end_server(&mut self, id: ServerId) {
-        let held = self.servers.get_mut(&id).map(|server| server.cache.stop()).unwrap_or_default();
-        held.into_iter().for_each(|job| self.back(job, Status::Reset));
+        let held = self
+            .servers
+            .get_mut(&id)
+            .map(|server| server.cache.stop())
+            .unwrap_or_default();
+        held.into_iter()
+            .for_each(|job| self.back(job, Status::Reset));
         self.notice(id, Listed::Left, 0);
     }
 
@@ -918,15 +1145,28 @@
         self.at(self.now + us(self.scenario.front.notice), noticed);
         self.list.hang_up(id);
         self.rules.killed(id);
-        let jobs: Vec<_> = self.by_attempt.range((id, 0, 0)..(id + 1, 0, 0)).map(|(_, job)| *job).collect();
+        let jobs: Vec<_> = self
+            .by_attempt
+            .range((id, 0, 0)..(id + 1, 0, 0))
+            .map(|(_, job)| *job)
+            .collect();
         for job in jobs {
             self.call_off(job);
-            if let Some(Job { node, request, attempt, .. }) = self.jobs.remove(&job) {
+            if let Some(Job {
+                node,
+                request,
+                attempt,
+                ..
+            }) = self.jobs.remove(&job)
+            {
                 self.by_attempt.remove(&(node, request, attempt));
             }
         }
         for open in open.into_values().filter(|open| !open.over) {
-            self.at(self.now + CLIENT_WAY, What::Told(open.client, Reply::Failed));
+            self.at(
+                self.now + CLIENT_WAY,
+                What::Told(open.client, Reply::Failed),
+            );
         }
     }
 
--- a/crates/testbed/tests/sockets.rs
+++ b/crates/testbed/tests/sockets.rs
@@ -40,8 +40,14 @@
 ) -> (tempfile::TempDir, Result<Report, SocketError>) {
     let folder = tempfile::tempdir().unwrap();
     let program = program::find(None).unwrap();
-    let options = Options { program: &program, folder: folder.path() };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let options = Options {
+        program: &program,
+        folder: folder.path(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
     let report = runtime.block_on(play(scenario, 3, &options, stop, |_| ()));
     (folder, report)
 }
@@ -62,8 +68,14 @@
     let report = report.unwrap();
     each_has_one_end(&report);
     assert!(report.kept() && report.service > 0.9, "{report}");
-    assert!(sum(&report, |w| w.attempts) > 0 && sum(&report, |w| w.origin) > 0, "{report}");
-    assert_eq!(report.load.values().sum::<u64>(), sum(&report, |w| w.attempts));
+    assert!(
+        sum(&report, |w| w.attempts) > 0 && sum(&report, |w| w.origin) > 0,
+        "{report}"
+    );
+    assert_eq!(
+        report.load.values().sum::<u64>(),
+        sum(&report, |w| w.attempts)
+    );
 }
 
 #[test]
@@ -73,26 +85,57 @@
         (class.effect, class.write) = (Effect::Once, true);
     }
     scenario.event = vec![
-        Event::KillNodes { at: ms(700), part: 0.34, back: ms(500) },
-        Event::StopNodes { at: ms(1_500), part: 0.34, lasts: ms(400) },
-        Event::KillNodes { at: ms(2_200), part: 0.67, back: ms(300) },
+        Event::KillNodes {
+            at: ms(700),
+            part: 0.34,
+            back: ms(500),
+        },
+        Event::StopNodes {
+            at: ms(1_500),
+            part: 0.34,
+            lasts: ms(400),
+        },
+        Event::KillNodes {
+            at: ms(2_200),
+            part: 0.67,
+            back: ms(300),
+        },
     ];
     let (_folder, report) = played(&scenario, std::future::pending());
     let report = report.unwrap();
     each_has_one_end(&report);
     assert!(report.kept(), "{report}");
-    assert!(sum(&report, |w| w.origin) > 50 && sum(&report, |w| w.attempts) == 0, "{report}");
+    assert!(
+        sum(&report, |w| w.origin) > 50 && sum(&report, |w| w.attempts) == 0,
+        "{report}"
+    );
 }
 
 #[test]
 fn servers_replaced_and_lost_a_zone_cut_and_the_list_down_and_moved_break_no_rule() {
     let mut scenario = small();
     scenario.event = vec![
-        Event::Replace { at: ms(300), part: 0.5, over: ms(500), drain: ms(500) },
-        Event::CutZone { at: ms(1_000), zone: 1, lasts: ms(500) },
-        Event::ListDown { at: ms(1_200), lasts: ms(500) },
+        Event::Replace {
+            at: ms(300),
+            part: 0.5,
+            over: ms(500),
+            drain: ms(500),
+        },
+        Event::CutZone {
+            at: ms(1_000),
+            zone: 1,
+            lasts: ms(500),
+        },
+        Event::ListDown {
+            at: ms(1_200),
+            lasts: ms(500),
+        },
         Event::MoveList { at: ms(1_900) },
-        Event::LoseServers { at: ms(2_000), part: 0.3, back: ms(300) },
+        Event::LoseServers {
+            at: ms(2_000),
+            part: 0.3,
+            back: ms(300),
+        },
     ];
     let (_folder, report) = played(&scenario, std::future::pending());
     let report = report.unwrap();
@@ -109,9 +152,15 @@
     // At its first sign of progress.
     let folder = tempfile::tempdir().unwrap();
     let program = program::find(None).unwrap();
-    let options = Options { program: &program, folder: folder.path() };
+    let options = Options {
+        program: &program,
+        folder: folder.path(),
+    };
     let (seen, mut heard) = tokio::sync::mpsc::unbounded_channel();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
     let stop = async {
         heard.recv().await;
     };
@@ -130,13 +179,24 @@
 
 #[test]
 fn too_many_nodes_and_a_missing_program_are_refused_before_anything_starts() {
-    let scenario = Scenario { nodes: 301, ..small() };
+    let scenario = Scenario {
+        nodes: 301,
+        ..small()
+    };
     let (folder, report) = played(&scenario, std::future::pending());
     let told = report.unwrap_err().to_string();
-    assert!(told.contains("301 nodes and 6 cache servers: on sockets at most 300 and 400"), "{told}");
+    assert!(
+        told.contains("301 nodes and 6 cache servers: on sockets at most 300 and 400"),
+        "{told}"
+    );
     assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 0);
-    let told = program::find(Some("/nowhere/cache-router".as_ref())).unwrap_err().to_string();
-    assert!(told.starts_with("no program at /nowhere/cache-router: build it"), "{told}");
+    let told = program::find(Some("/nowhere/cache-router".as_ref()))
+        .unwrap_err()
+        .to_string();
+    assert!(
+        told.starts_with("no program at /nowhere/cache-router: build it"),
+        "{told}"
+    );
 }
 
 #[test]
@@ -146,7 +206,10 @@
     scenario.class.clear();
     let (_folder, report) = played(&scenario, std::future::pending());
     let told = report.unwrap_err().to_string();
-    assert!(told.contains("does not start: cache-router: the settings name no class"), "{told}");
+    assert!(
+        told.contains("does not start: cache-router: the settings name no class"),
+        "{told}"
+    );
 }
 
 #[test]
@@ -156,14 +219,27 @@
         (class.aim, class.deadline, class.share) = (ms(1_500), ms(2_000), 0.5);
     }
     scenario.event = vec![
-        Event::BreakAnswers { at: ms(200), lost: 0.05, spoilt: 0.1, reset: 0.1, lasts: ms(2_300) },
-        Event::Rubbish { at: ms(200), per_s: 40.0, lasts: ms(2_300) },
+        Event::BreakAnswers {
+            at: ms(200),
+            lost: 0.05,
+            spoilt: 0.1,
+            reset: 0.1,
+            lasts: ms(2_300),
+        },
+        Event::Rubbish {
+            at: ms(200),
+            per_s: 40.0,
+            lasts: ms(2_300),
+        },
     ];
     let (_folder, report) = played(&scenario, std::future::pending());
     let report = report.unwrap();
     each_has_one_end(&report);
     assert!(report.kept() && report.service > 0.3, "{report}");
-    assert!(sum(&report, |w| w.failed) > 0, "a write whose answer broke may have run: {report}");
+    assert!(
+        sum(&report, |w| w.failed) > 0,
+        "a write whose answer broke may have run: {report}"
+    );
 }
 
 #[test]
@@ -171,7 +247,11 @@
     let mut scenario = small();
     scenario.load.retries = 0;
     scenario.event = vec![
-        Event::RestartNodes { at: ms(300), part: 1.0, over: ms(1_500) },
+        Event::RestartNodes {
+            at: ms(300),
+            part: 1.0,
+            over: ms(1_500),
+        },
         Event::MoveList { at: ms(2_500) },
     ];
     let (folder, report) = played(&scenario, std::future::pending());
@@ -210,7 +290,9 @@
 #[tokio::test]
 async fn a_way_carries_delays_holds_up_resets_and_refuses() {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    let link = Link::open(any, echo().await, State::default()).await.unwrap();
+    let link = Link::open(any, echo().await, State::default())
+        .await
+        .unwrap();
     let mut near = TcpStream::connect(link.address()).await.unwrap();
     assert_eq!(said(&mut near, b"one").await.unwrap(), b"one");
     // Delayed there and back: not before both have passed.
@@ -220,7 +302,9 @@
     assert_eq!(said(&mut near, b"two").await.unwrap(), b"two");
     assert!(before.elapsed() >= 2 * delay);
     // Held up on the way back only: the far end has it, and nothing comes until the way is open, then all in order.
-    link.set(|state| (state.delay, state.silent) = ((Duration::ZERO, Duration::ZERO), (false, true)));
+    link.set(|state| {
+        (state.delay, state.silent) = ((Duration::ZERO, Duration::ZERO), (false, true))
+    });
     near.write_all(b"three").await.unwrap();
     let mut byte = [0; 8];
     let silent = tokio::time::timeout(Duration::from_millis(100), near.read(&mut byte)).await;
@@ -228,12 +312,20 @@
     near.write_all(b"four").await.unwrap();
     link.set(|state| state.silent = (false, false));
     let mut back = vec![0; 9];
-    tokio::time::timeout(LONG, near.read_exact(&mut back)).await.unwrap().unwrap();
+    tokio::time::timeout(LONG, near.read_exact(&mut back))
+        .await
+        .unwrap()
+        .unwrap();
     assert_eq!(back, b"threefour");
     // The far end dies: what is open is reset, new ones are refused, until it is back.
     link.dies();
-    let broken = tokio::time::timeout(LONG, near.read(&mut byte)).await.unwrap();
-    assert_eq!(broken.unwrap_err().kind(), std::io::ErrorKind::ConnectionReset);
+    let broken = tokio::time::timeout(LONG, near.read(&mut byte))
+        .await
+        .unwrap();
+    assert_eq!(
+        broken.unwrap_err().kind(),
+        std::io::ErrorKind::ConnectionReset
+    );
     while TcpStream::connect(link.address()).await.is_ok() {
         tokio::task::yield_now().await;
     }
@@ -251,7 +343,13 @@
     // Its owner is gone: so is the way.
     let address = link.address();
     drop(link);
-    assert_eq!(tokio::time::timeout(LONG, near.read(&mut byte)).await.unwrap().unwrap_or(0), 0);
+    assert_eq!(
+        tokio::time::timeout(LONG, near.read(&mut byte))
+            .await
+            .unwrap()
+            .unwrap_or(0),
+        0
+    );
     while TcpStream::connect(address).await.is_ok() {
         tokio::task::yield_now().await;
     }
@@ -263,5 +361,10 @@
     let gone = listen(any).unwrap().local_addr().unwrap();
     let link = Link::open(any, gone, State::default()).await.unwrap();
     let mut near = TcpStream::connect(link.address()).await.unwrap();
-    assert!(tokio::time::timeout(LONG, said(&mut near, b"one")).await.unwrap().is_err());
+    assert!(
+        tokio::time::timeout(LONG, said(&mut near, b"one"))
+            .await
+            .unwrap()
+            .is_err()
+    );
 }
