--- a/crates/cache-router/src/caches.rs
+++ b/crates/cache-router/src/caches.rs
@@ -1,7 +1,7 @@
 //! What is said to cache servers and what their answers mean.
 
 use bytes::{Bytes, BytesMut};
-use routing_policy::{Load, Note, Status};
+use routing_policy::{AttemptStatus, CacheLookup, LoadReport};
 
 use crate::clients::Command;
 use crate::resp::{self, Value};
@@ -43,8 +43,8 @@
     };
     let response = |status| Response {
         status,
-        note: Note::None,
-        load: Load::default(),
+        note: CacheLookup::Unknown,
+        load: LoadReport::default(),
         value: None,
         keep: true,
     };
@@ -62,12 +62,12 @@
                     note,
                     load,
                     value: Some(value.clone()),
-                    ..response(Status::Served)
+                    ..response(AttemptStatus::Served)
                 },
                 Some(Value::Bulk(None)) => Response {
                     note,
                     load,
-                    ..response(Status::Miss)
+                    ..response(AttemptStatus::Miss)
                 },
                 _ => return Err(ProtocolError),
             }
@@ -75,9 +75,9 @@
         Value::Error(line) => {
             let line = std::str::from_utf8(&line).unwrap_or("");
             let status = if line.split(' ').next() == Some("BUSY") {
-                Status::Full
+                AttemptStatus::Rejected
             } else {
-                Status::Error
+                AttemptStatus::Error
             };
             let last = line.rsplit(' ').next().unwrap_or("");
             Response {
@@ -91,25 +91,25 @@
 }
 
 /// How a read went, in a server's words.
-pub fn note(word: &str) -> Note {
+pub fn note(word: &str) -> CacheLookup {
     match word {
-        "hit" => Note::Hit,
-        "miss" => Note::Miss,
-        "pending" => Note::MissBeingFetched,
-        _ => Note::None,
+        "hit" => CacheLookup::Hit,
+        "miss" => CacheLookup::Miss,
+        "pending" => CacheLookup::MissBeingFetched,
+        _ => CacheLookup::Unknown,
     }
 }
 
 /// A load report in a server's words: names and values, put in the order that the settings name them.
-pub fn load(text: &str, names: &[String]) -> Load {
-    let mut load = Load::default();
+pub fn load(text: &str, names: &[String]) -> LoadReport {
+    let mut load = LoadReport::default();
     for (slot, name) in names.iter().take(load.values.len()).enumerate() {
         let pair = text.split(',').filter_map(|pair| pair.split_once('='));
         let Some(value) = pair
             .filter(|(key, _)| key == name)
             .find_map(|(_, value)| value.parse().ok())
         else {
-            return Load::default();
+            return LoadReport::default();
         };
         load.values[slot] = value;
         load.count += 1;
--- a/crates/cache-router/src/node.rs
+++ b/crates/cache-router/src/node.rs
@@ -10,8 +10,8 @@
 use bytes::{Bytes, BytesMut};
 use routing_policy::settings::Deployment;
 use routing_policy::{
-    Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId,
-    ServerId, ServerLine, Status,
+    Action, AttemptOutcome, AttemptStatus, CacheLookup, Endpoint, EndpointState, Event, ListUpdate,
+    LoadReport, Micros, Policy, Request, RequestId, ServerId,
 };
 use tokio::sync::{mpsc, watch};
 use tracing::{debug, error, info};
@@ -20,7 +20,7 @@
 use crate::clients::{Asked, ClientId, Command, Phase};
 use crate::config::Config;
 use crate::discovery::{Call, Discovery, Listing, Verdict};
-use crate::trace::Trace;
+use crate::trace::{self, Trace};
 use crate::upstreams::{AttemptKey, ConnEvent, ConnId, Pool, Progress, Protocol, Response, State};
 use crate::{caches, origin, resp};
 
@@ -122,7 +122,7 @@
 struct Server {
     address: SocketAddr,
     protocol: Protocol,
-    condition: Condition,
+    condition: EndpointState,
     /// When it last answered anything.
     last_seen: Micros,
 }
@@ -209,20 +209,20 @@
             self.clock.now(),
             format_args!(
                 "start {} {} {} {} {} {} {} {}",
-                s.me,
-                s.balancers,
-                s.cold_share,
-                s.warm_up,
-                s.fall_multiple,
-                s.fall_after,
+                s.balancer_index,
+                s.balancer_count,
+                s.cold_capacity_share,
+                s.warm_up_period,
+                s.overload_multiple,
+                s.overload_window,
                 s.drain_grace,
                 s.origin_kind.map_or(-1, i32::from)
             ),
         );
         if let Some(known) = self.known.take() {
-            self.list(known, Some(ListKind::Cached));
+            self.list(known, Some(ListUpdate::Cached));
         }
-        if !self.deployment.settings.ask_discovery {
+        if !self.deployment.settings.poll_discovery {
             self.discovery.follow();
         }
         self.timers
@@ -242,7 +242,7 @@
                 && self
                     .servers
                     .values()
-                    .any(|s| s.condition == Condition::Ready)
+                    .any(|s| s.condition == EndpointState::Ready)
             {
                 ready = true;
                 phase.send_if_modified(|p| {
@@ -320,10 +320,10 @@
                 }
             },
             Input::ListFailed(call) if self.discovery.ended(&call) => {
-                self.unheard(ListKind::Failed)
+                self.unheard(ListUpdate::Failed)
             }
             Input::ListSilent(call) if self.discovery.ended(&call) => {
-                self.unheard(ListKind::Silent)
+                self.unheard(ListUpdate::WatchSilent)
             }
             Input::ListFailed(_) | Input::ListSilent(_) => {} // Of a call that another has replaced.
             Input::Discovery(address) => self.discovery.moved(address),
@@ -354,7 +354,7 @@
         match due {
             Due::Policy(token) => self.tell(Event::Timer(token)),
             Due::Attempt(id, number) => {
-                self.give_up((id, number), Status::TimedOut);
+                self.give_up((id, number), AttemptStatus::TimedOut);
                 self.run_events();
             }
             Due::Another(id, number, since) => {
@@ -366,7 +366,7 @@
             Due::Unconnected(id, number, since) => {
                 if let Some(server) = self.waits((id, number), since) {
                     self.pool.leave(server, (id, number));
-                    self.end((id, number), Status::ConnectFailed);
+                    self.end((id, number), AttemptStatus::ConnectFailed);
                     self.run_events();
                 }
             }
@@ -418,7 +418,7 @@
                 server,
                 give_up_after,
             } => self.send(request, server, give_up_after),
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => {
@@ -430,7 +430,7 @@
             }
             Action::Fail(request) => self.answer(request, Bytes::from_static(b"-ERR failed\r\n")),
             Action::Cancel { request, attempt } => {
-                self.give_up((request, attempt), Status::Cancelled)
+                self.give_up((request, attempt), AttemptStatus::Cancelled)
             }
             Action::Timer { after, token } => {
                 self.timers.push(Reverse((
@@ -442,21 +442,21 @@
                 self.trace.line(self.clock.now(), format_args!("ask {on}"));
                 self.discovery.subscribe(on);
             }
-            Action::FetchList => self.discovery.fetch(),
+            Action::FetchEndpoints => self.discovery.fetch(),
             Action::CloseIdle(server) => self.pool.close_idle(server),
             Action::Log(line) => info!("{line}"),
             Action::Fault(line) => error!("fault: {line}"),
             // This module neither probes nor speaks to peers; the sockets for it are not built.
-            Action::Probe(server) => {
-                let (took, load) = (0, Load::default());
-                self.events.push_back(Event::Probed {
+            Action::CheckHealth(server) => {
+                let (took, load) = (0, LoadReport::default());
+                self.events.push_back(Event::HealthChecked {
                     server,
-                    ok: false,
-                    took,
+                    healthy: false,
+                    elapsed: took,
                     load,
                 });
             }
-            Action::Tell { .. } => {}
+            Action::SendToPeer { .. } => {}
         }
     }
 
@@ -499,7 +499,7 @@
             Some((conn, Progress::Writing)) => self.pool.close(conn),
             Some((_, Progress::Written)) => return false,
         }
-        self.end(key, Status::NotSent);
+        self.end(key, AttemptStatus::NotSent);
         true
     }
 
@@ -524,10 +524,10 @@
             tenant: command.tenant,
             key: command.hashed_key(),
             write: command.write,
-            repeat: command.repeat,
-            time_left: ends.saturating_sub(self.clock.now()),
+            is_retry: command.repeat,
+            remaining_deadline: ends.saturating_sub(self.clock.now()),
             cost: command.cost,
-            size: command.size,
+            value_size: command.size,
         };
         self.trace.line(
             at,
@@ -612,7 +612,7 @@
         };
         let Some(to) = self.target(server).filter(|_| allowed) else {
             self.attempts.insert(key, attempt);
-            return self.end(key, Status::NotSent);
+            return self.end(key, AttemptStatus::NotSent);
         };
         let conn = self.pool.reuse(server, key, now);
         self.attempts.insert(key, Attempt { conn, ..attempt });
@@ -644,7 +644,7 @@
         let (now, limit) = (self.clock.now(), self.deployment.connect_timeout.max(1_000));
         if !self.pool.wait(to, key, now) {
             // Forced by the limit on sockets: there is no connection to send this on.
-            return self.end(key, Status::NotSent);
+            return self.end(key, AttemptStatus::NotSent);
         }
         if let Some(attempt) = self.attempts.get_mut(&key) {
             attempt.waits_since = now;
@@ -652,7 +652,7 @@
         self.events.push_back(Event::Connection {
             request: key.0,
             attempt: key.1,
-            up: false,
+            established: false,
         });
         // Half the time is far more than a connect takes: one that has not come by then is one of those that come
         // late or never, and the next has the same chance again.
@@ -665,7 +665,7 @@
     /// Hands an attempt to its connection, which is up; an attempt that may not be sent any more leaves it to the next.
     fn carry(&mut self, key: AttemptKey, conn: ConnId) {
         if !self.write(key, conn, false) {
-            self.end(key, Status::NotSent);
+            self.end(key, AttemptStatus::NotSent);
             self.free(conn);
         }
     }
@@ -679,13 +679,13 @@
         let ready = self
             .servers
             .get(&server)
-            .filter(|s| s.condition == Condition::Ready);
+            .filter(|s| s.condition == EndpointState::Ready);
         let address = ready.map(|s| s.address);
         while let Some(key) = self.pool.hand_on(conn, address, self.clock.now()) {
             if self.write(key, conn, false) {
                 return;
             }
-            self.end(key, Status::NotSent);
+            self.end(key, AttemptStatus::NotSent);
         }
     }
 
@@ -701,7 +701,7 @@
         let server = self
             .servers
             .get(&attempt.server)
-            .filter(|s| s.condition == Condition::Ready);
+            .filter(|s| s.condition == EndpointState::Ready);
         let wanted =
             |open: &&PendingRequest| !open.over && now < open.ends && !open.answers.is_closed();
         let open = self.open.get(&key.0).filter(wanted);
@@ -726,7 +726,7 @@
                 self.events.push_back(Event::Connection {
                     request: key.0,
                     attempt: key.1,
-                    up: true,
+                    established: true,
                 });
             }
         } else {
@@ -751,11 +751,11 @@
                 self.free(conn);
                 // What waited for it in vain has been told that there was no connection.
                 if self.pool.overdue(since, now) {
-                    let (ok, took, load) = (true, now - since, Load::default());
-                    self.events.push_back(Event::Probed {
+                    let (ok, took, load) = (true, now - since, LoadReport::default());
+                    self.events.push_back(Event::HealthChecked {
                         server,
-                        ok,
-                        took,
+                        healthy: ok,
+                        elapsed: took,
                         load,
                     });
                 }
@@ -765,12 +765,12 @@
                 self.end_with(key, response);
             }
             (ConnEvent::Unsent, State::Busy(key)) => {
-                self.end(key, Status::NotSent);
+                self.end(key, AttemptStatus::NotSent);
                 self.free(conn);
             }
             (ConnEvent::Stale, State::Busy(key)) => {
                 if !self.write(key, conn, true) {
-                    self.end(key, Status::NotSent);
+                    self.end(key, AttemptStatus::NotSent);
                     self.free(conn);
                 }
             }
@@ -783,7 +783,7 @@
                 // Refused, or the machine is gone: what waits has one chance less.
                 if let (State::Opening(_), Some(key)) = (state, self.pool.hopeless(server, now)) {
                     self.pool.leave(server, key);
-                    self.end(key, Status::ConnectFailed);
+                    self.end(key, AttemptStatus::ConnectFailed);
                 }
             }
             (ConnEvent::Up | ConnEvent::Unsent | ConnEvent::Stale, _) => {}
@@ -803,7 +803,7 @@
         let stale = !written && self.pool.carried(conn) > 1;
         self.pool.close(conn);
         if written {
-            return self.end(key, Status::Reset);
+            return self.end(key, AttemptStatus::Reset);
         }
         // A kept connection that had ended unseen: the last byte was not written, so nothing was sent, and
         // the same attempt may have another. Only so often: a fresh one has carried nothing.
@@ -814,13 +814,13 @@
         let server = attempt.server;
         match self.target(server).filter(|_| stale) {
             Some(to) => self.wait(key, to),
-            None => self.end(key, Status::ConnectFailed),
+            None => self.end(key, AttemptStatus::ConnectFailed),
         }
     }
 
     /// Stops waiting for an attempt. Its connection is closed, unless the answer is hardly due yet: a client
     /// in a hurry must not cost those after it the handshake of a new connection, nor the box.
-    fn give_up(&mut self, key: AttemptKey, status: Status) {
+    fn give_up(&mut self, key: AttemptKey, status: AttemptStatus) {
         if self.unsend(key) {
             return;
         }
@@ -831,7 +831,7 @@
             return;
         };
         let class = self.open.get(&key.0).map_or(0, |open| open.command.class);
-        let due = sent + self.deployment.settings.classes[class].aim;
+        let due = sent + self.deployment.settings.classes[class].latency_objective;
         if self.clock.now() < due && self.pool.abandon(conn, sent) {
             self.timers.push(Reverse((due, Due::Late(conn, sent))));
         } else {
@@ -854,13 +854,13 @@
         }
     }
 
-    fn end(&mut self, key: AttemptKey, status: Status) {
+    fn end(&mut self, key: AttemptKey, status: AttemptStatus) {
         self.end_with(
             key,
             Response {
                 status,
-                note: Note::None,
-                load: Load::default(),
+                note: CacheLookup::Unknown,
+                load: LoadReport::default(),
                 value: None,
                 keep: false,
             },
@@ -876,13 +876,16 @@
             return;
         };
         open.out -= 1;
-        let over = open.over || response.status == Status::Served;
+        let over = open.over || response.status == AttemptStatus::Served;
         let (now, server, status) = (self.clock.now(), attempt.server, response.status);
         self.trace.line(
             now,
             format_args!(
-                "outcome {} {} {server} {status:?} {:?}",
-                key.0, key.1, response.note
+                "outcome {} {} {server} {} {}",
+                key.0,
+                key.1,
+                trace::status_word(status),
+                trace::lookup_word(response.note)
             ),
         );
         debug!(request = %open.command.id.escape_ascii(), attempt = key.1, server, ?status, "attempt ended");
@@ -894,35 +897,35 @@
         if over {
             self.close_request(key.0);
         }
-        self.events.push_back(Event::Outcome(Outcome {
+        self.events.push_back(Event::AttemptOutcome(AttemptOutcome {
             request: key.0,
             attempt: key.1,
             server: attempt.server,
             status: response.status,
-            over,
-            note: response.note,
-            took: self.clock.now() - attempt.sent,
+            request_complete: over,
+            cache_lookup: response.note,
+            elapsed: self.clock.now() - attempt.sent,
             load: response.load,
         }));
     }
 
     // The list.
 
-    fn list(&mut self, listing: Listing, kind: Option<ListKind>) {
+    fn list(&mut self, listing: Listing, kind: Option<ListUpdate>) {
         let kind = kind.unwrap_or(if listing.snapshot {
-            ListKind::Full
+            ListUpdate::Full
         } else {
-            ListKind::Delta
+            ListUpdate::Delta
         });
         self.discovery.held(listing.index);
         let now = self.clock.now();
-        let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
+        let mut lines: Vec<Endpoint> = Vec::with_capacity(listing.endpoints.len());
         let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
         for entry in &listing.endpoints {
             let condition = match entry.status.as_str() {
-                "active" => Condition::Ready,
-                "left" => Condition::Gone,
-                _ => Condition::Draining,
+                "active" => EndpointState::Ready,
+                "left" => EndpointState::Removed,
+                _ => EndpointState::Draining,
             };
             let id = xxh3_64(entry.name.as_bytes()) as ServerId;
             let address = entry
@@ -945,14 +948,14 @@
             };
             let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
             let cell = entry.group;
-            lines.push(ServerLine {
+            lines.push(Endpoint {
                 id,
                 zone,
                 cell,
                 kind,
                 weight: entry.weight,
                 started,
-                condition,
+                state: condition,
             });
             let last_seen = self.servers.get(&id).map_or(0, |server| server.last_seen);
             let before = self.servers.insert(
@@ -965,10 +968,10 @@
                 },
             );
             let moved = before.is_some_and(|before| before.address != address);
-            if condition != Condition::Ready || moved {
+            if condition != EndpointState::Ready || moved {
                 self.pool.close_idle(id);
             }
-            if condition == Condition::Ready && moved {
+            if condition == EndpointState::Ready && moved {
                 // What is being opened to the old address is of no use to what waits.
                 let waiting = self.pool.waiting(id).len();
                 for _ in 0..waiting {
@@ -976,25 +979,27 @@
                 }
             }
         }
-        let unready = |line: &&ServerLine| line.condition != Condition::Ready;
+        let unready = |line: &&Endpoint| line.state != EndpointState::Ready;
         let mut unready: Vec<_> = lines.iter().filter(unready).map(|line| line.id).collect();
         let left = lines
             .iter()
-            .filter(|line| line.condition == Condition::Gone)
+            .filter(|line| line.state == EndpointState::Removed)
             .map(|line| line.id);
         let mut gone: Vec<_> = left.collect();
-        if kind != ListKind::Delta {
+        if kind != ListUpdate::Delta {
             let listed: Vec<_> = lines.iter().map(|line| line.id).collect();
             gone.extend(self.servers.keys().filter(|id| !listed.contains(id)));
         }
         gone.iter().for_each(|id| self.forget(*id));
         unready.append(&mut gone);
-        self.trace
-            .line(now, format_args!("list {kind:?} {}", listing.index));
+        self.trace.line(
+            now,
+            format_args!("list {} {}", trace::update_word(kind), listing.index),
+        );
         for line in &lines {
-            let ServerLine {
+            let Endpoint {
                 id,
-                condition,
+                state: condition,
                 kind,
                 zone,
                 started,
@@ -1002,12 +1007,15 @@
             } = line;
             self.trace.line(
                 now,
-                format_args!("server {id} {condition:?} {kind} {zone} {started}"),
+                format_args!(
+                    "server {id} {} {kind} {zone} {started}",
+                    trace::state_word(*condition)
+                ),
             );
         }
-        self.events.push_back(Event::ServerList {
-            kind,
-            servers: lines,
+        self.events.push_back(Event::EndpointList {
+            update: kind,
+            endpoints: lines,
         });
         unready.iter().for_each(|id| self.turn_away(*id));
         self.run_events();
@@ -1017,16 +1025,16 @@
     fn turn_away(&mut self, server: ServerId) {
         for key in self.pool.waiting(server) {
             self.pool.leave(server, key);
-            self.end(key, Status::NotSent);
+            self.end(key, AttemptStatus::NotSent);
         }
     }
 
     /// A call to discovery brought nothing more: the list held stays in force.
-    fn unheard(&mut self, kind: ListKind) {
+    fn unheard(&mut self, kind: ListUpdate) {
         self.trace.line(self.clock.now(), format_args!("unheard"));
-        self.tell(Event::ServerList {
-            kind,
-            servers: Vec::new(),
+        self.tell(Event::EndpointList {
+            update: kind,
+            endpoints: Vec::new(),
         });
     }
 
--- a/crates/cache-router/src/origin.rs
+++ b/crates/cache-router/src/origin.rs
@@ -1,7 +1,7 @@
 //! What is said to the origin, in HTTP/1.1, and what its answers mean.
 
 use bytes::{BufMut, Bytes, BytesMut};
-use routing_policy::Status;
+use routing_policy::AttemptStatus;
 
 use crate::caches;
 use crate::clients::Command;
@@ -71,11 +71,11 @@
         buffer.split_to(length).freeze()
     };
     let status = match head.status {
-        200 => Status::Served,
-        503 | 504 if head.unprocessed => Status::Full,
-        _ => Status::Error,
+        200 => AttemptStatus::Served,
+        503 | 504 if head.unprocessed => AttemptStatus::Rejected,
+        _ => AttemptStatus::Error,
     };
-    let value = (status == Status::Served).then_some(value);
+    let value = (status == AttemptStatus::Served).then_some(value);
     let load = caches::load(head.load.as_deref().unwrap_or(""), load_names);
     let note = caches::note(head.note.as_deref().unwrap_or(""));
     Ok(Some(Response {
--- a/crates/cache-router/src/upstreams.rs
+++ b/crates/cache-router/src/upstreams.rs
@@ -9,7 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use routing_policy::settings::Deployment;
-use routing_policy::{Load, Micros, Note, RequestId, ServerId, Status};
+use routing_policy::{AttemptStatus, CacheLookup, LoadReport, Micros, RequestId, ServerId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -31,11 +31,11 @@
 #[derive(Debug, PartialEq)]
 pub struct Response {
     /// How the attempt ended.
-    pub status: Status,
+    pub status: AttemptStatus,
     /// What the server said of the key.
-    pub note: Note,
+    pub note: CacheLookup,
     /// The load report that came along.
-    pub load: Load,
+    pub load: LoadReport,
     /// What the client is sent.
     pub value: Option<Bytes>,
     /// Whether the connection can carry another request.
--- a/crates/cache-router/tests/parts/node.rs
+++ b/crates/cache-router/tests/parts/node.rs
@@ -56,7 +56,7 @@
             16,
             Trace::new(false),
         );
-        node.list(known, Some(ListKind::Full));
+        node.list(known, Some(ListUpdate::Full));
         let (answer_to, answers) = mpsc::channel(16);
         Driven {
             node,
@@ -138,7 +138,7 @@
     let (mut stream, _) = all.cache.accept().await.unwrap();
     all.step().await; // The connection is up.
     read(&mut stream, "1d").await;
-    all.node.give_up((hasty, 0), Status::Cancelled);
+    all.node.give_up((hasty, 0), AttemptStatus::Cancelled);
     all.node.close_request(hasty);
     stream.write_all(VALUE).await.unwrap();
     all.step().await; // The late answer, which reaches nobody.
@@ -299,7 +299,7 @@
     let mut all = Driven::new().await;
     let hasty = all.ask("1d");
     let (mut stream, _) = all.cache.accept().await.unwrap();
-    all.node.give_up((hasty, 0), Status::Cancelled);
+    all.node.give_up((hasty, 0), AttemptStatus::Cancelled);
     all.node.close_request(hasty);
     all.step().await; // The connection is up.
     all.ask("2d");
@@ -316,7 +316,7 @@
         read(&mut stream, "1d").await;
         let sent = all.node.attempts[&(late, 0)].sent;
         all.node.attempts.get_mut(&(late, 0)).unwrap().sent -= if overdue { AIM } else { 0 };
-        all.node.give_up((late, 0), Status::TimedOut);
+        all.node.give_up((late, 0), AttemptStatus::TimedOut);
         if !overdue {
             let (server, _) = all.node.servers.iter().next().unwrap();
             assert_eq!(all.node.pool.state(1), Some((*server, State::Late(sent))));
@@ -427,7 +427,7 @@
 async fn what_is_cancelled_before_its_first_byte_is_never_written_and_costs_no_connection() {
     let (mut all, mut stream) = Driven::warmed().await;
     let hasty = all.ask("1d");
-    all.node.give_up((hasty, 0), Status::Cancelled);
+    all.node.give_up((hasty, 0), AttemptStatus::Cancelled);
     all.node.close_request(hasty);
     all.step().await;
     all.only(&mut stream, "2d").await;
@@ -564,14 +564,14 @@
     let first = all.ask("1d");
     read(&mut stream, "1d").await;
     let sent = all.node.attempts[&(first, 0)].sent;
-    all.node.give_up((first, 0), Status::Cancelled);
+    all.node.give_up((first, 0), AttemptStatus::Cancelled);
     all.node.close_request(first);
     stream.write_all(VALUE).await.unwrap();
     all.step().await; // Late, but there: the connection goes on.
     let second = all.ask("2d");
     read(&mut stream, "2d").await;
     all.node.attempts.get_mut(&(second, 0)).unwrap().sent = sent + 1;
-    all.node.give_up((second, 0), Status::Cancelled);
+    all.node.give_up((second, 0), AttemptStatus::Cancelled);
     let conn = all.node.pool.state(1).map(|(_, state)| state);
     all.node.due(Due::Late(1, sent), sent + AIM);
     assert_eq!(
--- a/crates/routing-policy/src/interface.rs
+++ b/crates/routing-policy/src/interface.rs
@@ -15,19 +15,19 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// How many balancers share the fleet.
-    pub balancers: u32,
+    pub balancer_count: u32,
     /// The number of this balancer among them, from 0.
-    pub me: u32,
+    pub balancer_index: u32,
     /// The zone that this balancer stands in.
     pub zone: u8,
     /// The classes of requests.
-    pub classes: Vec<Class>,
+    pub classes: Vec<RequestClass>,
     /// The tenants; empty where a deployment has none.
     pub tenants: Vec<Tenant>,
     /// Whether the server list must be asked for (subscription or whole list) or comes by itself.
-    pub ask_discovery: bool,
+    pub poll_discovery: bool,
     /// Without a subscription, the balancer counts as told of changes this long after they happened.
-    pub ask_within: Micros,
+    pub notified_within: Micros,
     /// Machine kind of the origin in the server list; `None` where servers fetch for themselves.
     pub origin_kind: Option<u16>,
     /// Whether weights in the list tell the size of a server.
@@ -39,29 +39,29 @@
     /// Attempts that one request may make.
     pub max_attempts: u32,
     /// Whether two attempts of one request may be out at once.
-    pub may_duplicate: bool,
+    pub may_hedge: bool,
     /// Whether an attempt may be cancelled.
     pub may_cancel: bool,
     /// Whether servers may be probed.
-    pub may_probe: bool,
+    pub may_check_health: bool,
     /// Whether balancers may send each other messages.
-    pub may_tell_peers: bool,
+    pub may_message_peers: bool,
     /// Price of the connections that one balancer in a hundred holds open to all servers ...
-    pub connection_price: f64,
+    pub connection_cost: f64,
     /// ... and of opening one for each request.
-    pub handshake_price: f64,
+    pub handshake_cost: f64,
     /// The longest retry-after that clients honour; 0 where they honour none.
     pub max_retry_after: Micros,
     /// Shortest time between two calls of the module.
     pub tick: Micros,
     /// A server starts with at least this part of its capacity.
-    pub cold_share: f64,
+    pub cold_capacity_share: f64,
     /// A started server is warm after this time at the latest.
-    pub warm_up: Micros,
+    pub warm_up_period: Micros,
     /// A cold server falls over when sent more than this multiple of what it can do ...
-    pub fall_multiple: f64,
+    pub overload_multiple: f64,
     /// ... for this long.
-    pub fall_after: Micros,
+    pub overload_window: Micros,
     /// Sends to a draining or gone server must stop within this time.
     pub drain_grace: Micros,
 }
@@ -69,30 +69,30 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            balancers: 1,
-            me: 0,
+            balancer_count: 1,
+            balancer_index: 0,
             zone: 0,
-            classes: vec![Class::default()],
+            classes: vec![RequestClass::default()],
             tenants: Vec::new(),
-            ask_discovery: false,
-            ask_within: 10_000_000,
+            poll_discovery: false,
+            notified_within: 10_000_000,
             origin_kind: None,
             weights_are_sizes: false,
             weights_are_live: false,
             load_fields: Vec::new(),
             max_attempts: 3,
-            may_duplicate: true,
+            may_hedge: true,
             may_cancel: false,
-            may_probe: false,
-            may_tell_peers: false,
-            connection_price: 0.0,
-            handshake_price: 0.0,
+            may_check_health: false,
+            may_message_peers: false,
+            connection_cost: 0.0,
+            handshake_cost: 0.0,
             max_retry_after: 0,
             tick: 1_000,
-            cold_share: 0.25,
-            warm_up: 10_000_000,
-            fall_multiple: 3.0,
-            fall_after: 2_000_000,
+            cold_capacity_share: 0.25,
+            warm_up_period: 10_000_000,
+            overload_multiple: 3.0,
+            overload_window: 2_000_000,
             drain_grace: 500_000,
         }
     }
@@ -100,50 +100,50 @@
 
 /// A class of requests.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Class {
+pub struct RequestClass {
     /// An answer within this time earns the full worth.
-    pub aim: Micros,
+    pub latency_objective: Micros,
     /// A client waits this long in all.
     pub deadline: Micros,
     /// Worth of one request.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Part of the worth that an answer after the aim still earns.
-    pub late_worth: f64,
+    pub late_weight: f64,
     /// What a repeat of such a request does.
-    pub effect: Effect,
+    pub idempotency: Idempotency,
 }
 
-impl Default for Class {
+impl Default for RequestClass {
     fn default() -> Self {
-        Class {
-            aim: 250_000,
+        RequestClass {
+            latency_objective: 250_000,
             deadline: 1_000_000,
-            worth: 1.0,
-            late_worth: 0.0,
-            effect: Effect::Safe,
+            priority_weight: 1.0,
+            late_weight: 0.0,
+            idempotency: Idempotency::Idempotent,
         }
     }
 }
 
 /// What a repeat of a request does.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Effect {
+pub enum Idempotency {
     /// Nothing: it may be sent as often as wanted.
-    Safe,
+    Idempotent,
     /// Servers of one group drop a repeat for a while after the first attempt.
-    Keyed {
+    Deduplicated {
         /// Which servers drop a repeat.
-        group: Group,
+        scope: DeduplicationScope,
         /// For how long, from the sending of the earliest attempt that may have run.
         window: Micros,
     },
     /// The effect happens again.
-    Unsafe,
+    NotIdempotent,
 }
 
 /// A group of cache servers that knows which keyed requests its members have seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Group {
+pub enum DeduplicationScope {
     /// Every cache server.
     All,
     /// Those of one zone.
@@ -180,7 +180,7 @@
 
 /// A load report: figures in the order of [`Settings::load_fields`].
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Load {
+pub struct LoadReport {
     /// How many of `values` are there.
     pub count: u8,
     /// The figures.
@@ -189,7 +189,7 @@
 
 /// One line of the server list.
 #[derive(Debug, Clone, PartialEq)]
-pub struct ServerLine {
+pub struct Endpoint {
     /// The server.
     pub id: ServerId,
     /// Its zone.
@@ -203,37 +203,37 @@
     /// When its process last started; 0 for long ago.
     pub started: Micros,
     /// Whether it runs, drains or is gone.
-    pub condition: Condition,
+    pub state: EndpointState,
 }
 
-impl Default for ServerLine {
+impl Default for Endpoint {
     fn default() -> Self {
-        ServerLine {
+        Endpoint {
             id: 0,
             zone: 0,
             cell: 0,
             kind: 0,
             weight: 1.0,
             started: 0,
-            condition: Condition::Ready,
+            state: EndpointState::Ready,
         }
     }
 }
 
 /// What the list says of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Condition {
+pub enum EndpointState {
     /// It runs.
     Ready,
     /// It ends what it has; nothing new may be sent to it.
     Draining,
     /// It is gone.
-    Gone,
+    Removed,
 }
 
 /// How a server list relates to the one held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ListKind {
+pub enum ListUpdate {
     /// The whole list; a server not in it is gone.
     Full,
     /// The list last held before a restart, whole but perhaps old.
@@ -244,7 +244,7 @@
     Failed,
     /// A subscription that was open fell silent, which is no word of discovery's: the list held stays in force, but
     /// what it misses counts as told soon.
-    Silent,
+    WatchSilent,
 }
 
 /// A client's request.
@@ -261,18 +261,18 @@
     /// Whether it writes (and so goes to the origin).
     pub write: bool,
     /// Whether the client said that it repeats an earlier try.
-    pub repeat: bool,
+    pub is_retry: bool,
     /// Time until the client gives this try up.
-    pub time_left: Micros,
+    pub remaining_deadline: Micros,
     /// Expected work, where told.
     pub cost: Option<Micros>,
     /// Size of the value in bytes, 0 where not told.
-    pub size: f32,
+    pub value_size: f32,
 }
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Status {
+pub enum AttemptStatus {
     /// Served.
     Served,
     /// The server holds nothing for this key; it did not run.
@@ -280,7 +280,7 @@
     /// The server reported an error; it may have run.
     Error,
     /// Turned away unseen; it did not run.
-    Full,
+    Rejected,
     /// No answer in time; it may have run or still run.
     TimedOut,
     /// No connection came about; it did not run.
@@ -293,22 +293,25 @@
     NotSent,
 }
 
-impl Status {
+impl AttemptStatus {
     /// Whether this outcome proves that the attempt never ran.
     pub fn proves_not_run(self) -> bool {
         matches!(
             self,
-            Status::Miss | Status::Full | Status::ConnectFailed | Status::NotSent
+            AttemptStatus::Miss
+                | AttemptStatus::Rejected
+                | AttemptStatus::ConnectFailed
+                | AttemptStatus::NotSent
         )
     }
 }
 
 /// What a server said of the key in its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Note {
-    /// Nothing.
+pub enum CacheLookup {
+    /// The server did not say.
     #[default]
-    None,
+    Unknown,
     /// The value was held.
     Hit,
     /// It was not.
@@ -319,7 +322,7 @@
 
 /// The end of one attempt.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Outcome {
+pub struct AttemptOutcome {
     /// Its request.
     pub request: RequestId,
     /// Number of the attempt within its request, from 0, in the order of sending.
@@ -327,32 +330,32 @@
     /// Where it had been sent.
     pub server: ServerId,
     /// How it ended.
-    pub status: Status,
+    pub status: AttemptStatus,
     /// Whether the request has its final answer (by this outcome or before).
-    pub over: bool,
+    pub request_complete: bool,
     /// What the server said of the key.
-    pub note: Note,
+    pub cache_lookup: CacheLookup,
     /// Time from sending to this end.
-    pub took: Micros,
-    /// Load report of the server, if one came along.
-    pub load: Load,
+    pub elapsed: Micros,
+    /// LoadReport report of the server, if one came along.
+    pub load: LoadReport,
 }
 
 /// Something that happened at this balancer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
     /// The server list, or a change of it.
-    ServerList {
-        /// How it relates to the list held.
-        kind: ListKind,
-        /// Its lines.
-        servers: Vec<ServerLine>,
+    EndpointList {
+        /// How it relates to the list in force.
+        update: ListUpdate,
+        /// Its endpoints.
+        endpoints: Vec<Endpoint>,
     },
     /// A client's request arrived; one final answer is owed from now on.
     Request(Request),
     /// An attempt ended.
-    Outcome(Outcome),
-    /// An attempt waits for a connection (`up` is false), or waits no more and is being written. Where nothing is
+    AttemptOutcome(AttemptOutcome),
+    /// An attempt waits for a connection (`established` is false), or waits no more and is being written. Where nothing is
     /// told of it, an attempt is written when it is sent.
     Connection {
         /// Its request.
@@ -360,10 +363,10 @@
         /// Number of the attempt.
         attempt: u16,
         /// Whether it has its connection now.
-        up: bool,
+        established: bool,
     },
     /// A streamed answer began; the attempt belongs to the client now.
-    AnswerBegan {
+    ResponseStarted {
         /// Its request.
         request: RequestId,
         /// The attempt that began to answer.
@@ -373,17 +376,17 @@
     ClientGone(RequestId),
     /// A timer set by [`Action::Timer`] is due.
     Timer(u32),
-    /// The end of a probe; or, with `ok`, a connection that came up after the attempts that waited for it had given it
+    /// The end of a probe; or, with `healthy`, a connection that came up after the attempts that waited for it had given it
     /// up, which shows as much.
-    Probed {
+    HealthChecked {
         /// The server probed.
         server: ServerId,
         /// Whether it answered well.
-        ok: bool,
+        healthy: bool,
         /// Time from sending to this end.
-        took: Micros,
-        /// Load report of the server, if one came along.
-        load: Load,
+        elapsed: Micros,
+        /// LoadReport report of the server, if one came along.
+        load: LoadReport,
     },
     /// A message of another balancer.
     PeerMessage {
@@ -407,7 +410,7 @@
         give_up_after: Micros,
     },
     /// Final answer: turned away, a retry is harmless.
-    Refuse {
+    Reject {
         /// The request.
         request: RequestId,
         /// Ask the client to stay away for this long; 0 for no hint.
@@ -432,13 +435,13 @@
     /// Subscribe to (or leave) the changes of the server list.
     Subscribe(bool),
     /// Ask for the whole server list once.
-    FetchList,
+    FetchEndpoints,
     /// Probe a server.
-    Probe(ServerId),
+    CheckHealth(ServerId),
     /// Close idle connections to a server.
     CloseIdle(ServerId),
     /// Send at most 256 bytes to one balancer, or to all.
-    Tell {
+    SendToPeer {
         /// Number of the balancer; `None` for every peer.
         to: Option<u32>,
         /// The bytes.
--- a/crates/routing-policy/src/lib.rs
+++ b/crates/routing-policy/src/lib.rs
@@ -4,7 +4,7 @@
 //! to do ([`Action`]). It has no clock, no threads and no I/O: the node that embeds it owns the sockets.
 //!
 //! ```
-//! use routing_policy::{Action, Condition, Event, ListKind, Policy, Request, ServerLine, Settings};
+//! use routing_policy::{Action, EndpointState, Event, ListUpdate, Policy, Request, Endpoint, Settings};
 //!
 //! let settings = Settings::default();
 //! let mut policy = Policy::new(settings, 42);
@@ -12,13 +12,13 @@
 //!
 //! // The balancer starts at some clock value (microseconds) with the server list it last held.
 //! let servers = vec![
-//!     ServerLine { id: 7, condition: Condition::Ready, ..ServerLine::default() },
-//!     ServerLine { id: 9, condition: Condition::Ready, ..ServerLine::default() },
+//!     Endpoint { id: 7, state: EndpointState::Ready, ..Endpoint::default() },
+//!     Endpoint { id: 9, state: EndpointState::Ready, ..Endpoint::default() },
 //! ];
-//! policy.handle(1_000_000, Event::ServerList { kind: ListKind::Cached, servers }, &mut actions);
+//! policy.handle(1_000_000, Event::EndpointList { update: ListUpdate::Cached, endpoints: servers }, &mut actions);
 //!
 //! // A client asks for a key; the policy names the cache server to try first.
-//! let request = Request { id: 1, key: 0xfeed, time_left: 500_000, ..Request::default() };
+//! let request = Request { id: 1, key: 0xfeed, remaining_deadline: 500_000, ..Request::default() };
 //! policy.handle(1_000_100, Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, server: 7 | 9, .. })));
 //! ```
--- a/crates/routing-policy/src/policy.rs
+++ b/crates/routing-policy/src/policy.rs
@@ -103,9 +103,9 @@
 impl Policy {
     /// A balancer that knows its settings and nothing else yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aims = settings.classes.iter().map(|c| c.aim);
+        let aims = settings.classes.iter().map(|c| c.latency_objective);
         let quotas: f64 = settings.tenants.iter().map(|t| t.quota_per_s).sum();
-        let quota_share = quotas / f64::from(settings.balancers.max(1));
+        let quota_share = quotas / f64::from(settings.balancer_count.max(1));
         let mut policy = Policy {
             aim: aims.clone().max().unwrap_or(1_000_000).max(1),
             origin_aim: aims.min().unwrap_or(1_000_000),
@@ -115,12 +115,12 @@
             level: LEVEL.1,
             // Held by all balancers, a connection costs more than it saves: whatever the traffic, the price
             // of keeping one open grows with their number and the price of opening it again does not.
-            crowded: f64::from(settings.balancers) * settings.connection_price
-                > 100.0 * settings.handshake_price,
+            crowded: f64::from(settings.balancer_count) * settings.connection_cost
+                > 100.0 * settings.handshake_cost,
             repeats: REPEATS.1,
             // Calls of an earlier life of this balancer may still run: the gate opens gradually.
-            gate_part: (GATE_SENDERS / f64::from(settings.balancers.max(1))).min(1.0),
-            seldom: (f64::from(settings.balancers) / FEW).max(1.0),
+            gate_part: (GATE_SENDERS / f64::from(settings.balancer_count.max(1))).min(1.0),
+            seldom: (f64::from(settings.balancer_count) / FEW).max(1.0),
             quota_share,
             settings,
             ..Policy::default()
@@ -135,32 +135,37 @@
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         match event {
-            Event::ServerList {
-                kind: ListKind::Failed,
+            Event::EndpointList {
+                update: ListUpdate::Failed,
                 ..
             } => self.discovery_failed(out),
             // Its silence was waited for already, and began for each balancer at a time of its own: no pause.
-            Event::ServerList {
-                kind: ListKind::Silent,
+            Event::EndpointList {
+                update: ListUpdate::WatchSilent,
                 ..
             } => out.push(Action::Subscribe(true)),
-            Event::ServerList { kind, servers } => self.server_list(kind, servers),
+            Event::EndpointList {
+                update: kind,
+                endpoints: servers,
+            } => self.server_list(kind, servers),
             Event::Request(request) => self.request(request, out),
-            Event::Outcome(outcome) => self.outcome(outcome, out),
+            Event::AttemptOutcome(outcome) => self.outcome(outcome, out),
             // A streamed answer belongs to the client from here on: nothing is owed, and no deadline runs.
-            Event::AnswerBegan { request, .. } | Event::ClientGone(request) => {
+            Event::ResponseStarted { request, .. } | Event::ClientGone(request) => {
                 drop(self.held.remove(&request))
             }
             Event::Connection {
                 request,
                 attempt,
-                up,
+                established: up,
             } => self.connection(request, attempt, up),
             Event::Timer(_) => self.wakes.timer_came(),
-            Event::Probed {
-                server, ok: true, ..
+            Event::HealthChecked {
+                server,
+                healthy: true,
+                ..
             } => self.reached(server, out),
-            Event::PeerMessage { .. } | Event::Probed { .. } => {}
+            Event::PeerMessage { .. } | Event::HealthChecked { .. } => {}
         }
         while let Some(wake) = self.wakes.due(now, out) {
             match wake {
@@ -169,7 +174,9 @@
                     self.step(id, out)
                 }
                 Wake::Patience(id, attempt) => self.patience(id, attempt, out),
-                Wake::Subscribe if self.settings.ask_discovery => out.push(Action::Subscribe(true)),
+                Wake::Subscribe if self.settings.poll_discovery => {
+                    out.push(Action::Subscribe(true))
+                }
                 Wake::Go(..) | Wake::Subscribe => {}
                 Wake::Review => self.review(out),
             }
@@ -190,9 +197,12 @@
             class: r.class,
             key: r.key,
             write: r.write,
-            aim_at: (self.now + self.settings.classes[r.class].aim.saturating_sub(gone))
-                .saturating_sub(margin),
-            ends: self.now + r.time_left.saturating_sub(margin),
+            aim_at: (self.now
+                + self.settings.classes[r.class]
+                    .latency_objective
+                    .saturating_sub(gone))
+            .saturating_sub(margin),
+            ends: self.now + r.remaining_deadline.saturating_sub(margin),
             ..Held::default()
         };
         self.repeats = (self.repeats + REPEATS.0).min(REPEATS.1);
@@ -220,15 +230,15 @@
     fn waited_before(&mut self, r: &Request) -> Micros {
         let deadline = self.settings.classes[r.class].deadline;
         let (usual, votes) = &mut self.usual_wait[r.class];
-        let near = r.time_left.abs_diff(*usual) as f64 <= deadline as f64 * ALIKE;
+        let near = r.remaining_deadline.abs_diff(*usual) as f64 <= deadline as f64 * ALIKE;
         match (near, *votes) {
             (true, _) => *votes = (*votes + 1).min(SURE.1),
-            (false, 0) => (*usual, *votes) = (r.time_left, 1),
+            (false, 0) => (*usual, *votes) = (r.remaining_deadline, 1),
             (false, _) => *votes -= 1,
         }
         let told = !near && *votes >= SURE.0 && self.level < LEVEL.2;
         if told {
-            deadline.saturating_sub(r.time_left)
+            deadline.saturating_sub(r.remaining_deadline)
         } else {
             0
         }
@@ -252,7 +262,7 @@
             .tenants
             .get(tenant)
             .map_or(f64::INFINITY, |t| t.quota_per_s);
-        let part = self.level * quota / f64::from(self.settings.balancers.max(1));
+        let part = self.level * quota / f64::from(self.settings.balancer_count.max(1));
         let room = sender.fill(self.now, part, burst + part * self.aim as f64 / 1e6);
         let admitted = room || pooled || self.level >= LEVEL.2;
         if admitted {
@@ -281,7 +291,7 @@
     }
 
     fn useful_until(&self, h: &Held) -> Micros {
-        if self.settings.classes[h.class].late_worth > 0.0 {
+        if self.settings.classes[h.class].late_weight > 0.0 {
             h.ends
         } else {
             h.aim_at.min(h.ends)
@@ -298,7 +308,7 @@
         let multiple =
             BOUND.0 + (BOUND.1 - BOUND.0) * (self.gate.pressed.value() / BOUND.3).min(1.0);
         let bound = multiple * f64::from(self.cache_out + 1) / self.total;
-        let floor = BOUND.2 / f64::from(self.settings.balancers.max(2)); // All of it from one is a crowd.
+        let floor = BOUND.2 / f64::from(self.settings.balancer_count.max(2)); // All of it from one is a crowd.
         let late = |s: &Server| s.quickest > left;
         let mut best = None;
         for s in self
@@ -357,7 +367,7 @@
     fn ready(&self, origin: bool) -> impl Iterator<Item = &Server> {
         self.servers
             .values()
-            .filter(move |s| s.line.condition == Condition::Ready && s.origin == origin)
+            .filter(move |s| s.line.state == EndpointState::Ready && s.origin == origin)
     }
 
     fn weight(&self, s: &Server) -> f64 {
@@ -395,7 +405,7 @@
         (self.total, self.mean) = (total.max(0.01), total.max(0.01) / f64::max(count, 1.0));
         let warm = |kind| {
             let of = |s: &&Server| {
-                s.line.kind == kind && s.line.started + self.settings.warm_up <= self.now
+                s.line.kind == kind && s.line.started + self.settings.warm_up_period <= self.now
             };
             self.ready(false).filter(of).count() as u32
         };
@@ -432,9 +442,9 @@
 
     /// Part of its capacity that a server has at the least, some time after its start.
     fn warmth(&self, s: &Server) -> f64 {
-        let age =
-            self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
-        let share = self.settings.cold_share;
+        let age = self.now.saturating_sub(s.line.started) as f64
+            / self.settings.warm_up_period.max(1) as f64;
+        let share = self.settings.cold_capacity_share;
         if s.line.started == 0 {
             1.0
         } else {
@@ -447,7 +457,8 @@
     /// ones turn away in a jam goes along the order at all balancers at once, and must not come down on it.
     fn warm_enough(&self, key: Key, h: &Held, s: &Server) -> bool {
         let warmth = self.warmth(s);
-        let part = COLD_RATE * self.settings.fall_multiple * warmth * self.capacity(s) / self.mean;
+        let part =
+            COLD_RATE * self.settings.overload_multiple * warmth * self.capacity(s) / self.mean;
         let room = |(level, depth)| level < depth;
         // A hot key would come from all balancers at once, from each within its bucket.
         let hot = || self.recent.iter().filter(|recent| **recent == key).count() > 1;
@@ -460,10 +471,11 @@
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is.
     fn cold_bucket(&self, s: &Server) -> (f64, f64) {
-        let most = COLD_RATE * self.settings.fall_multiple * self.warmth(s) * self.borne(s) / 1e6;
+        let most =
+            COLD_RATE * self.settings.overload_multiple * self.warmth(s) * self.borne(s) / 1e6;
         // Of all that is sent within the time this much is usual: m + C * sqrt(m) = all. Its own it counts.
-        let balancers = f64::from(self.settings.balancers.max(1));
-        let all = most * self.settings.fall_after as f64 * balancers;
+        let balancers = f64::from(self.settings.balancer_count.max(1));
+        let all = most * self.settings.overload_window as f64 * balancers;
         let chance = COLD_CHANCE * (1.0 - 1.0 / balancers);
         let root = ((chance * chance + 4.0 * all).sqrt() - chance) / 2.0;
         let rate = if all > 0.0 {
@@ -474,7 +486,7 @@
         let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
         (
             level.max(0.0),
-            (rate * self.settings.fall_after as f64 / 2.0).max(1.0),
+            (rate * self.settings.overload_window as f64 / 2.0).max(1.0),
         )
     }
 
@@ -581,7 +593,7 @@
 
     /// The random delay of a blocked call.
     fn delay(&mut self, class: usize) -> Micros {
-        let aim = self.settings.classes[class].aim as f64;
+        let aim = self.settings.classes[class].latency_objective as f64;
         (aim * (DELAY.0 + (DELAY.1 - DELAY.0) * self.rng.unit())) as Micros + 1
     }
 
@@ -594,14 +606,18 @@
         };
         let allowed = self.now < h.ends
             && u32::from(h.sent) < self.settings.max_attempts
-            && s.line.condition == Condition::Ready
-            && (h.out == 0 || self.settings.may_duplicate)
+            && s.line.state == EndpointState::Ready
+            && (h.out == 0 || self.settings.may_hedge)
             && self.may_repeat(h, server);
         if !allowed {
             return false;
         }
         let cold = (self.cold_bucket(s).0 + 1.0, self.now);
-        let (attempt, sent, aim) = (h.sent, self.now, self.settings.classes[h.class].aim);
+        let (attempt, sent, aim) = (
+            h.sent,
+            self.now,
+            self.settings.classes[h.class].latency_objective,
+        );
         let slow_after = (aim as f64 * PATIENCE) as Micros;
         if let (Some(h), Some(s)) = (self.held.get_mut(&id), self.servers.get_mut(&server)) {
             (h.sent, h.out) = (h.sent + 1, h.out + 1);
@@ -638,10 +654,13 @@
         let Some(&(_, sent, first)) = h.may_have_run.first() else {
             return true;
         };
-        match self.settings.classes[h.class].effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { group, window } => {
+        match self.settings.classes[h.class].idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NotIdempotent => false,
+            Idempotency::Deduplicated {
+                scope: group,
+                window,
+            } => {
                 let (first, next) = (self.servers.get(&first), self.servers.get(&server));
                 let shared = first
                     .zip(next)
@@ -653,7 +672,7 @@
 
     // An attempt ends.
 
-    fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
+    fn outcome(&mut self, o: AttemptOutcome, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&(o.request, o.attempt)) else {
             return;
         };
@@ -665,31 +684,33 @@
         if o.status.proves_not_run() {
             h.may_have_run.retain(|&(attempt, ..)| attempt != o.attempt);
         }
-        h.missed |= o.status == Status::Miss;
-        if flight.call == Call::Cache && o.status != Status::Miss {
+        h.missed |= o.status == AttemptStatus::Miss;
+        if flight.call == Call::Cache && o.status != AttemptStatus::Miss {
             h.tried.push(flight.server);
         }
         let (others_out, class) = (h.out > 0, h.class);
-        if o.over || o.status == Status::Served {
+        if o.request_complete || o.status == AttemptStatus::Served {
             self.cancel_rest(o.request, out);
             self.held.remove(&o.request);
             return;
         }
-        if others_out && o.status != Status::Miss {
+        if others_out && o.status != AttemptStatus::Miss {
             return; // Their outcomes decide.
         }
-        if flight.call != Call::Cache && o.status == Status::Full {
+        if flight.call != Call::Cache && o.status == AttemptStatus::Rejected {
             return self.postpone(o.request, out);
         }
         // Repeating what may still run adds work just when things are slow: only on a budget.
         // Where each attempt opens a connection, one turned away has cost the server work all the same.
-        let costly = self.crowded && flight.call == Call::Cache && o.status != Status::Miss;
+        let costly = self.crowded && flight.call == Call::Cache && o.status != AttemptStatus::Miss;
         // A connection that broke or a request that failed before its answer was due tells of no load.
         let early = self.now - flight.sent < flight.slow_after;
-        let broke = matches!(o.status, Status::Reset | Status::Error) && early;
+        let broke = matches!(o.status, AttemptStatus::Reset | AttemptStatus::Error) && early;
         let price = if broke { 0.0 } else { 1.0 };
         if costly || !o.status.proves_not_run() {
-            if self.repeats < price || self.settings.classes[class].effect != Effect::Safe {
+            if self.repeats < price
+                || self.settings.classes[class].idempotency != Idempotency::Idempotent
+            {
                 return self.end(o.request, out);
             }
             self.repeats -= price;
@@ -698,7 +719,7 @@
     }
 
     /// What an outcome tells of its server and of the strain on the fleet, or of the origin.
-    fn learn(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+    fn learn(&mut self, flight: &Flight, o: &AttemptOutcome, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&flight.server) else {
             return;
         };
@@ -713,17 +734,21 @@
         self.cache_out -= 1;
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
-            self.strain
-                .add(f64::from(u8::from(o.status == Status::Full)), 1.0);
+            self.strain.add(
+                f64::from(u8::from(o.status == AttemptStatus::Rejected)),
+                1.0,
+            );
         }
         match o.status {
-            Status::Full => self.overdone(flight.server),
-            Status::Served | Status::Miss if self.now - flight.sent < 2 * flight.slow_after => {
+            AttemptStatus::Rejected => self.overdone(flight.server),
+            AttemptStatus::Served | AttemptStatus::Miss
+                if self.now - flight.sent < 2 * flight.slow_after =>
+            {
                 s.thinned = (s.thinned - THIN.1 * self.seldom.sqrt()).max(0.0);
                 s.taught = 0.0;
                 let kind = self.kinds.entry(s.line.kind).or_default();
                 kind.thinned = (kind.thinned - THIN.1 * kind.step(KIND_STEP)).max(0.0);
-                if kind.warm > 0 && s.line.started + self.settings.warm_up <= self.now {
+                if kind.warm > 0 && s.line.started + self.settings.warm_up_period <= self.now {
                     kind.borne.count(1.0 / f64::from(kind.warm));
                 }
             }
@@ -734,15 +759,15 @@
         };
         match o.status {
             // A server that fails each request at once looks idle and would draw ever more of them.
-            Status::ConnectFailed | Status::Reset | Status::Error => {
-                s.unreachable = o.status == Status::ConnectFailed;
+            AttemptStatus::ConnectFailed | AttemptStatus::Reset | AttemptStatus::Error => {
+                s.unreachable = o.status == AttemptStatus::ConnectFailed;
                 self.strike(flight.server, out);
             }
-            Status::TimedOut => s.unreachable = false,
-            Status::NotSent | Status::Cancelled => {}
+            AttemptStatus::TimedOut => s.unreachable = false,
+            AttemptStatus::NotSent | AttemptStatus::Cancelled => {}
             _ => {
                 let sample = (self.now - flight.sent) as f64 / (1.0 + s.held_per_core());
-                if o.status == Status::Served {
+                if o.status == AttemptStatus::Served {
                     let quicker = sample < s.quickest || s.quickest == 0.0;
                     s.quickest += if quicker { 1.0 } else { QUICKEST } * (sample - s.quickest);
                     self.service +=
@@ -770,7 +795,7 @@
     }
 
     /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
-    fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+    fn learn_origin(&mut self, flight: &Flight, o: &AttemptOutcome, out: &mut Vec<Action>) {
         let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
         let (part, least) = (self.gate_part(), GATE_OUT * self.gate_part * GATE_CUT.1);
         let (g, most) = (&mut self.gate, GATE_OUT * part);
@@ -779,13 +804,13 @@
         // A limit of less than one is kept by a rest after each call.
         let rest = (1.0 / (g.limit * GATE_FETCHES) - 1.0).max(0.0) * (0.5 + self.rng.unit());
         g.rest = self.now + (rest * (self.now - flight.sent) as f64) as Micros;
-        if o.status == Status::Served && flight.call == Call::Fetch {
+        if o.status == AttemptStatus::Served && flight.call == Call::Fetch {
             let took = (self.now - flight.sent) as f64;
             g.usual += if g.usual == 0.0 { 1.0 } else { USUAL.0 } * (took - g.usual);
         }
-        if o.status == Status::Served && !slow {
+        if o.status == AttemptStatus::Served && !slow {
             g.limit = (g.limit + (part / g.limit).min(g.limit)).min(most);
-        } else if o.status != Status::NotSent && flight.sent >= g.cut_at {
+        } else if o.status != AttemptStatus::NotSent && flight.sent >= g.cut_at {
             // One cut for all calls that were out together.
             g.cut_at = self.now;
             g.limit = (g.limit * GATE_CUT.0).max(least);
@@ -907,8 +932,8 @@
             .get(&server)
             .is_some_and(|s| s.answered_lately(self.now, self.aim) >= PRIOR);
         if known
-            || self.settings.classes[h.class].effect != Effect::Safe
-            || !self.settings.may_duplicate
+            || self.settings.classes[h.class].idempotency != Idempotency::Idempotent
+            || !self.settings.may_hedge
             || self.repeats < 1.0
         {
             return;
@@ -951,10 +976,10 @@
         // A refused client is told to come back after the delay of a blocked call, random as that is: told to
         // wait for longer it comes back too late, and its answer takes another's place.
         out.push(
-            match self.settings.classes[class].effect == Effect::Safe || harmless {
+            match self.settings.classes[class].idempotency == Idempotency::Idempotent || harmless {
                 true => {
                     let retry_after = self.delay(class).min(self.settings.max_retry_after);
-                    Action::Refuse {
+                    Action::Reject {
                         request: id,
                         retry_after,
                     }
@@ -982,16 +1007,16 @@
 
     // The server list.
 
-    fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>) {
-        self.subscribe_tries = if kind == ListKind::Cached {
+    fn server_list(&mut self, kind: ListUpdate, lines: Vec<Endpoint>) {
+        self.subscribe_tries = if kind == ListUpdate::Cached {
             self.subscribe_tries
         } else {
             0
         };
-        if kind != ListKind::Delta {
+        if kind != ListUpdate::Delta {
             self.servers
                 .values_mut()
-                .for_each(|s| s.line.condition = Condition::Gone);
+                .for_each(|s| s.line.state = EndpointState::Removed);
         }
         let mut begun = Vec::new();
         for line in lines {
@@ -1012,11 +1037,11 @@
             } else {
                 line.started.max(s.line.started)
             };
-            s.line = ServerLine { started, ..line };
+            s.line = Endpoint { started, ..line };
         }
         // Gone and owing nothing: forgotten here, as a walk over the fleet at each review cost much CPU.
         self.servers
-            .retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
+            .retain(|_, s| s.line.state != EndpointState::Removed || s.in_flight > 0);
         self.add_up();
         begun.into_iter().for_each(|id| self.begin_cold(id));
     }
@@ -1038,7 +1063,7 @@
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
         // Each call that waits in vain costs discovery as well: many begin with a long pause.
         let tries = self.subscribe_tries + u32::from(self.seldom > 1.0);
-        let base = ((self.settings.ask_within / 16) << tries.min(ASK_AGAIN)).min(ASK_PAUSE);
+        let base = ((self.settings.notified_within / 16) << tries.min(ASK_AGAIN)).min(ASK_PAUSE);
         self.subscribe_tries += 1;
         let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
         self.wake(delay, Wake::Subscribe);
--- a/crates/routing-policy/src/settings.rs
+++ b/crates/routing-policy/src/settings.rs
@@ -2,7 +2,9 @@
 
 use serde::Deserialize;
 
-use crate::interface::{Class, Effect, Group, LoadField, Micros, Settings, Tenant};
+use crate::interface::{
+    DeduplicationScope, Idempotency, LoadField, Micros, RequestClass, Settings, Tenant,
+};
 
 /// A deployment: what the module is told of it, and what only the node round the module needs.
 #[derive(Debug, Clone, PartialEq)]
@@ -117,8 +119,8 @@
     fn default() -> Self {
         let base = Settings::default();
         Wire {
-            balancers: base.balancers,
-            me: base.me,
+            balancers: base.balancer_count,
+            me: base.balancer_index,
             zone: base.zone,
             classes: Vec::new(),
             realms: Vec::new(),
@@ -138,13 +140,13 @@
 
 impl Default for WireClass {
     fn default() -> Self {
-        let base = Class::default();
+        let base = RequestClass::default();
         WireClass {
             name: String::new(),
-            goal_time_us: base.aim as f64,
+            goal_time_us: base.latency_objective as f64,
             deadline_us: base.deadline as f64,
-            gain: base.worth,
-            late_value: base.late_worth,
+            gain: base.priority_weight,
+            late_value: base.late_weight,
             effect: "side_effect".into(),
             dedup_scope: "cell".into(),
             dedup_window_us: 0.0,
@@ -182,12 +184,12 @@
     fn default() -> Self {
         let base = Settings::default();
         Guarantees {
-            ask_within_us: base.ask_within as f64,
-            cold_share: base.cold_share,
-            cold_us: base.warm_up as f64,
+            ask_within_us: base.notified_within as f64,
+            cold_share: base.cold_capacity_share,
+            cold_us: base.warm_up_period as f64,
             drain_grace_us: base.drain_grace as f64,
-            fall_multiple: base.fall_multiple,
-            tip_after_us: base.fall_after as f64,
+            fall_multiple: base.overload_multiple,
+            tip_after_us: base.overload_window as f64,
         }
     }
 }
@@ -204,8 +206,8 @@
         (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
     let limits = wire.limits;
     let settings = Settings {
-        balancers: wire.balancers,
-        me: wire.me,
+        balancer_count: wire.balancers,
+        balancer_index: wire.me,
         zone: wire.zone,
         classes,
         tenants: wire
@@ -215,29 +217,29 @@
                 quota_per_s: r.quota_per_s,
             })
             .collect(),
-        ask_discovery: wire.discovery == "ask",
-        ask_within: micros(wire.guarantees.ask_within_us),
+        poll_discovery: wire.discovery == "ask",
+        notified_within: micros(wire.guarantees.ask_within_us),
         origin_kind: origin.flatten(),
         weights_are_sizes: matches!(wire.weight_source.as_str(), "nominal" | "rough"),
         weights_are_live: wire.weight_source == "live",
         load_fields: wire.report.fields.iter().map(|f| load_field(f)).collect(),
         max_attempts: limits.max_attempts,
-        may_duplicate: limits.may_duplicate,
+        may_hedge: limits.may_duplicate,
         may_cancel: limits.may_cancel,
-        may_probe: limits.probes,
-        may_tell_peers: limits.peers,
-        connection_price: wire.prices.connection,
-        handshake_price: wire.prices.handshake,
+        may_check_health: limits.probes,
+        may_message_peers: limits.peers,
+        connection_cost: wire.prices.connection,
+        handshake_cost: wire.prices.handshake,
         max_retry_after: if limits.retry_after {
             micros(limits.max_retry_after_us)
         } else {
             0
         },
         tick: micros(wire.period_us),
-        cold_share: wire.guarantees.cold_share,
-        warm_up: micros(wire.guarantees.cold_us),
-        fall_multiple: wire.guarantees.fall_multiple,
-        fall_after: micros(wire.guarantees.tip_after_us),
+        cold_capacity_share: wire.guarantees.cold_share,
+        warm_up_period: micros(wire.guarantees.cold_us),
+        overload_multiple: wire.guarantees.fall_multiple,
+        overload_window: micros(wire.guarantees.tip_after_us),
         drain_grace: micros(wire.guarantees.drain_grace_us),
     };
     Ok(Deployment {
@@ -253,31 +255,31 @@
     })
 }
 
-fn class(c: &WireClass) -> Result<Class, String> {
+fn class(c: &WireClass) -> Result<RequestClass, String> {
     let group = match c.dedup_scope.as_str() {
-        "all" => Group::All,
-        "zone" => Group::Zone,
-        _ => Group::Cell,
+        "all" => DeduplicationScope::All,
+        "zone" => DeduplicationScope::Zone,
+        _ => DeduplicationScope::Cell,
     };
     let effect = match c.effect.as_str() {
-        "pure" => Effect::Safe,
-        "token" => Effect::Keyed {
-            group,
+        "pure" => Idempotency::Idempotent,
+        "token" => Idempotency::Deduplicated {
+            scope: group,
             window: micros(c.dedup_window_us),
         },
-        "side_effect" => Effect::Unsafe,
+        "side_effect" => Idempotency::NotIdempotent,
         other => {
             return Err(format!(
                 "unreadable settings: unknown effect {other:?} of a class"
             ));
         }
     };
-    Ok(Class {
-        aim: micros(c.goal_time_us),
+    Ok(RequestClass {
+        latency_objective: micros(c.goal_time_us),
         deadline: micros(c.deadline_us),
-        worth: c.gain,
-        late_worth: c.late_value,
-        effect,
+        priority_weight: c.gain,
+        late_weight: c.late_value,
+        idempotency: effect,
     })
 }
 
--- a/crates/routing-policy/src/state.rs
+++ b/crates/routing-policy/src/state.rs
@@ -6,7 +6,9 @@
 use oorandom::Rand64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::interface::{Action, Group, Key, Micros, RequestId, ServerId, ServerLine, Settings};
+use crate::interface::{
+    Action, DeduplicationScope, Endpoint, Key, Micros, RequestId, ServerId, Settings,
+};
 
 /// The mind of one balancer: what it was told, what it has seen and what it owes.
 #[derive(Default)]
@@ -76,7 +78,7 @@
 /// A server of the list, and what this balancer has seen of it.
 #[derive(Default)]
 pub struct Server {
-    pub line: ServerLine,
+    pub line: Endpoint,
     pub origin: bool,
     /// The highest weight seen; where weights fall with load, that of the idle server.
     pub size: f32,
@@ -112,12 +114,12 @@
 
     /// Whether two servers know of each other's keyed requests. The origin is a group of its own: cache
     /// servers do not know what it has seen.
-    pub fn shares_group(&self, other: &Server, group: Group) -> bool {
+    pub fn shares_group(&self, other: &Server, group: DeduplicationScope) -> bool {
         match group {
             _ if self.origin || other.origin => self.line.id == other.line.id,
-            Group::All => true,
-            Group::Zone => self.line.zone == other.line.zone,
-            Group::Cell => self.line.cell == other.line.cell,
+            DeduplicationScope::All => true,
+            DeduplicationScope::Zone => self.line.zone == other.line.zone,
+            DeduplicationScope::Cell => self.line.cell == other.line.cell,
         }
     }
 }
--- a/crates/routing-policy/tests/common/mod.rs
+++ b/crates/routing-policy/tests/common/mod.rs
@@ -16,27 +16,27 @@
 }
 
 pub fn settings() -> Settings {
-    let read = Class {
-        aim: 750 * MS,
+    let read = RequestClass {
+        latency_objective: 750 * MS,
         deadline: 1500 * MS,
-        ..Class::default()
+        ..RequestClass::default()
     };
-    let keyed = Effect::Keyed {
-        group: Group::All,
+    let keyed = Idempotency::Deduplicated {
+        scope: DeduplicationScope::All,
         window: 200 * MS,
     };
-    let write = Class {
-        aim: 150 * MS,
+    let write = RequestClass {
+        latency_objective: 150 * MS,
         deadline: 300 * MS,
-        effect: keyed,
-        ..Class::default()
+        idempotency: keyed,
+        ..RequestClass::default()
     };
-    let once = Class {
-        aim: 300 * MS,
+    let once = RequestClass {
+        latency_objective: 300 * MS,
         deadline: SECOND,
-        effect: Effect::Unsafe,
-        worth: 8.0,
-        ..Class::default()
+        idempotency: Idempotency::NotIdempotent,
+        priority_weight: 8.0,
+        ..RequestClass::default()
     };
     Settings {
         classes: vec![read, write, once],
@@ -46,18 +46,18 @@
     }
 }
 
-pub fn server(id: ServerId) -> ServerLine {
-    ServerLine {
+pub fn server(id: ServerId) -> Endpoint {
+    Endpoint {
         id,
-        ..ServerLine::default()
+        ..Endpoint::default()
     }
 }
 
-pub fn origin() -> ServerLine {
-    ServerLine {
+pub fn origin() -> Endpoint {
+    Endpoint {
         id: ORIGIN,
         kind: ORIGIN_KIND,
-        ..ServerLine::default()
+        ..Endpoint::default()
     }
 }
 
@@ -65,7 +65,7 @@
     Request {
         id,
         key,
-        time_left: 1500 * MS,
+        remaining_deadline: 1500 * MS,
         ..Request::default()
     }
 }
@@ -76,7 +76,7 @@
         key: 5,
         class,
         write: true,
-        time_left: 300 * MS,
+        remaining_deadline: 300 * MS,
         ..Request::default()
     }
 }
@@ -105,7 +105,7 @@
         };
         let mut lines: Vec<_> = (1..=servers).map(server).collect();
         lines.push(origin());
-        node.list(ListKind::Cached, lines);
+        node.list(ListUpdate::Cached, lines);
         node
     }
 
@@ -122,8 +122,11 @@
         out
     }
 
-    pub fn list(&mut self, kind: ListKind, servers: Vec<ServerLine>) -> Vec<Action> {
-        self.event(Event::ServerList { kind, servers })
+    pub fn list(&mut self, kind: ListUpdate, servers: Vec<Endpoint>) -> Vec<Action> {
+        self.event(Event::EndpointList {
+            update: kind,
+            endpoints: servers,
+        })
     }
 
     pub fn request(&mut self, request: Request) -> Vec<Action> {
@@ -135,21 +138,21 @@
         request: RequestId,
         attempt: u16,
         server: ServerId,
-        status: Status,
+        status: AttemptStatus,
     ) -> Vec<Action> {
-        let over = status == Status::Served;
-        let (note, load) = (Note::None, Load::default());
-        let outcome = Outcome {
+        let over = status == AttemptStatus::Served;
+        let (note, load) = (CacheLookup::Unknown, LoadReport::default());
+        let outcome = AttemptOutcome {
             request,
             attempt,
             server,
             status,
-            over,
-            note,
-            took: MS,
+            request_complete: over,
+            cache_lookup: note,
+            elapsed: MS,
             load,
         };
-        self.event(Event::Outcome(outcome))
+        self.event(Event::AttemptOutcome(outcome))
     }
 
     /// Lets time pass, with the timers that come due, and returns what the policy answered meanwhile.
@@ -183,7 +186,7 @@
 pub fn refused(actions: &[Action], id: RequestId) -> bool {
     actions
         .iter()
-        .any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+        .any(|a| matches!(a, Action::Reject { request, .. } if *request == id))
 }
 
 pub fn failed(actions: &[Action], id: RequestId) -> bool {
--- a/crates/routing-policy/tests/fleet.rs
+++ b/crates/routing-policy/tests/fleet.rs
@@ -48,7 +48,7 @@
             .map(|me| {
                 Node::seeded(
                     Settings {
-                        me,
+                        balancer_index: me,
                         ..config.clone()
                     },
                     SERVERS,
@@ -70,11 +70,11 @@
 
     fn settings(balancers: u32) -> Settings {
         Settings {
-            balancers,
-            cold_share: 0.2,
-            warm_up: 20 * SECOND,
-            fall_multiple: 2.5,
-            may_duplicate: true,
+            balancer_count: balancers,
+            cold_capacity_share: 0.2,
+            warm_up_period: 20 * SECOND,
+            overload_multiple: 2.5,
+            may_hedge: true,
             ..settings()
         }
     }
@@ -129,7 +129,7 @@
                     if restarted && at % 3 == 0 {
                         let balancers = self.nodes.len() as u32;
                         let config = Settings {
-                            me: at as u32,
+                            balancer_index: at as u32,
                             ..Fleet::settings(balancers)
                         };
                         let mut fresh = Node::seeded(config, SERVERS, self.draw.below(1 << 40));
@@ -139,11 +139,11 @@
                         let due = std::mem::take(&mut self.due).into_iter();
                         self.due = due.filter(|Reverse(outcome)| outcome.1 != at).collect();
                     }
-                    let cold = COLD.map(|id| ServerLine {
+                    let cold = COLD.map(|id| Endpoint {
                         started: cold_at,
                         ..server(id)
                     });
-                    let actions = self.nodes[at].list(ListKind::Delta, cold.to_vec());
+                    let actions = self.nodes[at].list(ListUpdate::Delta, cold.to_vec());
                     self.act(at, &mut attempts, &actions);
                 }
                 let behind = now.saturating_sub(self.nodes[at].now);
@@ -158,9 +158,9 @@
                 };
                 let miss = server != ORIGIN && self.draw.below(10) == 0;
                 let status = match (full, miss) {
-                    (true, _) => Status::Full,
-                    (_, true) => Status::Miss,
-                    _ => Status::Served,
+                    (true, _) => AttemptStatus::Rejected,
+                    (_, true) => AttemptStatus::Miss,
+                    _ => AttemptStatus::Served,
                 };
                 let actions = self.nodes[at].outcome(request, attempt, server, status);
                 self.act(at, &mut attempts, &actions);
@@ -185,16 +185,19 @@
         let settings = Fleet::settings(self.nodes.len() as u32);
         let warm = RATE as f64 / f64::from(SERVERS + 1);
         let windows = self.sent.iter().map(|(from, server)| {
-            let until = from + settings.fall_after;
+            let until = from + settings.overload_window;
             let count = self
                 .sent
                 .iter()
                 .filter(|(at, s)| s == server && at >= from && *at < until)
                 .count();
-            let age =
-                (until - settings.fall_after / 2 - self.begun) as f64 / settings.warm_up as f64;
-            let warmth = (settings.cold_share + (1.0 - settings.cold_share) * age).min(1.0);
-            let n = settings.fall_multiple * warmth * warm * settings.fall_after as f64 / 1e6;
+            let age = (until - settings.overload_window / 2 - self.begun) as f64
+                / settings.warm_up_period as f64;
+            let warmth = (settings.cold_capacity_share
+                + (1.0 - settings.cold_capacity_share) * age)
+                .min(1.0);
+            let n =
+                settings.overload_multiple * warmth * warm * settings.overload_window as f64 / 1e6;
             (count, n + 2.0 * n.sqrt() + 2.0)
         });
         windows
--- a/crates/routing-policy/tests/policy.rs
+++ b/crates/routing-policy/tests/policy.rs
@@ -10,7 +10,7 @@
 fn place(node: &mut Node, key: Key) -> ServerId {
     let id = 1_000_000 + node.actions.len() as RequestId;
     let server = sent_to(&node.request(read(id, key))).unwrap();
-    node.outcome(id, 0, server, Status::Served);
+    node.outcome(id, 0, server, AttemptStatus::Served);
     server
 }
 
@@ -22,9 +22,9 @@
         let mut out = Vec::new();
         policy.handle(
             SECOND,
-            Event::ServerList {
-                kind: ListKind::Cached,
-                servers: lines,
+            Event::EndpointList {
+                update: ListUpdate::Cached,
+                endpoints: lines,
             },
             &mut out,
         );
@@ -70,7 +70,7 @@
     let taken = |pressed: bool| {
         let mut node = Node::new(
             Settings {
-                balancers: 8,
+                balancer_count: 8,
                 ..settings()
             },
             4,
@@ -98,7 +98,7 @@
     let first = sent_to(&node.request(read(1, 9))).unwrap();
     assert_ne!(first, ORIGIN);
     assert_eq!(
-        sent_to(&node.outcome(1, 0, first, Status::Miss)),
+        sent_to(&node.outcome(1, 0, first, AttemptStatus::Miss)),
         Some(ORIGIN)
     );
     assert_eq!(sent_to(&node.request(write(2, 1))), Some(ORIGIN));
@@ -121,7 +121,7 @@
         through, 10,
         "a balancer just started lets half of its twenty calls out"
     );
-    let answers = node.outcome(1, 0, ORIGIN, Status::Served);
+    let answers = node.outcome(1, 0, ORIGIN, AttemptStatus::Served);
     assert_eq!(sends(&answers), 0, "a postponed call waits for its delay");
     assert_eq!(
         sends(&node.pass(8 * MS)),
@@ -137,12 +137,12 @@
 fn the_windowed_tally_holds_calls_that_the_outstanding_cap_would_let_through() {
     let mut config = settings();
     config.tenants = vec![Tenant { quota_per_s: 40.0 }];
-    config.balancers = 1;
+    config.balancer_count = 1;
     let mut node = Node::new(config, 3);
     let mut through = 0;
     for id in 1..=12 {
         through += sends(&node.request(write(id, 2)));
-        node.outcome(id, 0, ORIGIN, Status::Served);
+        node.outcome(id, 0, ORIGIN, AttemptStatus::Served);
     }
     assert_eq!(
         through, 7,
@@ -158,9 +158,9 @@
     let mut fetched = 0;
     for id in 1..=100 {
         let first = sent_to(&node.request(read(id, 100 + id))).unwrap();
-        let fetch = node.outcome(id, 0, first, Status::Miss);
+        let fetch = node.outcome(id, 0, first, AttemptStatus::Miss);
         fetched += sends(&fetch);
-        node.outcome(id, 1, ORIGIN, Status::Served);
+        node.outcome(id, 1, ORIGIN, AttemptStatus::Served);
         fetched += sends(&node.pass(SECOND / 60));
     }
     assert!(
@@ -174,7 +174,7 @@
     let mut node = Node::new(settings(), 3);
     for id in 1..=12 {
         let first = sent_to(&node.request(read(id, 100 + id))).unwrap();
-        node.outcome(id, 0, first, Status::Miss);
+        node.outcome(id, 0, first, AttemptStatus::Miss);
     }
     assert_eq!(sent_to(&node.request(write(50, 1))), Some(ORIGIN));
 }
@@ -193,7 +193,7 @@
         );
         for id in 1..=12 {
             node.request(write(id, 1));
-            node.outcome(id, 0, ORIGIN, Status::Full);
+            node.outcome(id, 0, ORIGIN, AttemptStatus::Rejected);
             node.pass(MS);
         }
         node.pass(SECOND);
@@ -213,7 +213,7 @@
     for id in 100..190 {
         node.pass(50 * MS);
         node.request(write(id, 1));
-        node.outcome(id, 0, ORIGIN, Status::Served);
+        node.outcome(id, 0, ORIGIN, AttemptStatus::Served);
     }
     assert!(
         node.actions
@@ -244,7 +244,7 @@
 fn fetched(balancers: u32, reads: u64, every: Micros, takes: Micros) -> (usize, usize) {
     let mut node = Node::new(
         Settings {
-            balancers,
+            balancer_count: balancers,
             ..settings()
         },
         3,
@@ -252,7 +252,7 @@
     let (mut out, mut most, mut sent) = (Vec::new(), 0, 0);
     for id in 1..=reads {
         let first = sent_to(&node.request(read(id, id))).unwrap();
-        let mut actions = node.outcome(id, 0, first, Status::Miss);
+        let mut actions = node.outcome(id, 0, first, AttemptStatus::Miss);
         for _ in 0..every / (10 * MS) {
             actions.extend(node.pass(10 * MS));
             for action in actions.drain(..) {
@@ -268,7 +268,7 @@
             }
             most = most.max(out.len());
             while let Some(at) = out.iter().position(|(_, at)| *at <= node.now) {
-                actions.extend(node.outcome(out.remove(at).0, 1, ORIGIN, Status::Served));
+                actions.extend(node.outcome(out.remove(at).0, 1, ORIGIN, AttemptStatus::Served));
             }
         }
     }
@@ -302,13 +302,13 @@
     // Found on calm+mass: a fifth of what the servers were sent was for tries whose answer earned nothing, as the
     // aim counts from the first one. Deadline 1.5 s, aim 0.75 s; most tries are waited for for 1.2 s.
     let try_for = |id, left: u64| Request {
-        time_left: left * MS,
+        remaining_deadline: left * MS,
         ..read(id, id)
     };
     let usual = |node: &mut Node, ids: std::ops::RangeInclusive<u64>, left| {
         for id in ids {
             let server = sent_to(&node.request(try_for(id, left))).expect("sent");
-            node.outcome(id, 0, server, Status::Served);
+            node.outcome(id, 0, server, AttemptStatus::Served);
         }
     };
     let mut quiet = Node::new(settings(), 4);
@@ -341,7 +341,7 @@
     assert!(!refused(&node.pass(485 * MS), 25));
     assert!(refused(&node.pass(15 * MS), 25));
     let late = Request {
-        time_left: 100 * MS,
+        remaining_deadline: 100 * MS,
         ..write(26, 1)
     };
     assert_eq!(
@@ -353,7 +353,7 @@
     for id in 31..=60 {
         let answer = node.request(try_for(id, 600));
         refusals += usize::from(refused(&answer, id));
-        sent_to(&answer).map(|server| node.outcome(id, 0, server, Status::Served));
+        sent_to(&answer).map(|server| node.outcome(id, 0, server, AttemptStatus::Served));
     }
     assert!(
         refusals < 20,
@@ -366,8 +366,8 @@
     // Found on join+mass: of 46 attempts in 2 s at a cold server that fell over 25 had been turned away elsewhere.
     let mut node = Node::new(settings(), 3);
     node.list(
-        ListKind::Delta,
-        vec![ServerLine {
+        ListUpdate::Delta,
+        vec![Endpoint {
             started: node.now,
             ..server(4)
         }],
@@ -379,9 +379,9 @@
             let count = if attempt == 0 { &mut first } else { &mut later };
             *count += usize::from(server == 4);
             let status = if server == 4 {
-                Status::Served
+                AttemptStatus::Served
             } else {
-                Status::Full
+                AttemptStatus::Rejected
             };
             answer = node.outcome(id, attempt, server, status);
             attempt += 1;
@@ -407,7 +407,7 @@
                 // The warm ones are full and left few of their keys: these come to the cold one.
                 let (mut answer, mut attempt) = (
                     node.request(Request {
-                        time_left,
+                        remaining_deadline: time_left,
                         ..read(id, id)
                     }),
                     0,
@@ -415,9 +415,9 @@
                 while let Some(server) = sent_to(&answer) {
                     cold += usize::from(server == 4);
                     let status = if server == 4 {
-                        Status::Served
+                        AttemptStatus::Served
                     } else {
-                        Status::Full
+                        AttemptStatus::Rejected
                     };
                     answer = node.outcome(id, attempt, server, status);
                     attempt += 1;
@@ -426,8 +426,8 @@
             node.pass(10 * MS);
             if step == 150 {
                 node.list(
-                    ListKind::Delta,
-                    vec![ServerLine {
+                    ListUpdate::Delta,
+                    vec![Endpoint {
                         kind: 2,
                         started: node.now,
                         ..server(4)
@@ -448,11 +448,11 @@
 fn full_and_failed_connects_go_on_along_the_order_at_once() {
     let mut node = Node::new(settings(), 4);
     let first = sent_to(&node.request(read(1, 9))).unwrap();
-    let second = sent_to(&node.outcome(1, 0, first, Status::Full)).unwrap();
-    let third = sent_to(&node.outcome(1, 1, second, Status::ConnectFailed)).unwrap();
+    let second = sent_to(&node.outcome(1, 0, first, AttemptStatus::Rejected)).unwrap();
+    let third = sent_to(&node.outcome(1, 1, second, AttemptStatus::ConnectFailed)).unwrap();
     assert!(first != second && second != third && first != third);
-    let fourth = sent_to(&node.outcome(1, 2, third, Status::Full)).unwrap();
-    let last = node.outcome(1, 3, fourth, Status::Full);
+    let fourth = sent_to(&node.outcome(1, 2, third, AttemptStatus::Rejected)).unwrap();
+    let last = node.outcome(1, 3, fourth, AttemptStatus::Rejected);
     assert!(refused(&last, 1), "no attempts are left");
 }
 
@@ -461,7 +461,7 @@
     let mut node = Node::new(settings(), 3);
     node.request(read(1, 9));
     node.request(Request {
-        time_left: SECOND,
+        remaining_deadline: SECOND,
         ..write(2, 2)
     });
     let after = node.pass(1500 * MS);
@@ -473,18 +473,21 @@
 fn a_time_out_at_the_deadline_is_answered_in_the_same_reply() {
     let mut node = Node::new(settings(), 3);
     node.request(Request {
-        time_left: 300 * MS,
+        remaining_deadline: 300 * MS,
         ..write(1, 2)
     });
     node.now += 300 * MS;
-    assert!(failed(&node.outcome(1, 0, ORIGIN, Status::TimedOut), 1));
+    assert!(failed(
+        &node.outcome(1, 0, ORIGIN, AttemptStatus::TimedOut),
+        1
+    ));
 }
 
 #[test]
 fn a_budget_shorter_than_a_tick_is_refused_at_once() {
     let mut node = Node::new(settings(), 3);
     let answer = node.request(Request {
-        time_left: MS,
+        remaining_deadline: MS,
         ..read(1, 9)
     });
     assert!(refused(&answer, 1) && sends(&answer) == 0);
@@ -494,16 +497,16 @@
 fn an_unsafe_request_is_sent_again_only_when_it_is_known_not_to_have_run() {
     let mut node = Node::new(settings(), 3);
     node.request(Request {
-        time_left: SECOND,
+        remaining_deadline: SECOND,
         ..write(1, 2)
     });
-    node.outcome(1, 0, ORIGIN, Status::Full);
+    node.outcome(1, 0, ORIGIN, AttemptStatus::Rejected);
     assert_eq!(
         sends(&node.pass(100 * MS)),
         1,
         "turned away unseen: may go again"
     );
-    let answer = node.outcome(1, 1, ORIGIN, Status::Reset);
+    let answer = node.outcome(1, 1, ORIGIN, AttemptStatus::Reset);
     assert!(
         failed(&answer, 1) && sends(&answer) == 0,
         "may have run: failed, nothing sent"
@@ -513,20 +516,20 @@
 #[test]
 fn nothing_new_goes_to_a_server_that_drains_is_gone_or_left_the_list() {
     for (kind, condition) in [
-        (ListKind::Delta, Condition::Draining),
-        (ListKind::Delta, Condition::Gone),
-        (ListKind::Full, Condition::Gone),
+        (ListUpdate::Delta, EndpointState::Draining),
+        (ListUpdate::Delta, EndpointState::Removed),
+        (ListUpdate::Full, EndpointState::Removed),
     ] {
         let mut node = Node::new(settings(), 3);
         let first = sent_to(&node.request(read(1, 9))).unwrap();
         let lines = match kind {
-            ListKind::Full => (1..=3)
+            ListUpdate::Full => (1..=3)
                 .filter(|id| *id != first)
                 .map(server)
                 .chain([origin()])
                 .collect(),
-            _ => vec![ServerLine {
-                condition,
+            _ => vec![Endpoint {
+                state: condition,
                 ..server(first)
             }],
         };
@@ -544,13 +547,13 @@
         node.request(write(id, 1));
     }
     node.list(
-        ListKind::Delta,
-        vec![ServerLine {
-            condition: Condition::Draining,
+        ListUpdate::Delta,
+        vec![Endpoint {
+            state: EndpointState::Draining,
             ..origin()
         }],
     );
-    node.outcome(1, 0, ORIGIN, Status::Served);
+    node.outcome(1, 0, ORIGIN, AttemptStatus::Served);
     let after = node.pass(SECOND);
     assert_eq!(sends(&after), 0);
     assert!(refused(&after, 6));
@@ -562,8 +565,8 @@
         let mut node = Node::new(settings(), 4);
         let started = node.now;
         node.list(
-            ListKind::Delta,
-            vec![ServerLine {
+            ListUpdate::Delta,
+            vec![Endpoint {
                 started,
                 ..server(2)
             }],
@@ -574,7 +577,7 @@
             node.now += 20 * MS / 100;
             let to = sent_to(&node.request(read(id, id))).unwrap();
             at_cold += usize::from(to == 2);
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
         }
         at_cold as f64 / 500.0
     };
@@ -590,7 +593,7 @@
 fn a_silent_server_is_set_aside_and_let_back_when_it_answers_a_trial() {
     let mut node = Node::new(
         Settings {
-            may_duplicate: false,
+            may_hedge: false,
             ..settings()
         },
         4,
@@ -601,7 +604,7 @@
     }
     node.pass(1600 * MS);
     for id in 1..=3 {
-        node.outcome(id, 0, victim, Status::TimedOut);
+        node.outcome(id, 0, victim, AttemptStatus::TimedOut);
     }
     assert_ne!(
         sent_to(&node.request(read(10, 9))),
@@ -619,7 +622,7 @@
         Some(victim),
         "no more while it is out"
     );
-    node.outcome(11, 0, victim, Status::Served);
+    node.outcome(11, 0, victim, AttemptStatus::Served);
     assert_eq!(
         sent_to(&node.request(read(13, 9))),
         Some(victim),
@@ -632,7 +635,7 @@
     let mut node = Node::new(settings(), 4);
     let first = sent_to(&node.request(read(1, 10))).unwrap();
     node.pass(1600 * MS);
-    node.outcome(1, 0, first, Status::TimedOut);
+    node.outcome(1, 0, first, AttemptStatus::TimedOut);
     assert_eq!(sent_to(&node.request(read(2, 10))), Some(first));
 }
 
@@ -643,7 +646,7 @@
         let mut to = sent_to(&node.request(read(id, id)));
         let mut attempt = 0;
         while let Some(server) = to {
-            to = sent_to(&node.outcome(id, attempt, server, Status::ConnectFailed));
+            to = sent_to(&node.outcome(id, attempt, server, AttemptStatus::ConnectFailed));
             attempt += 1;
         }
     }
@@ -659,8 +662,8 @@
     let mut node = Node::new(settings(), 4);
     let victim = sent_to(&node.request(read(1, 9))).unwrap();
     for id in 1..=3 {
-        let next = sent_to(&node.outcome(id, 0, victim, Status::ConnectFailed)).unwrap();
-        node.outcome(id, 1, next, Status::Served);
+        let next = sent_to(&node.outcome(id, 0, victim, AttemptStatus::ConnectFailed)).unwrap();
+        node.outcome(id, 1, next, AttemptStatus::Served);
         node.pass(10 * SECOND);
         assert_eq!(
             sent_to(&node.request(read(id + 1, 9))),
@@ -668,13 +671,13 @@
             "on trial"
         );
     }
-    node.outcome(4, 0, victim, Status::Served);
+    node.outcome(4, 0, victim, AttemptStatus::Served);
     let mut on_trial = 0;
     for id in 10..200 {
         node.pass(20 * MS);
         let to = sent_to(&node.request(read(id, id))).unwrap();
         on_trial += usize::from(to == victim);
-        node.outcome(id, 0, to, Status::Served);
+        node.outcome(id, 0, to, AttemptStatus::Served);
     }
     assert!(
         (1..30).contains(&on_trial),
@@ -709,7 +712,7 @@
     for id in 1..=4 {
         let to = sent_to(&node.request(read(id, id))).unwrap();
         node.pass(60 * MS);
-        node.outcome(id, 0, to, Status::Served);
+        node.outcome(id, 0, to, AttemptStatus::Served);
     }
     let sent = (11..=20)
         .map(|id| sends(&node.request(read(id, id))))
@@ -746,7 +749,7 @@
     let repeated = |after: Micros| {
         let mut node = Node::new(
             Settings {
-                may_duplicate: false,
+                may_hedge: false,
                 ..settings()
             },
             12,
@@ -754,8 +757,8 @@
         let again = |id| {
             let to = sent_to(&node.request(read(id, id))).unwrap();
             node.pass(after);
-            let next = sent_to(&node.outcome(id, 0, to, Status::Reset));
-            next.inspect(|next| drop(node.outcome(id, 1, *next, Status::Served)))
+            let next = sent_to(&node.outcome(id, 0, to, AttemptStatus::Reset));
+            next.inspect(|next| drop(node.outcome(id, 1, *next, AttemptStatus::Served)))
         };
         (1..=60).filter_map(again).count()
     };
@@ -773,7 +776,7 @@
     // repeats of what may still run, and nineteen in twenty of those were refused.
     let mut node = Node::new(
         Settings {
-            may_duplicate: false,
+            may_hedge: false,
             ..settings()
         },
         4,
@@ -781,9 +784,9 @@
     let ask = |node: &mut Node, id: u64, after: Micros| {
         let first = sent_to(&node.request(read(id, id))).unwrap();
         node.pass(after);
-        let next = sent_to(&node.outcome(id, 0, first, Status::Error));
+        let next = sent_to(&node.outcome(id, 0, first, AttemptStatus::Error));
         next.into_iter()
-            .for_each(|next| drop(node.outcome(id, 1, next, Status::Served)));
+            .for_each(|next| drop(node.outcome(id, 1, next, AttemptStatus::Served)));
         next.is_some()
     };
     assert!((1..=40).all(|id| ask(&mut node, id, MS)), "each goes on");
@@ -797,27 +800,27 @@
     let mut node = Node::new(settings(), 4);
     let mut victim = 0;
     let fates = [
-        Status::ConnectFailed,
-        Status::Served,
-        Status::Reset,
-        Status::Reset,
-        Status::Reset,
+        AttemptStatus::ConnectFailed,
+        AttemptStatus::Served,
+        AttemptStatus::Reset,
+        AttemptStatus::Reset,
+        AttemptStatus::Reset,
     ];
     for (id, status) in (1..).zip(fates) {
         victim = sent_to(&node.request(read(id, 9))).unwrap();
         if let Some(next) = sent_to(&node.outcome(id, 0, victim, status)) {
-            node.outcome(id, 1, next, Status::Served);
+            node.outcome(id, 1, next, AttemptStatus::Served);
         }
     }
     let other = sent_to(&node.request(read(20, 9))).unwrap();
     assert_ne!(other, victim, "set aside");
-    node.outcome(20, 0, other, Status::Served);
+    node.outcome(20, 0, other, AttemptStatus::Served);
     node.pass(10 * SECOND);
     let mut at_victim = 0;
     for id in 100..300 {
         let to = sent_to(&node.request(read(id, id))).unwrap();
         at_victim += usize::from(to == victim);
-        node.outcome(id, 0, to, Status::Served);
+        node.outcome(id, 0, to, AttemptStatus::Served);
     }
     assert!(
         at_victim >= 30,
@@ -832,7 +835,7 @@
         let id = first_id + key;
         let to = sent_to(&node.request(read(id, key))).unwrap();
         node.pass(if to == victim { takes } else { MS });
-        node.outcome(id, 0, to, Status::Served);
+        node.outcome(id, 0, to, AttemptStatus::Served);
         (to == victim).then_some(key)
     };
     (1..=200).filter_map(ask).collect()
@@ -843,7 +846,7 @@
     // Found on r8880: boxes of a third of the others' speed had as many keys, and jammed beside idle ones.
     let mut node = Node::new(
         Settings {
-            may_duplicate: false,
+            may_hedge: false,
             ..settings()
         },
         4,
@@ -875,7 +878,7 @@
     let kept = |every: usize| {
         let mut node = Node::new(
             Settings {
-                may_duplicate: false,
+                may_hedge: false,
                 ..settings()
             },
             4,
@@ -886,7 +889,7 @@
             at_victim += usize::from(to == 1);
             let late = to == 1 && at_victim % every == 0;
             node.pass(if late { 700 * MS } else { MS });
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
             there += usize::from(to == 1 && id > 4000);
         }
         there
@@ -908,7 +911,7 @@
 fn a_server_that_was_late_once_has_all_its_keys_again_after_some_time_without_any() {
     let mut node = Node::new(
         Settings {
-            may_duplicate: false,
+            may_hedge: false,
             ..settings()
         },
         4,
@@ -925,22 +928,22 @@
     // small boxes were sent three times what they could do all day long.
     let mut node = Node::new(
         Settings {
-            may_duplicate: false,
-            balancers: 100,
+            may_hedge: false,
+            balancer_count: 100,
             ..settings()
         },
         0,
     );
-    let fleet = (1..=60).map(|id| ServerLine {
+    let fleet = (1..=60).map(|id| Endpoint {
         kind: 2 + (id % 2) as u16,
         ..server(id)
     });
-    node.list(ListKind::Full, fleet.chain([origin()]).collect());
+    node.list(ListUpdate::Full, fleet.chain([origin()]).collect());
     let mut weak = |ids: std::ops::RangeInclusive<u64>| {
         let ask = |id: &u64| {
             let to = sent_to(&node.request(read(*id, *id))).unwrap();
             node.pass(if to % 2 == 1 { 700 * MS } else { MS });
-            node.outcome(*id, 0, to, Status::Served);
+            node.outcome(*id, 0, to, AttemptStatus::Served);
             to % 2 == 1
         };
         ids.filter(ask).count()
@@ -967,8 +970,8 @@
     let there = |balancers: u32| {
         let mut node = Node::new(
             Settings {
-                may_duplicate: false,
-                balancers,
+                may_hedge: false,
+                balancer_count: balancers,
                 ..settings()
             },
             4,
@@ -976,7 +979,7 @@
         let mut ask = |id: u64, victim_takes: Micros| {
             let to = sent_to(&node.request(read(id, id))).unwrap();
             node.pass(if to == 1 { victim_takes } else { MS });
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
             to == 1
         };
         (1..).filter(|id| ask(*id, 700 * MS)).take(3).for_each(drop);
@@ -1004,10 +1007,10 @@
     for id in 1..=200 {
         node.request(read(id, far));
         node.pass(60 * MS);
-        node.outcome(id, 0, 2, Status::Served);
+        node.outcome(id, 0, 2, AttemptStatus::Served);
     }
     let within = |id, time| Request {
-        time_left: time,
+        remaining_deadline: time,
         ..read(id, far)
     };
     assert_eq!(
@@ -1032,11 +1035,16 @@
             // A key of its own each: what is passed by already goes elsewhere.
             let to = sent_to(&node.request(read(id, id))).unwrap();
             let next = if to == 1 {
-                sent_to(&node.outcome(id, 0, 1, Status::Full))
+                sent_to(&node.outcome(id, 0, 1, AttemptStatus::Rejected))
             } else {
                 None
             };
-            node.outcome(id, u16::from(to == 1), next.unwrap_or(to), Status::Served);
+            node.outcome(
+                id,
+                u16::from(to == 1),
+                next.unwrap_or(to),
+                AttemptStatus::Served,
+            );
         }
         keys_at(&mut node, 1000, 1, MS)
     };
@@ -1058,9 +1066,9 @@
     let victim = sent_to(&node.request(read(1, 9))).unwrap();
     for id in 1..=8 {
         let status = if id % 4 == 0 {
-            Status::Served
+            AttemptStatus::Served
         } else {
-            Status::Error
+            AttemptStatus::Error
         };
         node.outcome(id, 0, victim, status);
         node.request(read(id + 1, 9));
@@ -1091,9 +1099,9 @@
         }
         let (status, to) = (
             if id % 16 == 0 {
-                Status::Full
+                AttemptStatus::Rejected
             } else {
-                Status::Served
+                AttemptStatus::Served
             },
             sent_to(&answer),
         );
@@ -1136,7 +1144,7 @@
             .is_some_and(|(_, _, sent)| node.now - sent > 900 * MS)
         {
             let (id, to, _) = out.pop_front().unwrap();
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
         }
     }
     // It also failed while one attempt was counted twice, at both of its marks.
@@ -1147,7 +1155,7 @@
 fn slow_answers_within_the_aim_do_not_turn_away_tenants_within_their_quotas() {
     // Found on hunted day h292ed5: answers at half of the aim counted as overload, and the level fell below 1.
     let mut config = Settings {
-        may_duplicate: false,
+        may_hedge: false,
         ..settings()
     };
     config.tenants = vec![Tenant { quota_per_s: 100.0 }];
@@ -1160,13 +1168,13 @@
         }
         if out.len() > 22 {
             let (id, to) = out.pop_front().unwrap();
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
         }
     }
     let refusals = node
         .actions
         .iter()
-        .filter(|a| matches!(a, Action::Refuse { .. }))
+        .filter(|a| matches!(a, Action::Reject { .. }))
         .count();
     assert!(
         refusals < 8,
@@ -1178,8 +1186,8 @@
 fn balancers_send_each_other_nothing_and_bear_whatever_a_peer_says() {
     // Found at full size: what each of 515 told all others was 12,360 broadcasts in 18 s, and the day was lost.
     let mut config = settings();
-    (config.tenants, config.balancers) = (vec![Tenant { quota_per_s: 100.0 }], 4);
-    config.may_tell_peers = true;
+    (config.tenants, config.balancer_count) = (vec![Tenant { quota_per_s: 100.0 }], 4);
+    config.may_message_peers = true;
     let mut node = Node::new(config, 20);
     node.event(Event::PeerMessage {
         from: 1,
@@ -1191,7 +1199,7 @@
         !node
             .actions
             .iter()
-            .any(|a| matches!(a, Action::Tell { .. }))
+            .any(|a| matches!(a, Action::SendToPeer { .. }))
     );
 }
 
@@ -1202,7 +1210,7 @@
     let hints = |max_retry_after: Micros| {
         let mut config = Settings {
             max_retry_after,
-            balancers: 400,
+            balancer_count: 400,
             ..settings()
         };
         config.tenants = vec![Tenant { quota_per_s: 1.0 }];
@@ -1211,7 +1219,7 @@
             node.request(read(id, id));
         });
         let hint = |a: &Action| match a {
-            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            Action::Reject { retry_after, .. } => Some(*retry_after),
             _ => None,
         };
         node.actions.iter().filter_map(hint).collect::<Vec<_>>()
@@ -1231,9 +1239,9 @@
 fn one_of_many_balancers_lets_a_tenant_within_its_quota_through_and_holds_one_three_times_over() {
     // Found at 515 balancers: a rate scaled up from one request a second turned away tenants within quotas.
     let config = Settings {
-        balancers: 500,
+        balancer_count: 500,
         tenants: vec![Tenant { quota_per_s: 500.0 }, Tenant { quota_per_s: 500.0 }],
-        may_duplicate: false,
+        may_hedge: false,
         ..settings()
     };
     let mut node = Node::just_started(config, 70);
@@ -1248,7 +1256,7 @@
         (asked[tenant], sent[tenant]) = (asked[tenant] + 1, sent[tenant] + sends(&answer));
         if let Some(to) = sent_to(&answer) {
             node.pass(650 * MS * u64::from(id % 5 == 0)); // One in five nearly late: some strain.
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
         }
     }
     assert!(
@@ -1267,7 +1275,7 @@
     let mut node = Node::new(
         Settings {
             may_cancel: true,
-            may_duplicate: false,
+            may_hedge: false,
             ..settings()
         },
         3,
@@ -1285,14 +1293,14 @@
     let mut node = Node::new(
         Settings {
             may_cancel: true,
-            may_duplicate: false,
+            may_hedge: false,
             ..settings()
         },
         3,
     );
     let first = sent_to(&node.request(read(2, 9))).unwrap();
     assert_eq!(
-        sent_to(&node.outcome(2, 0, first, Status::Miss)),
+        sent_to(&node.outcome(2, 0, first, AttemptStatus::Miss)),
         Some(ORIGIN)
     );
     let at_aim = node.pass(760 * MS);
@@ -1316,14 +1324,14 @@
     let first = sent_to(&node.request(read(1, 9))).unwrap();
     let second = sent_to(&node.pass(310 * MS)).expect("a second copy");
     assert_ne!(second, first);
-    let after = node.outcome(1, 1, second, Status::Served);
+    let after = node.outcome(1, 1, second, AttemptStatus::Served);
     assert!(after.contains(&Action::Cancel {
         request: 1,
         attempt: 0
     }));
     let mut node = Node::new(
         Settings {
-            may_duplicate: false,
+            may_hedge: false,
             may_cancel: true,
             ..settings()
         },
@@ -1342,19 +1350,19 @@
     // Found at 413 balancers before tables of 75: four in five attempts got no connection.
     let closes = |balancers| {
         let prices = Settings {
-            connection_price: 0.03,
-            handshake_price: 0.03,
+            connection_cost: 0.03,
+            handshake_cost: 0.03,
             ..settings()
         };
         let mut node = Node::new(
             Settings {
-                balancers,
+                balancer_count: balancers,
                 ..prices
             },
             3,
         );
         let to = sent_to(&node.request(read(1, 9))).unwrap();
-        node.outcome(1, 0, to, Status::Served)
+        node.outcome(1, 0, to, AttemptStatus::Served)
             .contains(&Action::CloseIdle(to))
     };
     assert!(!closes(50) && closes(400));
@@ -1368,8 +1376,8 @@
             quota_per_s: 100_000.0,
         }];
         let config = Settings {
-            balancers: 1000,
-            cold_share: 0.9,
+            balancer_count: 1000,
+            cold_capacity_share: 0.9,
             tenants,
             ..settings()
         };
@@ -1377,7 +1385,7 @@
         let ask = |node: &mut Node, id, key| {
             node.pass(20 * MS);
             let to = sent_to(&node.request(read(id, key)));
-            node.outcome(id, 0, to.unwrap(), Status::Served);
+            node.outcome(id, 0, to.unwrap(), AttemptStatus::Served);
             to
         };
         let key = (1..)
@@ -1387,8 +1395,8 @@
             ask(&mut node, id, if again { key } else { id });
         }
         node.list(
-            ListKind::Delta,
-            vec![ServerLine {
+            ListUpdate::Delta,
+            vec![Endpoint {
                 started: node.now,
                 ..server(2)
             }],
@@ -1407,8 +1415,8 @@
         quota_per_s: 2_000.0,
     }];
     let config = Settings {
-        balancers: 100,
-        cold_share: 0.12,
+        balancer_count: 100,
+        cold_capacity_share: 0.12,
         tenants,
         ..settings()
     };
@@ -1417,8 +1425,8 @@
             let mut node = Node::seeded(config.clone(), 20, seed);
             node.pass(10 * SECOND);
             node.list(
-                ListKind::Delta,
-                vec![ServerLine {
+                ListUpdate::Delta,
+                vec![Endpoint {
                     started: node.now,
                     ..server(2)
                 }],
@@ -1438,30 +1446,35 @@
     // Found on the fleet days: a small box that had just started was allowed as much as one of three times its
     // capacity, and more as clients repeated what was refused: it fell over 9 s after its start.
     let config = Settings {
-        balancers: 100,
-        cold_share: 0.2,
-        may_duplicate: false,
+        balancer_count: 100,
+        cold_capacity_share: 0.2,
+        may_hedge: false,
         ..settings()
     };
     let (mut strong, mut weak) = (0, 0);
     for seed in 1..=30u64 {
         let mut node = Node::seeded(config.clone(), 0, seed);
-        let line = |id| ServerLine {
+        let line = |id| Endpoint {
             kind: 2 + (id % 2) as u16,
             ..server(id)
         };
         node.list(
-            ListKind::Full,
+            ListUpdate::Full,
             (1..=20).map(line).chain([origin()]).collect(),
         );
         let ask = |node: &mut Node, id: u64| {
             let to = sent_to(&node.request(read(id, seed * 10_000 + id)));
             // One in four of the weak ones' attempts is turned away, and the next server answers.
             let full = to.is_some_and(|to| to % 2 == 1) && id.is_multiple_of(4);
-            let mut next = to.zip(Some(if full { Status::Full } else { Status::Served }));
+            let mut next = to.zip(Some(if full {
+                AttemptStatus::Rejected
+            } else {
+                AttemptStatus::Served
+            }));
             for attempt in 0.. {
                 let Some((to, status)) = next else { break };
-                next = sent_to(&node.outcome(id, attempt, to, status)).zip(Some(Status::Served));
+                next = sent_to(&node.outcome(id, attempt, to, status))
+                    .zip(Some(AttemptStatus::Served));
             }
             to
         };
@@ -1469,11 +1482,11 @@
             node.pass(50 * MS);
             ask(&mut node, id);
         }
-        let cold = |id| ServerLine {
+        let cold = |id| Endpoint {
             started: node.now,
             ..line(id)
         };
-        node.list(ListKind::Delta, vec![cold(1), cold(2)]);
+        node.list(ListUpdate::Delta, vec![cold(1), cold(2)]);
         for id in 1001..=1500 {
             node.pass(2 * MS); // Twenty-five times as many as usual.
             let to = ask(&mut node, id);
@@ -1500,18 +1513,18 @@
     let (mut strong, mut weak) = (0, 0);
     for seed in 1..=30u64 {
         let config = Settings {
-            balancers: 100,
-            cold_share: 0.2,
-            may_duplicate: false,
+            balancer_count: 100,
+            cold_capacity_share: 0.2,
+            may_hedge: false,
             ..settings()
         };
         let mut node = Node::seeded(config, 0, seed);
-        let line = |id| ServerLine {
+        let line = |id| Endpoint {
             kind: 2 + (id % 2) as u16,
             ..server(id)
         };
         node.list(
-            ListKind::Full,
+            ListUpdate::Full,
             (1..=20).map(line).chain([origin()]).collect(),
         );
         let ask = |node: &mut Node, id: u64| {
@@ -1519,9 +1532,9 @@
             // Three of four clients of the weak ones go before the answer: that spares no kind.
             if to.is_some_and(|to| to % 2 == 1) && !id.is_multiple_of(4) {
                 node.event(Event::ClientGone(id));
-                node.outcome(id, 0, to.unwrap(), Status::Cancelled);
+                node.outcome(id, 0, to.unwrap(), AttemptStatus::Cancelled);
             } else if let Some(to) = to {
-                node.outcome(id, 0, to, Status::Served);
+                node.outcome(id, 0, to, AttemptStatus::Served);
             }
             to
         };
@@ -1529,11 +1542,11 @@
             node.pass(50 * MS);
             ask(&mut node, id);
         }
-        let cold = |id| ServerLine {
+        let cold = |id| Endpoint {
             started: node.now,
             ..line(id)
         };
-        node.list(ListKind::Delta, vec![cold(1), cold(2)]);
+        node.list(ListUpdate::Delta, vec![cold(1), cold(2)]);
         for id in 1001..=1200 {
             node.pass(50 * MS);
             let to = ask(&mut node, id);
@@ -1557,16 +1570,16 @@
         let tenants = vec![Tenant { quota_per_s }];
         let (balancers, warm_up) = (100, 1_000_000 * SECOND);
         let config = Settings {
-            balancers,
-            warm_up,
-            cold_share: 0.2,
+            balancer_count: balancers,
+            warm_up_period: warm_up,
+            cold_capacity_share: 0.2,
             tenants,
             ..settings()
         };
         let mut node = Node::new(config, 20);
         node.list(
-            ListKind::Delta,
-            vec![ServerLine {
+            ListUpdate::Delta,
+            vec![Endpoint {
                 started: node.now,
                 ..server(2)
             }],
@@ -1577,7 +1590,7 @@
             node.pass(gap);
             let to = sent_to(&node.request(read(*id, *id)));
             to.into_iter()
-                .for_each(|to| drop(node.outcome(*id, 0, to, Status::Served)));
+                .for_each(|to| drop(node.outcome(*id, 0, to, AttemptStatus::Served)));
             to == Some(2)
         };
         (1..=12_000).filter(ask).count()
@@ -1598,16 +1611,16 @@
     let at_cold = |fall_multiple: f64| {
         let tenants = vec![Tenant { quota_per_s: 100.0 }];
         let config = Settings {
-            cold_share: 0.12,
-            warm_up: 24 * SECOND,
-            fall_multiple,
+            cold_capacity_share: 0.12,
+            warm_up_period: 24 * SECOND,
+            overload_multiple: fall_multiple,
             tenants,
             ..settings()
         };
         let mut node = Node::new(config, 10);
         node.list(
-            ListKind::Delta,
-            vec![ServerLine {
+            ListUpdate::Delta,
+            vec![Endpoint {
                 started: node.now,
                 ..server(2)
             }],
@@ -1615,7 +1628,7 @@
         let mut ask = |id: u64| {
             node.pass(10 * MS);
             let to = sent_to(&node.request(read(id, id))).unwrap();
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
             to == 2
         };
         (1..=1000).filter(|id| ask(*id)).count()
@@ -1636,10 +1649,10 @@
 fn an_aim_shorter_than_two_ticks_is_borne() {
     // Found while reading: the wake-up at the aim lay before the present and underflowed.
     let mut config = Settings {
-        balancers: 0,
+        balancer_count: 0,
         ..settings()
     };
-    config.classes[0].aim = 0;
+    config.classes[0].latency_objective = 0;
     let mut node = Node::just_started(config, 2);
     let answer = node.request(read(1, 9));
     assert!(refused(&answer, 1) || sends(&answer) == 1);
@@ -1650,13 +1663,13 @@
 fn events_for_ended_requests_and_repeated_or_unknown_outcomes_call_for_nothing() {
     let mut node = Node::new(settings(), 3);
     let to = sent_to(&node.request(read(1, 9))).unwrap();
-    node.outcome(1, 0, to, Status::Served);
+    node.outcome(1, 0, to, AttemptStatus::Served);
     for status in [
-        Status::Served,
-        Status::Miss,
-        Status::Full,
-        Status::TimedOut,
-        Status::Cancelled,
+        AttemptStatus::Served,
+        AttemptStatus::Miss,
+        AttemptStatus::Rejected,
+        AttemptStatus::TimedOut,
+        AttemptStatus::Cancelled,
     ] {
         let answer = node.outcome(1, 0, to, status);
         assert!(
@@ -1672,7 +1685,7 @@
     assert!(sends(&node.event(Event::ClientGone(1))) == 0);
     node.request(read(2, 9));
     node.event(Event::ClientGone(2));
-    let late = node.outcome(2, 0, to, Status::Miss);
+    let late = node.outcome(2, 0, to, AttemptStatus::Miss);
     assert!(
         sends(&late) == 0 && !refused(&late, 2),
         "its client has left: no fetch, no answer"
@@ -1692,24 +1705,24 @@
             },
         ],
         weights_are_sizes: true,
-        cold_share: f64::NAN,
-        connection_price: f64::NAN,
+        cold_capacity_share: f64::NAN,
+        connection_cost: f64::NAN,
         ..settings()
     };
     let mut node = Node::new(config, 2);
     let weights = [f32::NAN, f32::INFINITY, -1.0];
-    let line = |(id, weight)| ServerLine {
+    let line = |(id, weight)| Endpoint {
         weight,
         started: 60 * SECOND,
         ..server(id)
     };
     let mut lines: Vec<_> = (1..).zip(weights).map(line).collect();
     lines.push(origin());
-    node.list(ListKind::Full, lines);
+    node.list(ListUpdate::Full, lines);
     for id in 1..=30 {
         let answer = node.request(Request {
             tenant: id as usize % 2,
-            size: f32::NAN,
+            value_size: f32::NAN,
             ..read(id, id)
         });
         assert!(
@@ -1729,8 +1742,8 @@
 fn tokens_saved_up_do_not_keep_a_jam_going() {
     // Incident i291613: full buckets at 1,499 balancers were 15 s of traffic with the level at its floor.
     let mut config = Settings {
-        balancers: 1000,
-        may_duplicate: false,
+        balancer_count: 1000,
+        may_hedge: false,
         ..settings()
     };
     config.tenants = vec![Tenant { quota_per_s: 100.0 }; 9];
@@ -1758,16 +1771,16 @@
     // Found under shared slowness: queues of twelve a core, of which each balancer saw one request of its own.
     let config = Settings {
         weights_are_live: true,
-        may_duplicate: false,
+        may_hedge: false,
         ..settings()
     };
     let mut node = Node::new(config, 3);
     let first = sent_to(&node.request(read(1, 9))).unwrap();
     node.pass(200 * MS);
-    node.outcome(1, 0, first, Status::Served); // 0.2 s for one request without a queue
+    node.outcome(1, 0, first, AttemptStatus::Served); // 0.2 s for one request without a queue
     node.list(
-        ListKind::Delta,
-        vec![ServerLine {
+        ListUpdate::Delta,
+        vec![Endpoint {
             weight: 0.1,
             ..server(first)
         }],
@@ -1775,12 +1788,12 @@
     let next = sent_to(&node.request(read(2, 9))).expect("another has room");
     assert_ne!(next, first, "nine requests a core wait there");
     let all = (1..=3)
-        .map(|id| ServerLine {
+        .map(|id| Endpoint {
             weight: 0.1,
             ..server(id)
         })
         .collect();
-    node.list(ListKind::Delta, all);
+    node.list(ListUpdate::Delta, all);
     assert!(refused(&node.request(read(3, 9)), 3), "all are full");
 }
 
@@ -1788,14 +1801,14 @@
 fn a_server_that_is_reached_late_is_not_left_aside() {
     let mut node = Node::new(settings(), 3);
     let first = sent_to(&node.request(read(1, 9))).unwrap();
-    let second = sent_to(&node.outcome(1, 0, first, Status::ConnectFailed)).unwrap();
-    node.outcome(1, 1, second, Status::Served);
+    let second = sent_to(&node.outcome(1, 0, first, AttemptStatus::ConnectFailed)).unwrap();
+    node.outcome(1, 1, second, AttemptStatus::Served);
     assert_ne!(sent_to(&node.request(read(2, 9))), Some(first), "set aside");
-    node.event(Event::Probed {
+    node.event(Event::HealthChecked {
         server: first,
-        ok: true,
-        took: 200 * MS,
-        load: Load::default(),
+        healthy: true,
+        elapsed: 200 * MS,
+        load: LoadReport::default(),
     });
     assert_eq!(
         sent_to(&node.request(read(3, 9))),
@@ -1810,7 +1823,7 @@
     let left_after = |connecting: bool| {
         let mut node = Node::new(
             Settings {
-                may_duplicate: false,
+                may_hedge: false,
                 ..settings()
             },
             3,
@@ -1825,7 +1838,7 @@
                 node.event(Event::Connection {
                     request: id,
                     attempt: 0,
-                    up: false,
+                    established: false,
                 });
             }
             node.pass(700 * MS);
@@ -1833,11 +1846,11 @@
                 node.event(Event::Connection {
                     request: id,
                     attempt: 0,
-                    up: true,
+                    established: true,
                 });
             }
             node.pass(20 * MS);
-            node.outcome(id, 0, to, Status::Served);
+            node.outcome(id, 0, to, AttemptStatus::Served);
         }
         keys.iter()
             .filter(|key| place(&mut node, **key) == 1)
@@ -1853,7 +1866,7 @@
 #[test]
 fn a_failed_call_to_discovery_is_repeated_later_and_not_at_once() {
     let config = Settings {
-        ask_discovery: true,
+        poll_discovery: true,
         ..settings()
     };
     let mut node = Node::new(config, 3);
@@ -1862,7 +1875,7 @@
         "subscribes at the start"
     );
     node.actions.clear();
-    node.list(ListKind::Failed, Vec::new());
+    node.list(ListUpdate::Failed, Vec::new());
     assert!(!node.actions.contains(&Action::Subscribe(true)));
     assert!(node.pass(2 * SECOND).contains(&Action::Subscribe(true)));
     assert!(
@@ -1875,14 +1888,14 @@
 fn a_subscription_that_fell_silent_is_opened_anew_at_once() {
     let mut node = Node::new(
         Settings {
-            ask_discovery: true,
+            poll_discovery: true,
             ..settings()
         },
         3,
     );
     node.actions.clear();
     for _ in 0..2 {
-        node.list(ListKind::Silent, Vec::new());
+        node.list(ListUpdate::WatchSilent, Vec::new());
         assert!(node.actions.contains(&Action::Subscribe(true)));
         node.actions.clear();
     }
@@ -1899,13 +1912,13 @@
 #[test]
 fn however_often_discovery_fails_it_is_asked_again_before_a_change_counts_as_told() {
     let config = Settings {
-        ask_discovery: true,
-        ask_within: 10 * SECOND,
+        poll_discovery: true,
+        notified_within: 10 * SECOND,
         ..settings()
     };
     let mut node = Node::new(config, 3);
     for call in 0..50 {
-        node.list(ListKind::Failed, Vec::new());
+        node.list(ListUpdate::Failed, Vec::new());
         assert!(
             node.pass(4 * SECOND).contains(&Action::Subscribe(true)),
             "after failure {call}"
@@ -1916,14 +1929,14 @@
 #[test]
 fn no_server_no_origin_and_servers_back_again_lose_nothing() {
     let mut node = Node::new(settings(), 2);
-    node.list(ListKind::Full, Vec::new());
+    node.list(ListUpdate::Full, Vec::new());
     assert!(refused(&node.request(read(1, 9)), 1));
     node.request(write(2, 1));
     assert!(
         refused(&node.pass(SECOND), 2),
         "no origin: postponed, then refused"
     );
-    node.list(ListKind::Full, vec![server(1), origin()]);
+    node.list(ListUpdate::Full, vec![server(1), origin()]);
     assert_eq!(sent_to(&node.request(read(3, 9))), Some(1));
 }
 
@@ -1946,7 +1959,7 @@
     // takes to answer; they were called off, and nothing was stored for the next.
     let mut node = Node::new(
         Settings {
-            may_duplicate: false,
+            may_hedge: false,
             ..settings()
         },
         10,
@@ -1954,12 +1967,12 @@
     let miss = |node: &mut Node, id: u64, after: Micros| {
         let first = sent_to(&node.request(read(id, id))).unwrap();
         node.pass(after);
-        node.outcome(id, 0, first, Status::Miss)
+        node.outcome(id, 0, first, AttemptStatus::Miss)
     };
     for id in 1..=5 {
         assert_eq!(sent_to(&miss(&mut node, id, MS)), Some(ORIGIN));
         node.pass(200 * MS);
-        node.outcome(id, 1, ORIGIN, Status::Served);
+        node.outcome(id, 1, ORIGIN, AttemptStatus::Served);
     }
     assert!(
         !refused(&miss(&mut node, 6, 600 * MS), 6),
@@ -1970,12 +1983,12 @@
     (101..=140).for_each(|id| drop(node.request(write(id, 1)))); // They shut the gate.
     node.pass(20 * MS);
     assert!(
-        !refused(&node.outcome(7, 0, seven, Status::Miss), 7),
+        !refused(&node.outcome(7, 0, seven, AttemptStatus::Miss), 7),
         "250 of 750 ms are left for it"
     );
     node.pass(100 * MS);
     assert!(
-        refused(&node.outcome(8, 0, eight, Status::Miss), 8),
+        refused(&node.outcome(8, 0, eight, AttemptStatus::Miss), 8),
         "150 ms are too little; it is told at once"
     );
     let late = (0..60u64).find(|round| {
@@ -1984,7 +1997,7 @@
         node.pass(580 * MS);
         (1..=40).for_each(|more| drop(node.request(write(id + more, 1))));
         node.pass(20 * MS);
-        !refused(&node.outcome(id, 0, first, Status::Miss), id)
+        !refused(&node.outcome(id, 0, first, AttemptStatus::Miss), id)
     });
     assert!(late.is_some(), "it does not go by an old figure for ever");
 }
@@ -1996,7 +2009,7 @@
     let tries = |balancers: u32| {
         let mut node = Node::new(
             Settings {
-                balancers,
+                balancer_count: balancers,
                 ..settings()
             },
             4,
@@ -2008,9 +2021,9 @@
             for attempt in 0.. {
                 let Some(to) = next else { break };
                 let status = if to == 1 {
-                    Status::ConnectFailed
+                    AttemptStatus::ConnectFailed
                 } else {
-                    Status::Served
+                    AttemptStatus::Served
                 };
                 tries += usize::from(to == 1);
                 next = sent_to(&node.outcome(id, attempt, to, status));
@@ -2034,14 +2047,14 @@
 fn a_server_that_refused_one_connection_for_want_of_room_is_not_presumed_cold() {
     let mut node = Node::new(settings(), 4);
     let victim = sent_to(&node.request(read(1, 9))).unwrap();
-    let next = sent_to(&node.outcome(1, 0, victim, Status::ConnectFailed)).unwrap();
-    node.outcome(1, 1, next, Status::Served);
+    let next = sent_to(&node.outcome(1, 0, victim, AttemptStatus::ConnectFailed)).unwrap();
+    node.outcome(1, 1, next, AttemptStatus::Served);
     node.pass(10 * SECOND);
     let mut at_victim = 0;
     for id in 10..210 {
         let to = sent_to(&node.request(read(id, id))).unwrap();
         at_victim += usize::from(to == victim);
-        node.outcome(id, 0, to, Status::Served);
+        node.outcome(id, 0, to, AttemptStatus::Served);
     }
     assert!(
         at_victim >= 30,
@@ -2056,14 +2069,14 @@
     // one of 208 on herd+mass, seed 11, without the news of a drain for 5.8 s; it counts as told after 6 s.
     let pause = |balancers: u32, failures: usize, seed: u64| {
         let config = Settings {
-            ask_discovery: true,
-            ask_within: 10 * SECOND,
-            balancers,
+            poll_discovery: true,
+            notified_within: 10 * SECOND,
+            balancer_count: balancers,
             ..settings()
         };
         let mut node = Node::seeded(config, 3, seed);
         let mut again = || {
-            node.list(ListKind::Failed, Vec::new());
+            node.list(ListUpdate::Failed, Vec::new());
             (1..400)
                 .find(|_| node.pass(10 * MS).contains(&Action::Subscribe(true)))
                 .expect("asks again")
@@ -2102,7 +2115,7 @@
     // Postponed at a gate that is shut: its place is free at once.
     let mut node = Node::new(
         Settings {
-            balancers: 100,
+            balancer_count: 100,
             ..settings()
         },
         3,
@@ -2124,7 +2137,7 @@
         node.event(Event::ClientGone(*id));
     }
     for id in (1..=40).filter(|id| !waits.contains(id)) {
-        node.outcome(id, 0, ORIGIN, Status::Served);
+        node.outcome(id, 0, ORIGIN, AttemptStatus::Served);
     }
     node.pass(5 * SECOND);
     assert_eq!(
@@ -2135,11 +2148,11 @@
 
     // Between two attempts: the first has failed, or was a miss, after its client left.
     for status in [
-        Status::Full,
-        Status::NotSent,
-        Status::ConnectFailed,
-        Status::Miss,
-        Status::Reset,
+        AttemptStatus::Rejected,
+        AttemptStatus::NotSent,
+        AttemptStatus::ConnectFailed,
+        AttemptStatus::Miss,
+        AttemptStatus::Reset,
     ] {
         let mut node = Node::new(settings(), 3);
         let to = sent_to(&node.request(read(1, 7))).unwrap();
@@ -2153,8 +2166,8 @@
     for copy_out in [false, true] {
         let mut node = Node::new(
             Settings {
-                balancers: 100,
-                may_duplicate: true,
+                balancer_count: 100,
+                may_hedge: true,
                 ..settings()
             },
             20,
@@ -2164,7 +2177,7 @@
             assert_eq!(sends(&node.pass(350 * MS)), 1, "a second copy");
         }
         assert_eq!(gone_sends(&mut node, 1), 0);
-        let mut after = node.outcome(1, 0, first, Status::Miss);
+        let mut after = node.outcome(1, 0, first, AttemptStatus::Miss);
         after.extend(node.pass(5 * SECOND));
         assert_eq!(sends(&after), 0, "copy out: {copy_out}");
     }
@@ -2174,10 +2187,10 @@
 fn a_write_that_may_have_run_is_not_sent_again_at_any_moment_of_its_window_or_after_it() {
     for (class, status) in [1, 2].into_iter().flat_map(|class| {
         [
-            Status::Reset,
-            Status::Error,
-            Status::TimedOut,
-            Status::Cancelled,
+            AttemptStatus::Reset,
+            AttemptStatus::Error,
+            AttemptStatus::TimedOut,
+            AttemptStatus::Cancelled,
         ]
         .map(|status| (class, status))
     }) {
@@ -2212,14 +2225,14 @@
     ] {
         for seed in 0..20 {
             let config = Settings {
-                balancers,
-                ask_discovery: true,
-                ask_within,
+                balancer_count: balancers,
+                poll_discovery: true,
+                notified_within: ask_within,
                 ..settings()
             };
             let mut node = Node::seeded(config, 3, seed);
             for _ in 0..6 {
-                node.list(ListKind::Failed, Vec::new());
+                node.list(ListUpdate::Failed, Vec::new());
                 let since = node.now;
                 while !node.pass(10 * MS).contains(&Action::Subscribe(true)) {
                     assert!(
--- a/crates/routing-policy/tests/properties.rs
+++ b/crates/routing-policy/tests/properties.rs
@@ -81,32 +81,36 @@
             group,
             cold_share,
         )| {
-            let group = [Group::All, Group::Zone, Group::Cell][usize::from(group)];
-            let class = |effect| Class {
-                aim: 200_000,
+            let group = [
+                DeduplicationScope::All,
+                DeduplicationScope::Zone,
+                DeduplicationScope::Cell,
+            ][usize::from(group)];
+            let class = |effect| RequestClass {
+                latency_objective: 200_000,
                 deadline: 900_000,
-                effect,
-                ..Class::default()
+                idempotency: effect,
+                ..RequestClass::default()
             };
             Settings {
-                balancers,
+                balancer_count: balancers,
                 classes: vec![
-                    class(Effect::Safe),
-                    class(Effect::Keyed {
-                        group,
+                    class(Idempotency::Idempotent),
+                    class(Idempotency::Deduplicated {
+                        scope: group,
                         window: 300_000,
                     }),
-                    class(Effect::Unsafe),
+                    class(Idempotency::NotIdempotent),
                 ],
                 tenants: vec![Tenant { quota_per_s: 5.0 }; tenants],
-                ask_discovery: ask,
+                poll_discovery: ask,
                 origin_kind: aside.then_some(ORIGIN_KIND),
                 weights_are_sizes: sizes,
                 max_attempts,
-                may_duplicate: duplicate,
-                may_tell_peers: peers,
-                cold_share,
-                warm_up: 2_000_000,
+                may_hedge: duplicate,
+                may_message_peers: peers,
+                cold_capacity_share: cold_share,
+                warm_up_period: 2_000_000,
                 ..Settings::default()
             }
         },
@@ -133,7 +137,7 @@
     policy: Policy,
     now: u64,
     next: RequestId,
-    lines: BTreeMap<ServerId, ServerLine>,
+    lines: BTreeMap<ServerId, Endpoint>,
     owed: BTreeMap<RequestId, Owed>,
     /// Attempts out: request, number, server.
     out: Vec<(RequestId, u16, ServerId)>,
@@ -144,13 +148,13 @@
 impl World {
     fn new(settings: Settings) -> Self {
         let policy = Policy::new(settings.clone(), 3);
-        let line = |id: ServerId| ServerLine {
+        let line = |id: ServerId| Endpoint {
             id,
             zone: (id % 2) as u8,
             cell: (id % 3) as u16,
             kind: if id >= 6 { ORIGIN_KIND } else { 0 },
             weight: id as f32,
-            ..ServerLine::default()
+            ..Endpoint::default()
         };
         let mut world = World {
             settings,
@@ -163,18 +167,21 @@
             timers: Vec::new(),
             log: Vec::new(),
         };
-        world.hear(ListKind::Cached);
+        world.hear(ListUpdate::Cached);
         world
     }
 
-    fn hear(&mut self, kind: ListKind) {
+    fn hear(&mut self, kind: ListUpdate) {
         let servers = self
             .lines
             .values()
-            .filter(|l| l.condition != Condition::Gone)
+            .filter(|l| l.state != EndpointState::Removed)
             .cloned()
             .collect();
-        self.event(Event::ServerList { kind, servers });
+        self.event(Event::EndpointList {
+            update: kind,
+            endpoints: servers,
+        });
     }
 
     fn event(&mut self, event: Event) {
@@ -197,8 +204,8 @@
                     .expect("a send for a request that has ended");
                 let line = &self.lines[server];
                 assert_eq!(
-                    line.condition,
-                    Condition::Ready,
+                    line.state,
+                    EndpointState::Ready,
                     "a send to a draining or gone server"
                 );
                 assert!(
@@ -207,20 +214,25 @@
                 );
                 assert!(self.now < owed.ends, "a send after the request's time");
                 assert!(
-                    self.settings.may_duplicate || owed.sent.iter().all(|a| !a.out),
+                    self.settings.may_hedge || owed.sent.iter().all(|a| !a.out),
                     "two copies out"
                 );
                 let running: Vec<_> = owed.sent.iter().filter(|a| a.may_have_run).collect();
-                match self.settings.classes[owed.class].effect {
-                    Effect::Safe => {}
-                    Effect::Unsafe => assert!(running.is_empty(), "an unsafe request sent twice"),
-                    Effect::Keyed { group, window } => {
+                match self.settings.classes[owed.class].idempotency {
+                    Idempotency::Idempotent => {}
+                    Idempotency::NotIdempotent => {
+                        assert!(running.is_empty(), "an unsafe request sent twice")
+                    }
+                    Idempotency::Deduplicated {
+                        scope: group,
+                        window,
+                    } => {
                         for a in running {
                             let first = &self.lines[&a.server];
                             let same = match group {
-                                Group::All => true,
-                                Group::Zone => first.zone == line.zone,
-                                Group::Cell => first.cell == line.cell,
+                                DeduplicationScope::All => true,
+                                DeduplicationScope::Zone => first.zone == line.zone,
+                                DeduplicationScope::Cell => first.cell == line.cell,
                             };
                             assert!(
                                 same && self.now < a.at + window,
@@ -239,9 +251,9 @@
                 self.out.push((*request, owed.sent.len() as u16, *server));
                 owed.sent.push(attempt);
             }
-            Action::Refuse { request, .. } => {
+            Action::Reject { request, .. } => {
                 let owed = self.owed.remove(request).expect("a second final answer");
-                let safe = self.settings.classes[owed.class].effect == Effect::Safe;
+                let safe = self.settings.classes[owed.class].idempotency == Idempotency::Idempotent;
                 assert!(
                     safe || owed.sent.iter().all(|a| !a.may_have_run),
                     "a refusal of what may have run"
@@ -251,10 +263,10 @@
                 self.owed.remove(request).expect("a second final answer");
             }
             Action::Timer { after, .. } => self.timers.push(self.now + (*after).max(1)),
-            Action::Tell { bytes, .. } => {
-                assert!(self.settings.may_tell_peers && bytes.len() <= 256)
+            Action::SendToPeer { bytes, .. } => {
+                assert!(self.settings.may_message_peers && bytes.len() <= 256)
             }
-            Action::Probe(_) | Action::Cancel { .. } => panic!("not allowed here"),
+            Action::CheckHealth(_) | Action::Cancel { .. } => panic!("not allowed here"),
             _ => {}
         }
     }
@@ -295,7 +307,7 @@
                     tenant,
                     key: *key,
                     write: *write,
-                    time_left: *budget,
+                    remaining_deadline: *budget,
                     ..Request::default()
                 };
                 let owed = Owed {
@@ -310,41 +322,41 @@
             Step::End { which, status } if !self.out.is_empty() => {
                 let (request, attempt, server) = self.out.swap_remove(which % self.out.len());
                 let status = [
-                    Status::Served,
-                    Status::Miss,
-                    Status::Error,
-                    Status::Full,
-                    Status::TimedOut,
-                    Status::ConnectFailed,
-                    Status::Reset,
-                    Status::Served,
-                    Status::Miss,
+                    AttemptStatus::Served,
+                    AttemptStatus::Miss,
+                    AttemptStatus::Error,
+                    AttemptStatus::Rejected,
+                    AttemptStatus::TimedOut,
+                    AttemptStatus::ConnectFailed,
+                    AttemptStatus::Reset,
+                    AttemptStatus::Served,
+                    AttemptStatus::Miss,
                 ][*status];
                 if let Some(owed) = self.owed.get_mut(&request) {
                     let a = &mut owed.sent[usize::from(attempt)];
                     a.out = false;
                     a.may_have_run &= !status.proves_not_run();
                 }
-                if status == Status::Served {
+                if status == AttemptStatus::Served {
                     self.owed.remove(&request);
                 }
                 let over = !self.owed.contains_key(&request);
-                let (note, load) = (Note::None, Load::default());
-                self.event(Event::Outcome(Outcome {
+                let (note, load) = (CacheLookup::Unknown, LoadReport::default());
+                self.event(Event::AttemptOutcome(AttemptOutcome {
                     request,
                     attempt,
                     server,
                     status,
-                    over,
-                    note,
-                    took: 1,
+                    request_complete: over,
+                    cache_lookup: note,
+                    elapsed: 1,
                     load,
                 }));
             }
             Step::Begin { which } if !self.out.is_empty() => {
                 let (request, attempt, _) = self.out[which % self.out.len()];
                 self.owed.remove(&request);
-                self.event(Event::AnswerBegan { request, attempt });
+                self.event(Event::ResponseStarted { request, attempt });
             }
             Step::Leave { which } if !self.owed.is_empty() => {
                 let id = *self.owed.keys().nth(which % self.owed.len()).unwrap();
@@ -358,29 +370,32 @@
             } => {
                 let id = (which % self.lines.len()) as ServerId;
                 let line = self.lines.get_mut(&id).unwrap();
-                line.condition = [Condition::Ready, Condition::Draining, Condition::Gone]
-                    [usize::from(*condition)];
+                line.state = [
+                    EndpointState::Ready,
+                    EndpointState::Draining,
+                    EndpointState::Removed,
+                ][usize::from(*condition)];
                 line.started = if *restarted { self.now } else { line.started };
                 let servers = vec![line.clone()];
-                self.event(Event::ServerList {
-                    kind: ListKind::Delta,
-                    servers,
+                self.event(Event::EndpointList {
+                    update: ListUpdate::Delta,
+                    endpoints: servers,
                 });
             }
             Step::Whole { mask } => {
                 for (id, line) in &mut self.lines {
                     let there = mask >> id & 1 == 1;
-                    line.condition = if there {
-                        Condition::Ready
+                    line.state = if there {
+                        EndpointState::Ready
                     } else {
-                        Condition::Gone
+                        EndpointState::Removed
                     };
                 }
-                self.hear(ListKind::Full);
+                self.hear(ListUpdate::Full);
             }
-            Step::Lost => self.event(Event::ServerList {
-                kind: ListKind::Failed,
-                servers: Vec::new(),
+            Step::Lost => self.event(Event::EndpointList {
+                update: ListUpdate::Failed,
+                endpoints: Vec::new(),
             }),
             Step::Peer { from, bytes } => {
                 self.event(Event::PeerMessage {
@@ -393,7 +408,7 @@
                 self.owed.clear();
                 self.out.clear();
                 self.timers.clear();
-                self.hear(ListKind::Cached);
+                self.hear(ListUpdate::Cached);
             }
             _ => {}
         }
--- a/crates/simulator-adapter/src/codec.rs
+++ b/crates/simulator-adapter/src/codec.rs
@@ -1,7 +1,8 @@
 //! Frames of the wire: batches of event records in, replies of action records out.
 
 use routing_policy::{
-    Action, Condition, ListKind, Load, Micros, Note, Outcome, Request, ServerId, ServerLine, Status,
+    Action, AttemptOutcome, AttemptStatus, CacheLookup, Endpoint, EndpointState, ListUpdate,
+    LoadReport, Micros, Request, ServerId,
 };
 
 /// Size of a batch header.
@@ -60,7 +61,7 @@
         /// Number of the list.
         number: u16,
         /// Its lines.
-        lines: Vec<ServerLine>,
+        lines: Vec<Endpoint>,
     },
     /// An instance is killed.
     Stop(u16),
@@ -69,7 +70,7 @@
         /// The instance.
         node: u16,
         /// How the list relates to the one held.
-        kind: ListKind,
+        kind: ListUpdate,
         /// Number of the list.
         number: u16,
     },
@@ -85,7 +86,7 @@
     let event = match r[0] {
         1 => routing_policy::Event::ClientGone(u64_at(r, 3)),
         2 => routing_policy::Event::Timer(u32_at(r, 3)),
-        3 => routing_policy::Event::Outcome(outcome(r)?),
+        3 => routing_policy::Event::AttemptOutcome(outcome(r)?),
         4 => routing_policy::Event::Request(request(r)),
         5 => {
             let settings = tail_part(tail, r, 11, 1)?;
@@ -95,14 +96,14 @@
                 settings,
             });
         }
-        6 => routing_policy::Event::Probed {
-            ok: u16_at(r, 3) == 200,
-            took: u32_at(r, 5).into(),
+        6 => routing_policy::Event::HealthChecked {
+            healthy: u16_at(r, 3) == 200,
+            elapsed: u32_at(r, 5).into(),
             server: u32_at(r, 9),
             load: load(r, 13),
         },
         7 => return Ok(Record::Stop(node)),
-        8 => routing_policy::Event::AnswerBegan {
+        8 => routing_policy::Event::ResponseStarted {
             request: u64_at(r, 3),
             attempt: u16_at(r, 15),
         },
@@ -119,10 +120,10 @@
         }
         10 => {
             let kind = match r[9] {
-                0 => ListKind::Full,
-                1 => ListKind::Cached,
-                2 => ListKind::Failed,
-                3 => ListKind::Delta,
+                0 => ListUpdate::Full,
+                1 => ListUpdate::Cached,
+                2 => ListUpdate::Failed,
+                3 => ListUpdate::Delta,
                 other => return Err(format!("roster_change of unknown kind {other}")),
             };
             return Ok(Record::ListHeard {
@@ -149,65 +150,65 @@
         id: u64_at(r, 3),
         tenant: u16_at(r, 11).into(),
         cost: (marks & 1 != 0).then(|| u32_at(r, 15).into()),
-        repeat: marks & 2 != 0,
+        is_retry: marks & 2 != 0,
         write: marks & 4 != 0,
         class: r[14].into(),
         key: u64_at(r, 19),
-        size: f32_at(r, 27),
-        time_left: u32_at(r, 31).into(),
+        value_size: f32_at(r, 27),
+        remaining_deadline: u32_at(r, 31).into(),
     }
 }
 
-fn outcome(r: &[u8]) -> Result<Outcome, String> {
+fn outcome(r: &[u8]) -> Result<AttemptOutcome, String> {
     let status = match u16_at(r, 22) {
-        200 => Status::Served,
-        204 => Status::Miss,
-        408 => Status::TimedOut,
-        409 => Status::NotSent,
-        429 => Status::Full,
-        444 => Status::Cancelled,
-        502 => Status::Error,
-        520 => Status::Reset,
-        521 => Status::ConnectFailed,
+        200 => AttemptStatus::Served,
+        204 => AttemptStatus::Miss,
+        408 => AttemptStatus::TimedOut,
+        409 => AttemptStatus::NotSent,
+        429 => AttemptStatus::Rejected,
+        444 => AttemptStatus::Cancelled,
+        502 => AttemptStatus::Error,
+        520 => AttemptStatus::Reset,
+        521 => AttemptStatus::ConnectFailed,
         other => return Err(format!("unknown outcome {other}")),
     };
     let note = match u32_at(r, 11) {
-        1 => Note::Hit,
-        2 => Note::Miss,
-        3 => Note::MissBeingFetched,
-        _ => Note::None,
+        1 => CacheLookup::Hit,
+        2 => CacheLookup::Miss,
+        3 => CacheLookup::MissBeingFetched,
+        _ => CacheLookup::Unknown,
     };
-    Ok(Outcome {
+    Ok(AttemptOutcome {
         request: u64_at(r, 3),
-        note,
-        took: u32_at(r, 15).into(),
+        cache_lookup: note,
+        elapsed: u32_at(r, 15).into(),
         attempt: u16_at(r, 19),
-        over: r[21] != 0,
+        request_complete: r[21] != 0,
         status,
         server: u32_at(r, 24),
         load: load(r, 28),
     })
 }
 
-fn load(r: &[u8], at: usize) -> Load {
+fn load(r: &[u8], at: usize) -> LoadReport {
     let values = std::array::from_fn(|i| f32_at(r, at + 1 + 4 * i));
-    Load {
+    LoadReport {
         count: r[at].min(4),
         values,
     }
 }
 
-fn line(r: &[u8]) -> Result<ServerLine, String> {
+fn line(r: &[u8]) -> Result<Endpoint, String> {
     let condition = match r[9] {
-        0 => Condition::Gone,
-        1 => Condition::Ready,
-        2 => Condition::Draining,
+        0 => EndpointState::Removed,
+        1 => EndpointState::Ready,
+        2 => EndpointState::Draining,
         other => return Err(format!("census line with unknown condition {other}")),
     };
-    Ok(ServerLine {
+    Ok(Endpoint {
         zone: r[0],
         started: u64_at(r, 1),
-        condition,
+        state: condition,
         id: u32_at(r, 10),
         cell: u16_at(r, 14),
         kind: u16_at(r, 16),
@@ -271,7 +272,7 @@
                 put(&mut r, 11, &server.to_le_bytes());
                 put(&mut r, 15, &span(*give_up_after));
             }
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => {
@@ -293,9 +294,9 @@
                 put(&mut r, 3, &span(*after));
                 put(&mut r, 7, &token.to_le_bytes());
             }
-            Action::Probe(server) => self.name_server(&mut r, 6, *server),
+            Action::CheckHealth(server) => self.name_server(&mut r, 6, *server),
             Action::CloseIdle(server) => self.name_server(&mut r, 7, *server),
-            Action::Tell { to, bytes } => {
+            Action::SendToPeer { to, bytes } => {
                 r[0] = 8;
                 put(&mut r, 3, &to.unwrap_or(u32::MAX).to_le_bytes());
                 self.put_tail(&mut r, 7, bytes);
@@ -312,7 +313,7 @@
                 r[0] = 11;
                 r[3] = u8::from(*on);
             }
-            Action::FetchList => r[0] = 12,
+            Action::FetchEndpoints => r[0] = 12,
         }
         self.records.extend_from_slice(&r);
         self.count += 1;
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 use codec::{BATCH_HEADER, BatchHeader, Record, Reply};
-use routing_policy::{Action, Event, ListKind, Micros, Policy, ServerLine, settings};
+use routing_policy::{Action, Endpoint, Event, ListUpdate, Micros, Policy, settings};
 
 /// Numbered lists run from 0 to this, exclusive.
 const LISTS: usize = 16;
@@ -22,7 +22,7 @@
 #[derive(Default)]
 struct Host {
     instances: HashMap<u16, Instance>,
-    lists: [Option<Vec<ServerLine>>; LISTS],
+    lists: [Option<Vec<Endpoint>>; LISTS],
     actions: Vec<Action>,
     reply: Reply,
 }
@@ -70,14 +70,21 @@
             }
             Record::ListHeard { node, kind, number } => {
                 let servers = match kind {
-                    ListKind::Failed | ListKind::Silent => Vec::new(),
+                    ListUpdate::Failed | ListUpdate::WatchSilent => Vec::new(),
                     _ => {
                         let list = self.lists.get(usize::from(number)).and_then(Option::as_ref);
                         list.ok_or_else(|| format!("roster_change names unknown list {number}"))?
                             .clone()
                     }
                 };
-                self.event(now, node, Event::ServerList { kind, servers })
+                self.event(
+                    now,
+                    node,
+                    Event::EndpointList {
+                        update: kind,
+                        endpoints: servers,
+                    },
+                )
             }
             Record::Event(node, event) => self.event(now, node, event),
         }
--- a/crates/simulator-adapter/tests/parts/codec.rs
+++ b/crates/simulator-adapter/tests/parts/codec.rs
@@ -39,7 +39,7 @@
             record(1, &[(3, &i), (11, &s), (15, &80_000u32.to_le_bytes())]),
         ),
         (
-            Action::Refuse {
+            Action::Reject {
                 request: id,
                 retry_after: 7,
             },
@@ -60,17 +60,17 @@
             },
             record(5, &[(3, &500_000u32.to_le_bytes()), (7, &[77])]),
         ),
-        (Action::Probe(server), record(6, &[(3, &s)])),
+        (Action::CheckHealth(server), record(6, &[(3, &s)])),
         (Action::CloseIdle(server), record(7, &[(3, &s)])),
         (
-            Action::Tell {
+            Action::SendToPeer {
                 to: None,
                 bytes: b"hi".to_vec(),
             },
             record(8, &[(3, &[0xff; 4]), (7, &tail)]),
         ),
         (
-            Action::Tell {
+            Action::SendToPeer {
                 to: Some(4),
                 bytes: b"hi".to_vec(),
             },
@@ -80,14 +80,14 @@
         (Action::Fault("hi".into()), record(10, &[(3, &tail)])),
         (Action::Subscribe(true), record(11, &[(3, &[1])])),
         (Action::Subscribe(false), record(11, &[])),
-        (Action::FetchList, record(12, &[])),
+        (Action::FetchEndpoints, record(12, &[])),
     ];
     for (action, expected) in cases {
         let (got, rest) = encoded(action.clone());
         assert_eq!(got, expected, "{action:?}");
         let text = matches!(
             action,
-            Action::Tell { .. } | Action::Log(_) | Action::Fault(_)
+            Action::SendToPeer { .. } | Action::Log(_) | Action::Fault(_)
         );
         assert_eq!(rest, if text { b"hi".to_vec() } else { Vec::new() });
     }
@@ -122,31 +122,34 @@
         tenant: 1,
         key: 5,
         write: true,
-        repeat: true,
-        time_left: 256,
+        is_retry: true,
+        remaining_deadline: 256,
         cost: Some(50),
-        size: 0.0,
+        value_size: 0.0,
     };
     assert_eq!(
         read_record(&body, 2, 0),
         Ok(Record::Event(0, routing_policy::Event::Request(request)))
     );
-    let load = Load {
+    let load = LoadReport {
         count: 1,
         values: [1.5, 0.0, 0.0, 0.0],
     };
-    let outcome = Outcome {
+    let outcome = AttemptOutcome {
         request: 9,
         attempt: 1,
         server: 6,
-        status: Status::Full,
-        over: true,
-        note: Note::MissBeingFetched,
-        took: 40,
+        status: AttemptStatus::Rejected,
+        request_complete: true,
+        cache_lookup: CacheLookup::MissBeingFetched,
+        elapsed: 40,
         load,
     };
     assert_eq!(
         read_record(&body, 2, 1),
-        Ok(Record::Event(0, routing_policy::Event::Outcome(outcome)))
+        Ok(Record::Event(
+            0,
+            routing_policy::Event::AttemptOutcome(outcome)
+        ))
     );
 }
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -9,8 +9,8 @@
 use cluster_model::rules::{Effect as RuleEffect, Figures, Rules};
 use cluster_model::server::Spec as CacheSpec;
 use routing_policy::{
-    Action, Event as ModuleEvent, ListKind, Note, Outcome, Policy, Request, RequestId, ServerId,
-    ServerLine, Settings, Status,
+    Action, AttemptOutcome, AttemptStatus, CacheLookup, Endpoint, Event as ModuleEvent, ListUpdate,
+    Policy, Request, RequestId, ServerId, Settings,
 };
 use serde_json::{Value, json};
 
@@ -173,14 +173,14 @@
 pub fn held_at_first(
     scenario: &Scenario,
     now: Micros,
-    servers: Vec<ServerLine>,
+    servers: Vec<Endpoint>,
 ) -> Vec<(u64, ServerId)> {
     let Some(read) = scenario.class.iter().position(|class| !class.write) else {
         return Vec::new();
     };
     let mut policy = Policy::new(
         Settings {
-            ask_discovery: false,
+            poll_discovery: false,
             ..settings(scenario, 0)
         },
         0,
@@ -188,9 +188,9 @@
     let mut actions = Vec::new();
     policy.handle(
         now,
-        ModuleEvent::ServerList {
-            kind: ListKind::Full,
-            servers,
+        ModuleEvent::EndpointList {
+            update: ListUpdate::Full,
+            endpoints: servers,
         },
         &mut actions,
     );
@@ -207,7 +207,7 @@
             id: key,
             key,
             class: read,
-            time_left: 1_000_000,
+            remaining_deadline: 1_000_000,
             ..Request::default()
         };
         policy.handle(now, ModuleEvent::Request(request), &mut actions);
@@ -217,8 +217,8 @@
         });
         policy.handle(now, ModuleEvent::ClientGone(key), &mut actions);
         let Some(server) = sent else { continue };
-        let outcome = outcome(key, 0, server, Status::Served, true);
-        policy.handle(now, ModuleEvent::Outcome(outcome), &mut actions);
+        let outcome = outcome(key, 0, server, AttemptStatus::Served, true);
+        policy.handle(now, ModuleEvent::AttemptOutcome(outcome), &mut actions);
         held.push((key, server));
     }
     held
@@ -229,18 +229,18 @@
     request: RequestId,
     attempt: u16,
     server: ServerId,
-    status: Status,
+    status: AttemptStatus,
     over: bool,
-) -> Outcome {
-    let (note, load) = (Note::None, routing_policy::Load::default());
-    Outcome {
+) -> AttemptOutcome {
+    let (note, load) = (CacheLookup::Unknown, routing_policy::LoadReport::default());
+    AttemptOutcome {
         request,
         attempt,
         server,
         status,
-        over,
-        note,
-        took: 0,
+        request_complete: over,
+        cache_lookup: note,
+        elapsed: 0,
         load,
     }
 }
--- a/crates/testbed/src/sockets/mod.rs
+++ b/crates/testbed/src/sockets/mod.rs
@@ -22,7 +22,7 @@
 use cluster_model::{Chance, Micros, chance};
 use nix::sys::signal::Signal;
 use rand::Rng;
-use routing_policy::{ServerId, ServerLine};
+use routing_policy::{Endpoint, ServerId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -346,16 +346,16 @@
     fn hold_at_first(&self) {
         let id = |server: Number| xxh3_64(doors::name(server).as_bytes()) as ServerId;
         let mut stage = self.shared.stage();
-        let line = |(number, server): (&Number, &stage::Server)| ServerLine {
+        let line = |(number, server): (&Number, &stage::Server)| Endpoint {
             id: id(*number),
             zone: server.zone,
             kind: server.kind as u16,
-            ..ServerLine::default()
+            ..Endpoint::default()
         };
-        let origin = ServerLine {
+        let origin = Endpoint {
             id: xxh3_64(b"origin") as ServerId,
             kind: self.scenario.kind.len() as u16,
-            ..ServerLine::default()
+            ..Endpoint::default()
         };
         let lines = stage.servers.iter().map(line).chain([origin]).collect();
         let numbers: std::collections::BTreeMap<ServerId, Number> = stage
--- a/crates/testbed/src/virtual_time.rs
+++ b/crates/testbed/src/virtual_time.rs
@@ -13,8 +13,8 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 use routing_policy::{
-    Action, Condition, Event as ModuleEvent, ListKind, Policy, Request, RequestId, ServerId,
-    ServerLine, Status,
+    Action, AttemptStatus, Endpoint, EndpointState, Event as ModuleEvent, ListUpdate, Policy,
+    Request, RequestId, ServerId,
 };
 
 use crate::clients::{Clients, Part, Reply, spread};
@@ -51,7 +51,7 @@
     /// An attempt reaches its server.
     Reach(JobId),
     /// An attempt's answer reaches its node.
-    Answer(JobId, Status),
+    Answer(JobId, AttemptStatus),
     /// A node stops waiting for an attempt.
     GiveUp(JobId),
     /// A cache server may have answers; void if its number is old.
@@ -431,7 +431,7 @@
             class,
             key,
             write,
-            time_left: left,
+            remaining_deadline: left,
             ..Request::default()
         };
         self.tell(node, ModuleEvent::Request(request));
@@ -482,33 +482,33 @@
         let servers = self.lines(lines.iter());
         self.tell(
             node,
-            ModuleEvent::ServerList {
-                kind: ListKind::Cached,
-                servers,
+            ModuleEvent::EndpointList {
+                update: ListUpdate::Cached,
+                endpoints: servers,
             },
         );
     }
 
-    fn lines<'l>(&self, lines: impl Iterator<Item = &'l Line>) -> Vec<ServerLine> {
+    fn lines<'l>(&self, lines: impl Iterator<Item = &'l Line>) -> Vec<Endpoint> {
         let line = |line: &Line| {
             let server = self.servers.get(&line.server);
-            ServerLine {
+            Endpoint {
                 id: line.server,
                 zone: server.map_or(0, |server| server.zone),
                 kind: server.map_or(0, |server| server.kind as u16),
                 started: line.started,
-                condition: match line.condition {
-                    Listed::Active => Condition::Ready,
-                    Listed::Leaving => Condition::Draining,
-                    Listed::Left => Condition::Gone,
+                state: match line.condition {
+                    Listed::Active => EndpointState::Ready,
+                    Listed::Leaving => EndpointState::Draining,
+                    Listed::Left => EndpointState::Removed,
                 },
-                ..ServerLine::default()
+                ..Endpoint::default()
             }
         };
-        let origin = ServerLine {
+        let origin = Endpoint {
             id: ORIGIN,
             kind: self.scenario.kind.len() as u16,
-            ..ServerLine::default()
+            ..Endpoint::default()
         };
         lines.map(line).chain([origin]).collect()
     }
@@ -531,7 +531,7 @@
             Action::Send {
                 request, server, ..
             } => self.send(node, request, server),
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => self.answer(node, request, Reply::Refused(retry_after)),
@@ -545,11 +545,11 @@
                 self.call_list(node, Call::Watch { after });
             }
             Action::Subscribe(false) => self.list.hang_up(node),
-            Action::FetchList => self.call_list(node, Call::Whole),
+            Action::FetchEndpoints => self.call_list(node, Call::Whole),
             // Nothing here has a price on connections, and no peer or probe is modelled.
             Action::CloseIdle(_)
-            | Action::Probe(_)
-            | Action::Tell { .. }
+            | Action::CheckHealth(_)
+            | Action::SendToPeer { .. }
             | Action::Log(_)
             | Action::Fault(_) => {}
         }
@@ -612,7 +612,7 @@
         );
         self.by_attempt.insert((node, request, attempt), job);
         if !allowed {
-            return self.at(self.now, What::Answer(job, Status::NotSent));
+            return self.at(self.now, What::Answer(job, AttemptStatus::NotSent));
         }
         self.rules.sent(self.now, (node, request), attempt, server);
         let to_origin = server == ORIGIN;
@@ -657,7 +657,7 @@
                 OriginTaken::FellOver(held) => held
                     .into_iter()
                     .chain([id])
-                    .for_each(|job| self.back(job, Status::Reset)),
+                    .for_each(|job| self.back(job, AttemptStatus::Reset)),
             };
         }
         let started = self.servers.get(&server).map_or(0, |s| s.cache.started());
@@ -675,14 +675,14 @@
             knew: heard || known,
         };
         let Some(s) = self.servers.get_mut(&server) else {
-            return self.back(id, Status::ConnectFailed);
+            return self.back(id, AttemptStatus::ConnectFailed);
         };
         match s.cache.arrive(self.now, id, ask) {
             Taken::Held => {}
-            Taken::Answered(Answer::Refused) => self.back(id, Status::ConnectFailed),
+            Taken::Answered(Answer::Refused) => self.back(id, AttemptStatus::ConnectFailed),
             Taken::Answered(_) => {
                 self.count(self.jobs[&id].client, |counts| counts.turned_away += 1);
-                self.back(id, Status::Full);
+                self.back(id, AttemptStatus::Rejected);
             }
             Taken::FellOver(held) => {
                 let fall = s.cache.fall();
@@ -690,7 +690,7 @@
                     .for_each(|fall| self.rules.fell(server, fall));
                 held.into_iter()
                     .chain([id])
-                    .for_each(|job| self.back(job, Status::Reset));
+                    .for_each(|job| self.back(job, AttemptStatus::Reset));
                 self.notice(server, Listed::Left, 0);
             }
         }
@@ -698,7 +698,7 @@
     }
 
     /// An answer sets out to its node, if the way is open.
-    fn back(&mut self, id: JobId, status: Status) {
+    fn back(&mut self, id: JobId, status: AttemptStatus) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
@@ -711,13 +711,13 @@
                 Fate::Whole => self.at(self.now + way, What::Answer(id, status)),
                 // A node ends a connection that brings rubbish, which is the same to its module.
                 Fate::Spoilt | Fate::Reset => {
-                    self.at(self.now + way, What::Answer(id, Status::Reset))
+                    self.at(self.now + way, What::Answer(id, AttemptStatus::Reset))
                 }
             }
         }
     }
 
-    fn outcome(&mut self, id: JobId, status: Status) {
+    fn outcome(&mut self, id: JobId, status: AttemptStatus) {
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
@@ -736,22 +736,22 @@
             return;
         };
         open.out -= 1;
-        if status == Status::Miss {
+        if status == AttemptStatus::Miss {
             open.missed.push(server);
         }
-        let over = open.over || status == Status::Served;
-        if status == Status::Served {
+        let over = open.over || status == AttemptStatus::Served;
+        if status == AttemptStatus::Served {
             self.answer(node, request, Reply::Served);
         }
         let event = outcome(request, attempt, server, status, over);
-        self.tell(node, ModuleEvent::Outcome(event));
+        self.tell(node, ModuleEvent::AttemptOutcome(event));
         self.close(node, request);
     }
 
     fn give_up(&mut self, id: JobId) {
         if self.jobs.contains_key(&id) {
             self.call_off(id);
-            self.outcome(id, Status::TimedOut);
+            self.outcome(id, AttemptStatus::TimedOut);
         }
     }
 
@@ -759,7 +759,7 @@
         if let Some(id) = self.by_attempt.get(&(node, request, attempt)).copied() {
             self.call_off(id);
             // The module hears of it as an event of its own, after what it is at now.
-            self.at(self.now, What::Answer(id, Status::Cancelled));
+            self.at(self.now, What::Answer(id, AttemptStatus::Cancelled));
         }
     }
 
@@ -796,9 +796,9 @@
         };
         for (job, answer) in server.cache.finish(self.now) {
             let status = if answer == Answer::Hit {
-                Status::Served
+                AttemptStatus::Served
             } else {
-                Status::Miss
+                AttemptStatus::Miss
             };
             self.back(job, status);
         }
@@ -883,9 +883,9 @@
             lines,
         } = told
         else {
-            let event = ModuleEvent::ServerList {
-                kind: ListKind::Failed,
-                servers: Vec::new(),
+            let event = ModuleEvent::EndpointList {
+                update: ListUpdate::Failed,
+                endpoints: Vec::new(),
             };
             return self.tell(node, event);
         };
@@ -915,12 +915,18 @@
             );
         }
         let kind = if whole {
-            ListKind::Full
+            ListUpdate::Full
         } else {
-            ListKind::Delta
+            ListUpdate::Delta
         };
         let servers = self.lines(lines.iter());
-        self.tell(node, ModuleEvent::ServerList { kind, servers });
+        self.tell(
+            node,
+            ModuleEvent::EndpointList {
+                update: kind,
+                endpoints: servers,
+            },
+        );
     }
 
     /// How a server is becomes known some time later.
@@ -1129,7 +1135,7 @@
             .map(|server| server.cache.stop())
             .unwrap_or_default();
         held.into_iter()
-            .for_each(|job| self.back(job, Status::Reset));
+            .for_each(|job| self.back(job, AttemptStatus::Reset));
         self.notice(id, Listed::Left, 0);
     }
 
@@ -1205,11 +1211,11 @@
 }
 
 /// What an answer of the origin is to a node.
-fn origin_status(answer: OriginAnswer) -> Status {
+fn origin_status(answer: OriginAnswer) -> AttemptStatus {
     match answer {
-        OriginAnswer::Done => Status::Served,
-        OriginAnswer::Failed => Status::Error,
-        OriginAnswer::Unprocessed => Status::Full,
-        OriginAnswer::Refused => Status::ConnectFailed,
+        OriginAnswer::Done => AttemptStatus::Served,
+        OriginAnswer::Failed => AttemptStatus::Error,
+        OriginAnswer::Unprocessed => AttemptStatus::Rejected,
+        OriginAnswer::Refused => AttemptStatus::ConnectFailed,
     }
 }
