Report what the policy logs as typed events, and unusable settings as a typed error

Log lines were prose with values in it, put together where decisions are made; settings::read gave a bare string. LogEvent and SettingsError say what happened; a line is a constant message and key=value fields. Tests that looked for a phrase look for the event now.

--- a/crates/acceptance/tests/deployments.rs
+++ b/crates/acceptance/tests/deployments.rs
@@ -1,5 +1,10 @@
 //! Nothing of a deployment stands in the sources: classes, tenants, zones, kinds, limits and costs come from the settings.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::path::{Path, PathBuf};
 
--- a/crates/acceptance/tests/duty.rs
+++ b/crates/acceptance/tests/duty.rs
@@ -1,5 +1,10 @@
 //! The verdict on the standing duty, over journals made for it.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::fs;
 use std::path::Path;
--- a/crates/acceptance/tests/known_red.rs
+++ b/crates/acceptance/tests/known_red.rs
@@ -1,5 +1,10 @@
 //! What CI passes over: exactly the tests that KNOWN-RED.txt lists, as long as they exist and fail.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
--- a/crates/acceptance/tests/margins.rs
+++ b/crates/acceptance/tests/margins.rs
@@ -1,5 +1,10 @@
 //! Margins from traces whose figures are known.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::fs;
 
--- a/crates/cache-router/src/config.rs
+++ b/crates/cache-router/src/config.rs
@@ -131,7 +131,8 @@
             .settings
             .ok_or_else(|| ConfigError::Field("settings", String::new()))?;
         let deployment = settings::read(settings.get().as_bytes());
-        let deployment = deployment.map_err(|e| ConfigError::Settings(path.clone(), e))?;
+        let deployment =
+            deployment.map_err(|e| ConfigError::Settings(path.clone(), e.to_string()))?;
         if deployment.classes.is_empty() {
             return Err(ConfigError::Settings(
                 path,
--- a/crates/cache-router/src/node.rs
+++ b/crates/cache-router/src/node.rs
@@ -493,7 +493,7 @@
             None => self.pool.leave(server, key),
             // The connection says when it has seen that, and is free then.
             Some((conn, Progress::Handed | Progress::Withdrawn)) => {
-                drop(self.pool.abandon(conn, sent))
+                let _ = self.pool.abandon(conn, sent);
             }
             // The server has part of it, and must not get the rest.
             Some((conn, Progress::Writing)) => self.pool.close(conn),
--- a/crates/cache-router/tests/node/main.rs
+++ b/crates/cache-router/tests/node/main.rs
@@ -1,5 +1,10 @@
 //! The real node over loopback sockets: one test for each failure that must not happen.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 mod crossings;
 mod stand_in;
--- a/crates/cache-router/tests/trace.rs
+++ b/crates/cache-router/tests/trace.rs
@@ -1,5 +1,10 @@
 //! Traces that were written before a renaming in the code are read like those written since.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use cache_router::trace::{lookup_word, state_word, status_word, update_word};
 use routing_policy::{AttemptStatus, CacheLookup, EndpointState, ListUpdate};
--- a/crates/cluster-model/tests/parts.rs
+++ b/crates/cluster-model/tests/parts.rs
@@ -1,5 +1,10 @@
 //! The parts of the world one by one: what each does under load, when it is cold, cut off or overbooked.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use cluster_model::list::{Call, Condition, Line, List, Spec as ListSpec, Told};
 use cluster_model::machine::{Machine, Spec as MachineSpec};
--- a/crates/cluster-model/tests/rules.rs
+++ b/crates/cluster-model/tests/rules.rs
@@ -1,5 +1,10 @@
 //! Each rule broken on purpose is reported, and what keeps it is not.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use cluster_model::rules::{Broken, Effect, Figures, Rules};
 use cluster_model::server::Fall;
--- a/crates/router-config/tests/config.rs
+++ b/crates/router-config/tests/config.rs
@@ -1,5 +1,10 @@
 //! What a configuration takes, and what it says of what it does not take.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::fs;
 use std::path::PathBuf;
--- a/crates/router-config/tests/logging.rs
+++ b/crates/router-config/tests/logging.rs
@@ -1,5 +1,10 @@
 //! What is written at a level and in a form, and how often the same is repeated.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::io::Write;
 use std::sync::{Arc, Mutex};
--- a/crates/routerctl/tests/cli.rs
+++ b/crates/routerctl/tests/cli.rs
@@ -1,5 +1,10 @@
 //! The command line as a user meets it: what it prints, and its exit codes.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::fs;
 use std::process::Command;
--- a/crates/routing-policy/src/interface.rs
+++ b/crates/routing-policy/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are microseconds of the node's own clock, which may start anywhere and only advances.
 
+use crate::log_event::LogEvent;
+
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 /// Names one client request at this balancer; never used twice.
@@ -448,7 +450,7 @@
         bytes: Vec<u8>,
     },
     /// A line for the log.
-    Log(String),
+    Log(LogEvent),
     /// The module cannot go on.
     Fault(String),
 }
--- a/crates/routing-policy/src/lib.rs
+++ b/crates/routing-policy/src/lib.rs
@@ -24,9 +24,11 @@
 //! ```
 
 pub mod interface;
+mod log_event;
 mod policy;
 pub mod settings;
 mod state;
 
 pub use interface::*;
+pub use log_event::LogEvent;
 pub use state::Policy;
--- /dev/null
+++ b/crates/routing-policy/src/log_event.rs
@@ -0,0 +1,67 @@
+//! What the policy reports for the operators' log, as typed events: the router decides how a line is written.
+
+use std::fmt;
+
+use crate::interface::{Micros, ServerId};
+
+/// Something that an operator wants to know of. Its `Display` is one plain line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogEvent {
+    /// A server failed several times in a row, or refused a connection, and gets no requests for a while.
+    ServerEjected {
+        /// The server.
+        server: ServerId,
+        /// For how long, microseconds.
+        ejected_for: Micros,
+    },
+    /// An ejected server answered a request and gets requests again.
+    ServerReadmitted {
+        /// The server.
+        server: ServerId,
+    },
+    /// A connection to an unreachable server came up late; the server gets requests again.
+    ServerReached {
+        /// The server.
+        server: ServerId,
+    },
+    /// The limit on outstanding origin calls fell below a quarter of its ceiling: the origin is slow or fails.
+    OriginLimitLowered,
+    /// The limit on outstanding origin calls is back above a quarter of its ceiling.
+    OriginLimitRestored,
+    /// Tenants over their quotas are being rejected.
+    LoadSheddingStarted,
+    /// No tenant is held to its quota any more.
+    LoadSheddingEnded,
+    /// A call to discovery failed or the watch broke.
+    DiscoveryRetry {
+        /// The backoff before the next call, microseconds.
+        backoff: Micros,
+    },
+}
+
+impl fmt::Display for LogEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LogEvent::ServerEjected {
+                server,
+                ejected_for,
+            } => write!(
+                f,
+                "server ejected server={server} ejected_for_us={ejected_for}"
+            ),
+            LogEvent::ServerReadmitted { server } => {
+                write!(f, "server readmitted server={server} reason=answered")
+            }
+            LogEvent::ServerReached { server } => {
+                write!(f, "server readmitted server={server} reason=connected")
+            }
+            LogEvent::OriginLimitLowered => f.write_str("origin limit lowered reason=origin_slow"),
+            LogEvent::OriginLimitRestored => f.write_str("origin limit restored"),
+            LogEvent::LoadSheddingStarted => f.write_str("load shedding started reason=over_quota"),
+            LogEvent::LoadSheddingEnded => f.write_str("load shedding ended"),
+            LogEvent::DiscoveryRetry { backoff } => {
+                write!(f, "discovery call failed, retrying backoff_us={backoff}")
+            }
+        }
+    }
+}
--- a/crates/routing-policy/src/policy.rs
+++ b/crates/routing-policy/src/policy.rs
@@ -6,6 +6,7 @@
 //! All else here is a departure for a failure that the code names.
 
 use crate::interface::*;
+use crate::log_event::LogEvent;
 use crate::state::*;
 
 /// Load bound: a server is skipped from this multiple of its part of this balancer's attempts in flight: the
@@ -778,10 +779,9 @@
                 (s.heard, s.strikes) = (self.now, s.strikes.saturating_sub(1));
                 if s.aside.0 != 0 {
                     s.aside = (0, 0);
-                    out.push(Action::Log(format!(
-                        "server {} answers again: let back",
-                        flight.server
-                    )));
+                    out.push(Action::Log(LogEvent::ServerReadmitted {
+                        server: flight.server,
+                    }));
                     s.unreachable = false;
                     // It refused connections for long and answers again: a new process, cold, and the list is
                     // late. Once may have been for want of room.
@@ -820,8 +820,8 @@
             was,
             g.limit,
             most / 4.0,
-            "gate lowered: origin slow",
-            "gate restored",
+            LogEvent::OriginLimitLowered,
+            LogEvent::OriginLimitRestored,
         );
     }
 
@@ -849,9 +849,10 @@
                 let taught = THIN.0.powf(std::mem::take(&mut s.taught));
                 kind.thinned = (1.0 - (1.0 - kind.thinned) / taught).max(0.0);
             }
-            out.push(Action::Log(format!(
-                "server {server} fails or is silent: set aside"
-            )));
+            out.push(Action::Log(LogEvent::ServerEjected {
+                server,
+                ejected_for: time,
+            }));
         }
     }
 
@@ -865,9 +866,7 @@
         }
         if std::mem::take(&mut s.unreachable) {
             (s.strikes, s.aside) = (s.strikes.saturating_sub(1), (0, 0));
-            out.push(Action::Log(format!(
-                "server {server} is reached after all: let back"
-            )));
+            out.push(Action::Log(LogEvent::ServerReached { server }));
         }
     }
 
@@ -1067,9 +1066,7 @@
         self.subscribe_tries += 1;
         let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
         self.wake(delay, Wake::Subscribe);
-        out.push(Action::Log(
-            "discovery call failed or subscription lost: asking again".into(),
-        ));
+        out.push(Action::Log(LogEvent::DiscoveryRetry { backoff: delay }));
     }
 
     // Now and then.
@@ -1100,8 +1097,8 @@
             was,
             self.level,
             LEVEL.2,
-            "shedding over quota has begun",
-            "shedding has ended",
+            LogEvent::LoadSheddingStarted,
+            LogEvent::LoadSheddingEnded,
         );
         let regained = period as f64 / (THIN_FOR * self.aim as f64);
         let kinds = self.kinds.values_mut().map(|kind| &mut kind.thinned);
--- a/crates/routing-policy/src/settings.rs
+++ b/crates/routing-policy/src/settings.rs
@@ -194,10 +194,23 @@
     }
 }
 
-/// Reads a settings text; the error is one plain line.
-pub fn read(text: &[u8]) -> Result<Deployment, String> {
-    let wire: Wire =
-        serde_json::from_slice(text).map_err(|e| format!("unreadable settings: {e}"))?;
+/// Why a settings text can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// It is not JSON, or a value is of the wrong kind.
+    #[error("unreadable settings: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// A class names an effect that the protocol does not have.
+    #[error("unreadable settings: unknown effect {0:?} of a class")]
+    UnknownEffect(String),
+}
+
+/// Reads a settings text, which is JSON in the form that the operators' pages give.
+///
+/// # Errors
+/// Where the text is malformed or a class has an unknown effect.
+pub fn read(text: &[u8]) -> Result<Deployment, SettingsError> {
+    let wire: Wire = serde_json::from_slice(text)?;
     let mut classes = Vec::with_capacity(wire.classes.len());
     for c in &wire.classes {
         classes.push(class(c)?);
@@ -255,7 +268,7 @@
     })
 }
 
-fn class(c: &WireClass) -> Result<RequestClass, String> {
+fn class(c: &WireClass) -> Result<RequestClass, SettingsError> {
     let group = match c.dedup_scope.as_str() {
         "all" => DeduplicationScope::All,
         "zone" => DeduplicationScope::Zone,
@@ -269,9 +282,7 @@
         },
         "side_effect" => Idempotency::NotIdempotent,
         other => {
-            return Err(format!(
-                "unreadable settings: unknown effect {other:?} of a class"
-            ));
+            return Err(SettingsError::UnknownEffect(other.to_owned()));
         }
     };
     Ok(RequestClass {
--- a/crates/routing-policy/src/state.rs
+++ b/crates/routing-policy/src/state.rs
@@ -9,6 +9,7 @@
 use crate::interface::{
     Action, DeduplicationScope, Endpoint, Key, Micros, RequestId, ServerId, Settings,
 };
+use crate::log_event::LogEvent;
 
 /// The mind of one balancer: what it was told, what it has seen and what it owes.
 #[derive(Default)]
@@ -340,11 +341,11 @@
     was: f64,
     is: f64,
     mark: f64,
-    fallen: &str,
-    risen: &str,
+    fallen: LogEvent,
+    risen: LogEvent,
 ) {
     if (was < mark) != (is < mark) {
-        out.push(Action::Log(if is < mark { fallen } else { risen }.into()));
+        out.push(Action::Log(if is < mark { fallen } else { risen }));
     }
 }
 
--- a/crates/routing-policy/tests/common/mod.rs
+++ b/crates/routing-policy/tests/common/mod.rs
@@ -1,5 +1,11 @@
 //! A node in miniature: drives a policy event by event and keeps what it answered.
-#![allow(dead_code, missing_docs)]
+#![allow(
+    dead_code,
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use routing_policy::*;
 
--- a/crates/routing-policy/tests/fleet.rs
+++ b/crates/routing-policy/tests/fleet.rs
@@ -1,5 +1,10 @@
 //! A few dozen balancers and cold servers: what all of them together send, first attempts, retries and second copies.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 mod common;
 
--- a/crates/routing-policy/tests/policy.rs
+++ b/crates/routing-policy/tests/policy.rs
@@ -1,5 +1,10 @@
 //! The module event by event, without the bench: one test for each behaviour and each failure found.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 mod common;
 
@@ -200,7 +205,7 @@
         assert!(
             node.actions
                 .iter()
-                .any(|a| matches!(a, Action::Log(l) if l.contains("gate lowered")))
+                .any(|a| matches!(a, Action::Log(l) if *l == LogEvent::OriginLimitLowered))
         );
         node
     };
@@ -218,7 +223,7 @@
     assert!(
         node.actions
             .iter()
-            .any(|a| matches!(a, Action::Log(l) if l.contains("gate restored")))
+            .any(|a| matches!(a, Action::Log(l) if *l == LogEvent::OriginLimitRestored))
     );
 }
 
@@ -1076,7 +1081,7 @@
     assert!(
         node.actions
             .iter()
-            .any(|a| matches!(a, Action::Log(l) if l.contains("set aside")))
+            .any(|a| matches!(a, Action::Log(LogEvent::ServerEjected { .. })))
     );
 }
 
--- a/crates/routing-policy/tests/properties.rs
+++ b/crates/routing-policy/tests/properties.rs
@@ -1,5 +1,10 @@
 //! Random legal event sequences (a fixed seed), and the rules that events and actions alone can show.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 mod common;
 
--- a/crates/routing-policy/tests/size.rs
+++ b/crates/routing-policy/tests/size.rs
@@ -1,5 +1,10 @@
 //! The decision logic stays small enough to be read in a day: the operators run no policy of over 1,200 lines.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::path::Path;
 
--- a/crates/simulator-adapter/src/codec.rs
+++ b/crates/simulator-adapter/src/codec.rs
@@ -301,9 +301,9 @@
                 put(&mut r, 3, &to.unwrap_or(u32::MAX).to_le_bytes());
                 self.put_tail(&mut r, 7, bytes);
             }
-            Action::Log(text) => {
+            Action::Log(event) => {
                 r[0] = 9;
-                self.put_tail(&mut r, 3, text.as_bytes());
+                self.put_tail(&mut r, 3, event.to_string().as_bytes());
             }
             Action::Fault(text) => {
                 r[0] = 10;
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -45,7 +45,9 @@
                 seed,
                 settings,
             } => {
-                let settings = settings::read(settings)?.settings;
+                let settings = settings::read(settings)
+                    .map_err(|e| e.to_string())?
+                    .settings;
                 let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
                 let policy = Policy::new(settings, seed);
                 self.instances.insert(
--- a/crates/simulator-adapter/tests/frames.rs
+++ b/crates/simulator-adapter/tests/frames.rs
@@ -1,5 +1,10 @@
 //! The adapter as a process: frames built by hand go in, replies are read byte by byte.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::io::{Read, Write};
 use std::process::{Child, Command, Output, Stdio};
--- a/crates/simulator-adapter/tests/parts/codec.rs
+++ b/crates/simulator-adapter/tests/parts/codec.rs
@@ -29,6 +29,7 @@
         vec![0, 0, 0, 0, 2, 0, 0, 0],
     );
     let (i, s) = (id.to_le_bytes(), server.to_le_bytes());
+    let log = routing_policy::LogEvent::LoadSheddingEnded;
     let cases = [
         (
             Action::Send {
@@ -76,7 +77,7 @@
             },
             record(8, &[(3, &[4]), (7, &tail)]),
         ),
-        (Action::Log("hi".into()), record(9, &[(3, &tail)])),
+        (Action::Log(log), record(9, &[(3, &[0, 0, 0, 0, 19])])),
         (Action::Fault("hi".into()), record(10, &[(3, &tail)])),
         (Action::Subscribe(true), record(11, &[(3, &[1])])),
         (Action::Subscribe(false), record(11, &[])),
@@ -85,11 +86,12 @@
     for (action, expected) in cases {
         let (got, rest) = encoded(action.clone());
         assert_eq!(got, expected, "{action:?}");
-        let text = matches!(
-            action,
-            Action::SendToPeer { .. } | Action::Log(_) | Action::Fault(_)
-        );
-        assert_eq!(rest, if text { b"hi".to_vec() } else { Vec::new() });
+        let expected_rest = match action {
+            Action::SendToPeer { .. } | Action::Fault(_) => b"hi".to_vec(),
+            Action::Log(_) => b"load shedding ended".to_vec(),
+            _ => Vec::new(),
+        };
+        assert_eq!(rest, expected_rest);
     }
 }
 
--- a/crates/testbed/tests/experiments.rs
+++ b/crates/testbed/tests/experiments.rs
@@ -1,5 +1,10 @@
 //! Experiments: paired plays, cut off and gone on with, compared.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::fs;
 use std::path::{Path, PathBuf};
--- a/crates/testbed/tests/plays.rs
+++ b/crates/testbed/tests/plays.rs
@@ -1,5 +1,10 @@
 //! Plays in virtual time: the same seed the same bytes, every request accounted for, the rules watched.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::fs;
 use std::path::PathBuf;
--- a/crates/testbed/tests/sockets.rs
+++ b/crates/testbed/tests/sockets.rs
@@ -1,6 +1,11 @@
 //! Real nodes on loopback: short plays with faults, and the ways between the parties. What is asserted holds on a machine
 //! of any speed: who is answered, which rules are kept, what is left behind; never how quickly.
-#![allow(missing_docs)]
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
