--- a/crates/cache-router/src/caches.rs
+++ b/crates/cache-router/src/caches.rs
@@ -3,12 +3,11 @@
 use bytes::{Bytes, BytesMut};
 use routing_policy::{AttemptStatus, CacheLookup, LoadReport};
 
-use crate::clients::Command;
+use crate::message::{ClientCommand, ProtocolError, ServerResponse};
 use crate::resp::{self, Value};
-use crate::upstreams::{ProtocolError, Response};
 
 /// The facts of a client's command as an attempt tells them: all unchanged but `d`, the time left now.
-pub fn facts(command: &Command, left_ms: u64) -> String {
+pub fn facts(command: &ClientCommand, left_ms: u64) -> String {
     let facts = command
         .facts
         .split(',')
@@ -20,7 +19,7 @@
 }
 
 /// The command of a client as it goes on to a cache server.
-pub fn encode(command: &Command, left_ms: u64) -> Bytes {
+pub fn encode(command: &ClientCommand, left_ms: u64) -> Bytes {
     let facts = facts(command, left_ms);
     let name: &[u8] = if command.write {
         b"OBJ.SET"
@@ -37,16 +36,16 @@
 pub fn decode(
     buffer: &mut BytesMut,
     load_names: &[String],
-) -> Result<Option<Response>, ProtocolError> {
+) -> Result<Option<ServerResponse>, ProtocolError> {
     let Some(value) = resp::take_value(buffer).map_err(|_| ProtocolError)? else {
         return Ok(None);
     };
-    let response = |status| Response {
+    let response = |status| ServerResponse {
         status,
-        note: CacheLookup::Unknown,
+        cache_lookup: CacheLookup::Unknown,
         load: LoadReport::default(),
         value: None,
-        keep: true,
+        reusable: true,
     };
     Ok(Some(match value {
         Value::Array(items) => {
@@ -58,14 +57,14 @@
             };
             let (note, load) = (note(text(1)), load(text(2), load_names));
             match items.first() {
-                Some(Value::Bulk(Some(value))) => Response {
-                    note,
+                Some(Value::Bulk(Some(value))) => ServerResponse {
+                    cache_lookup: note,
                     load,
                     value: Some(value.clone()),
                     ..response(AttemptStatus::Served)
                 },
-                Some(Value::Bulk(None)) => Response {
-                    note,
+                Some(Value::Bulk(None)) => ServerResponse {
+                    cache_lookup: note,
                     load,
                     ..response(AttemptStatus::Miss)
                 },
@@ -80,7 +79,7 @@
                 AttemptStatus::Error
             };
             let last = line.rsplit(' ').next().unwrap_or("");
-            Response {
+            ServerResponse {
                 load: load(last, load_names),
                 ..response(status)
             }
--- a/crates/cache-router/src/clients.rs
+++ b/crates/cache-router/src/clients.rs
@@ -5,21 +5,19 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use routing_policy::Micros;
 use routing_policy::settings::Deployment;
-use routing_policy::{Key, Micros};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::node::{Clock, Input};
+use crate::clock::Clock;
+use crate::lifecycle::LifecyclePhase;
+use crate::message::{ClientCommand, ClientId, ClientRequest, RouterEvent};
 use crate::resp;
 use crate::resting::{Rest, Resting};
 
-/// Names a client's connection; never used twice.
-pub type ClientId = u64;
-
 /// Requests of one connection that are answered at the same time; more wait for one of them to be answered.
 pub const PIPELINE: usize = 64;
 /// While so much waits to be written to a client, no further command of it is taken.
@@ -56,9 +54,9 @@
     /// The router's clock.
     pub clock: Clock,
     /// The event loop.
-    pub hub: mpsc::Sender<Input>,
+    pub hub: mpsc::Sender<RouterEvent>,
     /// Where the node stands.
-    pub phase: watch::Receiver<Phase>,
+    pub phase: watch::Receiver<LifecyclePhase>,
     /// Connections that may still be taken, those for refusals included.
     pub room: Arc<Semaphore>,
     /// How many of these are kept for refusals.
@@ -76,85 +74,12 @@
     }
 }
 
-/// Where the node stands.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Phase {
-    /// It has no list of servers yet.
-    Starting,
-    /// It serves.
-    Ready,
-    /// It ends: connections are closed between requests.
-    Draining,
-    /// Its time is nearly up: no further command is taken, so that none is without its answer when it is over.
-    Closing,
-}
-
-impl Phase {
-    /// Whether connections are closed between requests.
-    fn ends(self) -> bool {
-        matches!(self, Phase::Draining | Phase::Closing)
-    }
-}
-
-/// A command of a client.
-#[derive(Debug, Clone, Default)]
-pub struct Command {
-    /// Whether it writes.
-    pub write: bool,
-    /// The key, as the client wrote it.
-    pub key: Bytes,
-    /// The request's id, as the client wrote it.
-    pub id: Bytes,
-    /// The list of facts, as the client wrote it.
-    pub facts: String,
-    /// What a write stores.
-    pub value: Option<Bytes>,
-    /// Position of its class in the settings.
-    pub class: usize,
-    /// Position of its tenant in the settings; 0 where there are none.
-    pub tenant: usize,
-    /// How long the client waits, microseconds.
-    pub time_left: Micros,
-    /// Whether the client said that it repeats an earlier request.
-    pub repeat: bool,
-    /// Expected work, where told.
-    pub cost: Option<Micros>,
-    /// Size of the value in bytes, 0 where not told.
-    pub size: f32,
-}
-
-impl Command {
-    /// The key as the module knows it, the same at every node.
-    pub fn hashed_key(&self) -> Key {
-        let text = std::str::from_utf8(&self.key).ok();
-        let hex = text
-            .filter(|t| t.len() == 16)
-            .and_then(|t| u64::from_str_radix(t, 16).ok());
-        hex.unwrap_or_else(|| xxh3_64(&self.key)).max(1)
-    }
-}
-
-/// A command on its way to the node, and where its answer goes.
-#[derive(Debug)]
-pub struct Asked {
-    /// The command.
-    pub command: Command,
-    /// When its last byte arrived.
-    pub at: Micros,
-    /// The connection that it came on.
-    pub client: ClientId,
-    /// The place of its answer among those of the connection.
-    pub slot: u64,
-    /// Where its answer goes.
-    pub answers: mpsc::Sender<(u64, Bytes)>,
-}
-
 /// Takes connections until the node drains, then those that the machine has already taken.
 pub async fn listen(listener: TcpListener, front: Arc<Frontend>) {
     let mut phase = front.phase.clone();
     let mut next: ClientId = 0;
     loop {
-        let draining = phase.borrow_and_update().ends();
+        let draining = phase.borrow_and_update().is_shutting_down();
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
@@ -264,7 +189,11 @@
     if ended == Ended::Gone {
         // First: whoever is about to send for this client sees it at once, whatever is queued before the news.
         session.answered.close();
-        let _ = session.front.hub.send(Input::ClientGone(client)).await;
+        let _ = session
+            .front
+            .hub
+            .send(RouterEvent::ClientDisconnected(client))
+            .await;
     } else {
         linger(
             &mut session.stream,
@@ -342,7 +271,7 @@
                 self.output.extend_from_slice(&answer);
             }
             let owes = !self.slots.is_empty() || !self.output.is_empty();
-            if !owes && (self.broken || now == Phase::Closing) {
+            if !owes && (self.broken || now == LifecyclePhase::Closing) {
                 return Ended::Closed;
             }
             let between = !owes && self.input.is_empty();
@@ -378,7 +307,7 @@
             } else if !rests {
                 rest = None;
             }
-            let ends = now.ends();
+            let ends = now.is_shutting_down();
             let closes = tokio::select! {
                 biased;
                 answer = self.answered.recv() => {
@@ -426,15 +355,15 @@
     }
 
     /// Whether commands are taken now.
-    fn takes(&self, phase: Phase) -> bool {
+    fn takes(&self, phase: LifecyclePhase) -> bool {
         !self.broken
-            && phase != Phase::Closing
+            && phase != LifecyclePhase::Closing
             && self.slots.len() < PIPELINE
             && self.output.len() < OUT_LIMIT
     }
 
     /// Whether input is read now.
-    fn reads(&self, phase: Phase) -> bool {
+    fn reads(&self, phase: LifecyclePhase) -> bool {
         match self.broken {
             true => self.discarded < DISCARD,
             false => self.takes(phase) || self.input.len() < READ_AHEAD,
@@ -442,7 +371,7 @@
     }
 
     /// Takes the commands that are whole.
-    async fn take_commands(&mut self, phase: Phase) {
+    async fn take_commands(&mut self, phase: LifecyclePhase) {
         while self.takes(phase) {
             let before = self.input.len();
             match resp::take_command(&mut self.input) {
@@ -462,7 +391,7 @@
     }
 
     /// Reads what has come; an error where the client has gone, whatever it had sent before: nobody waits for that.
-    fn read(&mut self, phase: Phase) -> Result<(), Ended> {
+    fn read(&mut self, phase: LifecyclePhase) -> Result<(), Ended> {
         while self.reads(phase) {
             self.input.reserve(4096);
             match self.stream.try_read_buf(&mut self.input) {
@@ -506,7 +435,7 @@
             .unwrap_or_default();
         let command = match name.as_slice() {
             b"PING" => {
-                let starting = *self.front.phase.borrow() == Phase::Starting;
+                let starting = *self.front.phase.borrow() == LifecyclePhase::Starting;
                 return self.answer_now(if starting {
                     "-LOADING no list of servers yet\r\n"
                 } else {
@@ -534,21 +463,25 @@
                 let slot = self.first + self.slots.len() as u64;
                 self.slots.push_back(Slot(None, Some(permit)));
                 let (client, answers) = (self.client, self.answers.clone());
-                let asked = Box::new(Asked {
+                let asked = Box::new(ClientRequest {
                     command,
                     at,
                     client,
                     slot,
                     answers,
                 });
-                let _ = self.front.hub.send(Input::Asked(asked)).await;
+                let _ = self.front.hub.send(RouterEvent::ClientRequest(asked)).await;
             }
         }
     }
 }
 
 /// Reads a command's words.
-fn parse(words: &[Bytes], write: bool, deployment: &Deployment) -> Result<Command, &'static str> {
+fn parse(
+    words: &[Bytes],
+    write: bool,
+    deployment: &Deployment,
+) -> Result<ClientCommand, &'static str> {
     if words.len() != if write { 5 } else { 4 } {
         return Err("wrong number of arguments");
     }
@@ -559,11 +492,11 @@
     }
     let facts = String::from_utf8_lossy(&words[3]).into_owned();
     let (mut class, mut tenant, mut wait) = (None, None, None);
-    let mut command = Command {
+    let mut command = ClientCommand {
         write,
         key: words[1].clone(),
         id: words[2].clone(),
-        ..Command::default()
+        ..ClientCommand::default()
     };
     for fact in facts.split(',').filter(|fact| !fact.is_empty()) {
         let (name, value) = fact.split_once('=').ok_or("invalid facts")?;
@@ -577,16 +510,16 @@
                 let ms: f64 = value.parse().map_err(|_| "invalid d")?;
                 wait = Some((ms * 1e3) as Micros);
             }
-            "r" => command.repeat = value == "1",
+            "r" => command.is_retry = value == "1",
             "h" => command.cost = value.parse().ok(),
-            "size" => command.size = value.parse().unwrap_or(0.0),
+            "size" => command.value_size = value.parse().unwrap_or(0.0),
             _ => {}
         }
     }
     command.class = class.ok_or("no class")?;
     command.tenant = tenant.unwrap_or(0);
     let deadline = deployment.settings.classes[command.class].deadline;
-    command.time_left = wait.unwrap_or(deadline).min(60_000_000);
+    command.remaining_deadline = wait.unwrap_or(deadline).min(60_000_000);
     command.value = words.get(4).cloned();
     command.facts = facts;
     Ok(command)
--- a/crates/cache-router/src/discovery.rs
+++ b/crates/cache-router/src/discovery.rs
@@ -12,58 +12,13 @@
 use hyper::client::conn::http1;
 use hyper::{Request, header};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{info, warn};
 
-use crate::node::Input;
-
-/// A list of servers, or a change of it.
-#[derive(Deserialize, Default, Debug)]
-pub struct Listing {
-    /// Its version.
-    #[serde(default)]
-    pub index: u64,
-    /// Whether it is whole.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// Its entries.
-    pub endpoints: Vec<Endpoint>,
-}
-
-/// A server of the list.
-#[derive(Deserialize, Debug)]
-pub struct Endpoint {
-    /// The name, which stays over restarts.
-    pub name: String,
-    /// Where it is reached, `ip:port`.
-    #[serde(default)]
-    pub address: String,
-    /// Name of its zone.
-    #[serde(default)]
-    pub zone: String,
-    /// Name of its machine kind.
-    #[serde(default, rename = "type")]
-    pub kind: String,
-    /// Its cell, a group that shares which requests with an idempotency key it has seen.
-    #[serde(default)]
-    pub group: u16,
-    /// Whether it is active, draining or gone, in discovery's words.
-    pub status: String,
-    /// Its weight.
-    #[serde(default = "one")]
-    pub weight: f32,
-    /// When its process started, Unix milliseconds; 0 where not known.
-    #[serde(default)]
-    pub since_ms: u64,
-}
-
-fn one() -> f32 {
-    1.0
-}
+use crate::message::{DiscoveryCall, EndpointListing, RouterEvent};
 
 /// A connection that is not up by the first is made anew beside it, as a lost packet is sent again after a second only;
 /// by the second the call has failed.
@@ -88,17 +43,6 @@
 /// The longest head of an answer.
 const MAX_HEAD: usize = 16 * 1024;
 
-/// What a call to discovery was, for whoever takes what it brought out of a queue.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Call {
-    /// Names it; later calls have higher numbers.
-    number: u64,
-    /// Which of the addresses it was made to that discovery has had.
-    home: u64,
-    /// Version of the list that was held when it began.
-    held: u64,
-}
-
 /// What a list or a change is, by the call that brought it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -118,18 +62,18 @@
     /// Version of the list held.
     index: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
-    hub: mpsc::Sender<Input>,
+    hub: mpsc::Sender<RouterEvent>,
     half_open: Duration,
 }
 
 impl Calls {
     /// Begins a call: what marks all that it brings.
-    fn begin(&self) -> Call {
+    fn begin(&self) -> DiscoveryCall {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        Call {
+        DiscoveryCall {
             number,
-            home: self.home,
-            held: self.index.load(Ordering::Relaxed),
+            address_generation: self.home,
+            held_version: self.index.load(Ordering::Relaxed),
         }
     }
 }
@@ -148,7 +92,7 @@
 
 impl Discovery {
     /// Discovery at an address, where a list of a version is held.
-    pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
+    pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<RouterEvent>) -> Self {
         let (index, next) = (Arc::new(AtomicU64::new(index)), Arc::default());
         let calls = Calls {
             address,
@@ -173,19 +117,19 @@
     }
 
     /// What a list is, by the call that brought it: events of two calls can cross on their way here.
-    pub fn judge(&self, call: &Call, listing: &Listing) -> Verdict {
+    pub fn judge(&self, call: &DiscoveryCall, listing: &EndpointListing) -> Verdict {
         let held = self.calls.index.load(Ordering::Relaxed);
-        match call.home == self.calls.home {
+        match call.address_generation == self.calls.home {
             true if listing.index >= held => Verdict::News,
             // Nothing newer has come since it was asked for: discovery began anew, with versions of its own.
-            true if call.held == held && listing.snapshot => Verdict::News,
-            true if call.held == held => Verdict::WentBack,
+            true if call.held_version == held && listing.snapshot => Verdict::News,
+            true if call.held_version == held => Verdict::WentBack,
             _ => Verdict::Stale,
         }
     }
 
     /// Whether a call that has ended was the watch of now, which it is no more.
-    pub fn ended(&mut self, call: &Call) -> bool {
+    pub fn ended(&mut self, call: &DiscoveryCall) -> bool {
         let current = self.watching == Some(call.number);
         self.watching = self.watching.filter(|_| !current);
         current
@@ -237,15 +181,15 @@
             let ended = match watch(&calls, mark).await {
                 Ok(()) => {
                     info!("discovery: the watch has ended");
-                    Input::ListFailed(mark)
+                    RouterEvent::DiscoveryFailed(mark)
                 }
                 Err(CallError::Silent) => {
                     warn!("discovery: {}", CallError::Silent);
-                    Input::ListSilent(mark)
+                    RouterEvent::WatchStalled(mark)
                 }
                 Err(e) => {
                     warn!("discovery: {e}");
-                    Input::ListFailed(mark)
+                    RouterEvent::DiscoveryFailed(mark)
                 }
             };
             let _ = calls.hub.send(ended).await;
@@ -261,7 +205,7 @@
             let called = lists(&calls, "/v1/servers", mark).await;
             if let Err(e) = called {
                 warn!("discovery: {e}");
-                let _ = calls.hub.send(Input::ListFailed(mark)).await;
+                let _ = calls.hub.send(RouterEvent::DiscoveryFailed(mark)).await;
             }
         };
         self.fetch = Some(tokio::spawn(call).abort_handle());
@@ -338,8 +282,8 @@
     }
 }
 
-async fn watch(calls: &Calls, mark: Call) -> Result<(), CallError> {
-    let path = match mark.held {
+async fn watch(calls: &Calls, mark: DiscoveryCall) -> Result<(), CallError> {
+    let path = match mark.held_version {
         0 => "/v1/servers?watch=1".into(),
         held => format!("/v1/servers?watch=1&after={held}"),
     };
@@ -425,7 +369,7 @@
 }
 
 /// Makes a call and passes on each list of its answer, until the answer ends.
-async fn lists(calls: &Calls, path: &str, mark: Call) -> Result<(), CallError> {
+async fn lists(calls: &Calls, path: &str, mark: DiscoveryCall) -> Result<(), CallError> {
     let mut answer = answered(calls, path).await?;
     let mut lists = Lists::default();
     loop {
@@ -440,7 +384,10 @@
             continue;
         };
         for listing in lists.take(&data)? {
-            let _ = calls.hub.send(Input::List(mark, listing)).await;
+            let _ = calls
+                .hub
+                .send(RouterEvent::EndpointList(mark, listing))
+                .await;
         }
     }
 }
@@ -455,7 +402,7 @@
 
 impl Lists {
     /// The lists that are whole now.
-    fn take(&mut self, data: &[u8]) -> Result<Vec<Listing>, CallError> {
+    fn take(&mut self, data: &[u8]) -> Result<Vec<EndpointListing>, CallError> {
         self.pending.extend_from_slice(data);
         let mut taken = Vec::new();
         // A list ends with a brace: without one among the new bytes none has become whole, and what drips
--- a/crates/cache-router/src/lib.rs
+++ b/crates/cache-router/src/lib.rs
@@ -2,9 +2,12 @@
 
 pub mod caches;
 pub mod clients;
+pub mod clock;
 pub mod config;
 pub mod discovery;
 pub mod http;
+pub mod lifecycle;
+pub mod message;
 pub mod node;
 pub mod origin;
 pub mod resp;
--- a/crates/cache-router/src/main.rs
+++ b/crates/cache-router/src/main.rs
@@ -14,9 +14,12 @@
 use router_config::{Layers, logging};
 use tracing::{info, warn};
 
-use cache_router::clients::{Frontend, Phase};
+use cache_router::clients::Frontend;
+use cache_router::clock::Clock;
 use cache_router::config::Config;
-use cache_router::node::{Clock, Input, Node};
+use cache_router::lifecycle::LifecyclePhase;
+use cache_router::message::RouterEvent;
+use cache_router::node::Node;
 use cache_router::trace::Trace;
 
 /// What waits between the connections and the node's loop.
@@ -39,7 +42,7 @@
 
 /// What the signals that reach the process mean for the node.
 struct Signals {
-    hub: mpsc::Sender<Input>,
+    hub: mpsc::Sender<RouterEvent>,
     /// Where discovery was when the file was read last.
     discovery: SocketAddr,
 }
@@ -54,7 +57,7 @@
             Ok(address) if address != self.discovery => {
                 info!("discovery is at {address} now");
                 self.discovery = address;
-                let _ = self.hub.send(Input::Discovery(address)).await;
+                let _ = self.hub.send(RouterEvent::DiscoveryMoved(address)).await;
                 return None;
             }
             Ok(_) => {}
@@ -68,7 +71,7 @@
 
 async fn run(config: Config, trace: Trace) -> std::io::Result<()> {
     let (hub, inputs) = mpsc::channel(INPUTS);
-    let (phase_set, phase) = watch::channel(Phase::Starting);
+    let (phase_set, phase) = watch::channel(LifecyclePhase::Starting);
     let clock = Clock::start();
     // The table of sockets is shared out beforehand: clients have one half, servers the other.
     let part = (config.sockets - RESERVE.min(config.sockets / 2)) / 2;
@@ -102,8 +105,8 @@
         let mut reads = None;
         loop {
             tokio::select! {
-                _ = term.recv() => drop(signals.hub.send(Input::Terminate).await),
-                _ = int.recv() => drop(signals.hub.send(Input::Terminate).await),
+                _ = term.recv() => drop(signals.hub.send(RouterEvent::Terminate).await),
+                _ = int.recv() => drop(signals.hub.send(RouterEvent::Terminate).await),
                 // Also while the node ends: what it holds still must not go to a server that drains.
                 _ = hangup.recv() => reads = signals.read(0).await,
                 () = async { tokio::time::sleep_until(reads.map_or_else(Instant::now, |(at, _)| at)).await },
--- a/crates/cache-router/src/node.rs
+++ b/crates/cache-router/src/node.rs
@@ -5,7 +5,6 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
 use routing_policy::settings::Deployment;
@@ -17,71 +16,18 @@
 use tracing::{debug, error, info};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clients::{Asked, ClientId, Command, Phase};
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::{Call, Discovery, Listing, Verdict};
+use crate::discovery::{Discovery, Verdict};
+use crate::lifecycle::LifecyclePhase;
+use crate::message::{
+    AttemptId, ClientCommand, ClientId, ClientRequest, ConnectionId, EndpointListing, RouterEvent,
+    ServerConnectionEvent, ServerProtocol, ServerResponse,
+};
 use crate::trace::{self, Trace};
-use crate::upstreams::{AttemptKey, ConnEvent, ConnId, Pool, Progress, Protocol, Response, State};
+use crate::upstreams::{Pool, Progress, State};
 use crate::{caches, origin, resp};
 
-/// What reaches the loop.
-#[derive(Debug)]
-pub enum Input {
-    /// A client asks.
-    Asked(Box<Asked>),
-    /// A client has closed its connection.
-    ClientGone(ClientId),
-    /// What a connection to a server tells.
-    Conn(ConnId, ConnEvent),
-    /// Discovery has sent a list or a change, in answer to a call.
-    List(Call, Listing),
-    /// A call to discovery failed, or the watch broke.
-    ListFailed(Call),
-    /// The watch was open and fell silent.
-    ListSilent(Call),
-    /// Discovery lives elsewhere from now on.
-    Discovery(SocketAddr),
-    /// The platform asks the node to end.
-    Terminate,
-}
-
-impl Input {
-    /// Whether it may forbid what others ask for, and asks for nothing itself.
-    fn forbids(&self) -> bool {
-        matches!(self, Input::ClientGone(_) | Input::List(..))
-    }
-}
-
-/// The node's one clock: Unix time in microseconds at the start, and steady from there on.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Clock {
-            start: Instant::now(),
-            unix: unix.as_micros() as Micros,
-        }
-    }
-
-    /// The time.
-    pub fn now(self) -> Micros {
-        self.unix + self.start.elapsed().as_micros() as Micros
-    }
-
-    /// The instant of a time.
-    fn instant(self, at: Micros) -> tokio::time::Instant {
-        (self.start + Duration::from_micros(at.saturating_sub(self.unix))).into()
-    }
-}
-
 /// After SIGTERM, connections go on being taken for this long: new ones keep coming for up to 0.4 s.
 const ACCEPT_ON: Micros = 450_000;
 /// A node that drains ends this long after the longest deadline at the latest.
@@ -106,7 +52,7 @@
     /// An attempt that still waits for a connection, since when, waits no more.
     Unconnected(RequestId, u16, Micros),
     /// The answer to an attempt that was given up has not come; when the attempt was sent.
-    Late(ConnId, Micros),
+    Late(ConnectionId, Micros),
     /// A client's time is up.
     Deadline(RequestId),
     /// Idle connections are looked through.
@@ -121,14 +67,14 @@
 
 struct Server {
     address: SocketAddr,
-    protocol: Protocol,
+    protocol: ServerProtocol,
     condition: EndpointState,
     /// When it last answered anything.
     last_seen: Micros,
 }
 
 struct PendingRequest {
-    command: Command,
+    command: ClientCommand,
     client: ClientId,
     slot: u64,
     answers: mpsc::Sender<(u64, Bytes)>,
@@ -143,7 +89,7 @@
     server: ServerId,
     sent: Micros,
     /// The connection that carries it; `None` while it waits for one.
-    conn: Option<ConnId>,
+    conn: Option<ConnectionId>,
     /// Since when it waits, or waited last.
     waits_since: Micros,
 }
@@ -156,12 +102,12 @@
     events: VecDeque<Event>,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     open: HashMap<RequestId, PendingRequest>,
-    attempts: HashMap<AttemptKey, Attempt>,
+    attempts: HashMap<AttemptId, Attempt>,
     next: RequestId,
     servers: HashMap<ServerId, Server>,
     pool: Pool,
     discovery: Discovery,
-    known: Option<Listing>,
+    known: Option<EndpointListing>,
     ends_at: Option<Micros>,
     /// What comes after SIGTERM has its answer by then.
     answered_by: Micros,
@@ -174,7 +120,7 @@
         config: Config,
         deployment: Arc<Deployment>,
         clock: Clock,
-        hub: mpsc::Sender<Input>,
+        hub: mpsc::Sender<RouterEvent>,
         conns: usize,
         trace: Trace,
     ) -> Self {
@@ -200,8 +146,8 @@
     /// Runs until the node has drained; `idle` tells whether no client is connected any more.
     pub async fn run(
         mut self,
-        mut inputs: mpsc::Receiver<Input>,
-        phase: watch::Sender<Phase>,
+        mut inputs: mpsc::Receiver<RouterEvent>,
+        phase: watch::Sender<LifecyclePhase>,
         idle: impl Fn() -> bool,
     ) {
         let s = &self.deployment.settings;
@@ -246,8 +192,8 @@
             {
                 ready = true;
                 phase.send_if_modified(|p| {
-                    *p == Phase::Starting && {
-                        *p = Phase::Ready;
+                    *p == LifecyclePhase::Starting && {
+                        *p = LifecyclePhase::Ready;
                         true
                     }
                 });
@@ -262,8 +208,8 @@
                     break;
                 };
                 match due {
-                    Due::Drain => drop(phase.send(Phase::Draining)),
-                    Due::Close => drop(phase.send(Phase::Closing)),
+                    Due::Drain => drop(phase.send(LifecyclePhase::Draining)),
+                    Due::Close => drop(phase.send(LifecyclePhase::Closing)),
                     Due::Ended => {
                         let late = self.ends_at.is_some_and(|at| now >= at);
                         if late || (self.open.values().all(|open| open.over) && idle()) {
@@ -291,26 +237,31 @@
 
     /// The node slept, or its process stood still: what has come to its sockets meanwhile is taken in before anything
     /// that was queued or due goes on, and of that what forbids sends before what asks for them.
-    async fn catch_up(&mut self, inputs: &mut mpsc::Receiver<Input>, arrived: &mut Option<Input>) {
+    async fn catch_up(
+        &mut self,
+        inputs: &mut mpsc::Receiver<RouterEvent>,
+        arrived: &mut Option<RouterEvent>,
+    ) {
         // Once for the sockets to be looked at, and once each for the tasks that bytes go through on their way here.
         for _ in 0..3 {
             tokio::task::yield_now().await;
         }
         let mut all: Vec<_> = arrived.take().into_iter().collect();
         all.extend(std::iter::from_fn(|| inputs.try_recv().ok()));
-        let (first, rest): (Vec<_>, Vec<_>) = all.into_iter().partition(Input::forbids);
+        let (first, rest): (Vec<_>, Vec<_>) = all.into_iter().partition(RouterEvent::forbids_sends);
         first
             .into_iter()
             .chain(rest)
             .for_each(|input| self.input(input));
     }
 
-    fn input(&mut self, input: Input) {
+    fn input(&mut self, input: RouterEvent) {
         match input {
-            Input::Asked(asked) => self.asked(*asked),
-            Input::ClientGone(client) => self.client_gone(client),
-            Input::Conn(conn, news) => self.conn(conn, news),
-            Input::List(call, listing) => match self.discovery.judge(&call, &listing) {
+            RouterEvent::ClientRequest(asked) => self.asked(*asked),
+            RouterEvent::ClientDisconnected(client) => self.client_gone(client),
+            RouterEvent::ServerConnection(conn, news) => self.conn(conn, news),
+            RouterEvent::EndpointList(call, listing) => match self.discovery.judge(&call, &listing)
+            {
                 Verdict::Stale => {}
                 Verdict::News => self.list(listing, None),
                 // It is told all the same; what else is different there only the whole list says.
@@ -319,15 +270,15 @@
                     self.discovery.begin_anew();
                 }
             },
-            Input::ListFailed(call) if self.discovery.ended(&call) => {
+            RouterEvent::DiscoveryFailed(call) if self.discovery.ended(&call) => {
                 self.unheard(ListUpdate::Failed)
             }
-            Input::ListSilent(call) if self.discovery.ended(&call) => {
+            RouterEvent::WatchStalled(call) if self.discovery.ended(&call) => {
                 self.unheard(ListUpdate::WatchSilent)
             }
-            Input::ListFailed(_) | Input::ListSilent(_) => {} // Of a call that another has replaced.
-            Input::Discovery(address) => self.discovery.moved(address),
-            Input::Terminate if self.ends_at.is_none() => {
+            RouterEvent::DiscoveryFailed(_) | RouterEvent::WatchStalled(_) => {} // Of a call that another has replaced.
+            RouterEvent::DiscoveryMoved(address) => self.discovery.moved(address),
+            RouterEvent::Terminate if self.ends_at.is_none() => {
                 let now = self.clock.now();
                 let longest = self
                     .deployment
@@ -346,7 +297,7 @@
                 self.timers
                     .push(Reverse((self.answered_by.max(now + ACCEPT_ON), Due::Close)));
             }
-            Input::Terminate => {}
+            RouterEvent::Terminate => {}
         }
     }
 
@@ -483,7 +434,7 @@
     }
 
     /// Ends an attempt whose last byte is not written, so that it never will be; what is written goes on.
-    fn unsend(&mut self, key: AttemptKey) -> bool {
+    fn unsend(&mut self, key: AttemptId) -> bool {
         let Some(attempt) = self.attempts.get(&key) else {
             return false;
         };
@@ -503,8 +454,8 @@
         true
     }
 
-    fn asked(&mut self, asked: Asked) {
-        let Asked {
+    fn asked(&mut self, asked: ClientRequest) {
+        let ClientRequest {
             command,
             at,
             client,
@@ -517,17 +468,17 @@
         let id = self.next;
         self.next += 1;
         // What the request waited within the node is part of its time.
-        let ends = (at + command.time_left).min(self.answered_by);
+        let ends = (at + command.remaining_deadline).min(self.answered_by);
         let request = Request {
             id,
             class: command.class,
             tenant: command.tenant,
             key: command.hashed_key(),
             write: command.write,
-            is_retry: command.repeat,
+            is_retry: command.is_retry,
             remaining_deadline: ends.saturating_sub(self.clock.now()),
             cost: command.cost,
-            value_size: command.size,
+            value_size: command.value_size,
         };
         self.trace.line(
             at,
@@ -535,7 +486,7 @@
                 "request {id} {:016x} {} {} {}",
                 request.key,
                 command.class,
-                command.time_left,
+                command.remaining_deadline,
                 command.id.escape_ascii()
             ),
         );
@@ -624,14 +575,14 @@
     }
 
     /// Where a server is reached.
-    fn target(&self, server: ServerId) -> Option<(ServerId, SocketAddr, Protocol)> {
+    fn target(&self, server: ServerId) -> Option<(ServerId, SocketAddr, ServerProtocol)> {
         self.servers
             .get(&server)
             .map(|s| (server, s.address, s.protocol))
     }
 
     /// The server of an attempt that waits for a connection still, since a time.
-    fn waits(&self, key: AttemptKey, since: Micros) -> Option<ServerId> {
+    fn waits(&self, key: AttemptId, since: Micros) -> Option<ServerId> {
         let waits = |attempt: &&Attempt| attempt.conn.is_none() && attempt.waits_since == since;
         self.attempts
             .get(&key)
@@ -640,7 +591,7 @@
     }
 
     /// Has an attempt wait for the first connection that comes up or becomes free.
-    fn wait(&mut self, key: AttemptKey, to: (ServerId, SocketAddr, Protocol)) {
+    fn wait(&mut self, key: AttemptId, to: (ServerId, SocketAddr, ServerProtocol)) {
         let (now, limit) = (self.clock.now(), self.deployment.connect_timeout.max(1_000));
         if !self.pool.wait(to, key, now) {
             // Forced by the limit on sockets: there is no connection to send this on.
@@ -663,7 +614,7 @@
     }
 
     /// Hands an attempt to its connection, which is up; an attempt that may not be sent any more leaves it to the next.
-    fn carry(&mut self, key: AttemptKey, conn: ConnId) {
+    fn carry(&mut self, key: AttemptId, conn: ConnectionId) {
         if !self.write(key, conn, false) {
             self.end(key, AttemptStatus::NotSent);
             self.free(conn);
@@ -671,7 +622,7 @@
     }
 
     /// A connection owes nothing any more: the next in line has it.
-    fn free(&mut self, conn: ConnId) {
+    fn free(&mut self, conn: ConnectionId) {
         let Some((server, _)) = self.pool.state(conn) else {
             return;
         };
@@ -691,7 +642,7 @@
 
     /// Writes an attempt to its connection, which may have asked about it again; `false` where it may not be sent any
     /// more.
-    fn write(&mut self, key: AttemptKey, conn: ConnId, asked: bool) -> bool {
+    fn write(&mut self, key: AttemptId, conn: ConnectionId, asked: bool) -> bool {
         let now = self.clock.now();
         let Some(attempt) = self.attempts.get_mut(&key) else {
             return false;
@@ -711,8 +662,10 @@
         // Rounded down: no attempt tells more time than is left.
         let left_ms = ((open.ends - now) / 1_000).max(1);
         let bytes = match server.protocol {
-            Protocol::Resp => caches::encode(&open.command, left_ms),
-            Protocol::Http => origin::encode(&open.command, &server.address.to_string(), left_ms),
+            ServerProtocol::Resp => caches::encode(&open.command, left_ms),
+            ServerProtocol::Http => {
+                origin::encode(&open.command, &server.address.to_string(), left_ms)
+            }
         };
         let by = open.ends;
         let waited = attempt.conn.replace(conn).is_none();
@@ -735,19 +688,19 @@
         true
     }
 
-    fn conn(&mut self, conn: ConnId, news: ConnEvent) {
+    fn conn(&mut self, conn: ConnectionId, news: ServerConnectionEvent) {
         let now = self.clock.now();
         let Some((server, state)) = self.pool.state(conn) else {
             return;
         };
-        if matches!(news, ConnEvent::Answer(_)) {
+        if matches!(news, ServerConnectionEvent::Answer(_)) {
             self.servers
                 .get_mut(&server)
                 .into_iter()
                 .for_each(|s| s.last_seen = now);
         }
         match (news, state) {
-            (ConnEvent::Up, State::Opening(since)) => {
+            (ServerConnectionEvent::Up, State::Opening(since)) => {
                 self.free(conn);
                 // What waited for it in vain has been told that there was no connection.
                 if self.pool.overdue(since, now) {
@@ -760,25 +713,31 @@
                     });
                 }
             }
-            (ConnEvent::Answer(response), State::Busy(key)) => {
-                self.free_or_close(conn, response.keep);
+            (ServerConnectionEvent::Answer(response), State::Busy(key)) => {
+                self.free_or_close(conn, response.reusable);
                 self.end_with(key, response);
             }
-            (ConnEvent::Unsent, State::Busy(key)) => {
+            (ServerConnectionEvent::Unsent, State::Busy(key)) => {
                 self.end(key, AttemptStatus::NotSent);
                 self.free(conn);
             }
-            (ConnEvent::Stale, State::Busy(key)) => {
+            (ServerConnectionEvent::Stale, State::Busy(key)) => {
                 if !self.write(key, conn, true) {
                     self.end(key, AttemptStatus::NotSent);
                     self.free(conn);
                 }
             }
-            (ConnEvent::Unsent | ConnEvent::Stale, State::Late(_)) => self.free(conn),
+            (ServerConnectionEvent::Unsent | ServerConnectionEvent::Stale, State::Late(_)) => {
+                self.free(conn)
+            }
             // What was given up has its answer after all: of no more interest, but the machine is there.
-            (ConnEvent::Answer(response), _) => self.free_or_close(conn, response.keep),
-            (ConnEvent::Lost { written }, State::Busy(key)) => self.lost(key, conn, written),
-            (ConnEvent::Lost { .. }, _) => {
+            (ServerConnectionEvent::Answer(response), _) => {
+                self.free_or_close(conn, response.reusable)
+            }
+            (ServerConnectionEvent::Lost { written }, State::Busy(key)) => {
+                self.lost(key, conn, written)
+            }
+            (ServerConnectionEvent::Lost { .. }, _) => {
                 self.pool.close(conn);
                 // Refused, or the machine is gone: what waits has one chance less.
                 if let (State::Opening(_), Some(key)) = (state, self.pool.hopeless(server, now)) {
@@ -786,12 +745,17 @@
                     self.end(key, AttemptStatus::ConnectFailed);
                 }
             }
-            (ConnEvent::Up | ConnEvent::Unsent | ConnEvent::Stale, _) => {}
+            (
+                ServerConnectionEvent::Up
+                | ServerConnectionEvent::Unsent
+                | ServerConnectionEvent::Stale,
+                _,
+            ) => {}
         }
         self.run_events();
     }
 
-    fn free_or_close(&mut self, conn: ConnId, keep: bool) {
+    fn free_or_close(&mut self, conn: ConnectionId, keep: bool) {
         match keep {
             true => self.free(conn),
             false => self.pool.close(conn),
@@ -799,7 +763,7 @@
     }
 
     /// A connection is lost that carried an attempt.
-    fn lost(&mut self, key: AttemptKey, conn: ConnId, written: bool) {
+    fn lost(&mut self, key: AttemptId, conn: ConnectionId, written: bool) {
         let stale = !written && self.pool.carried(conn) > 1;
         self.pool.close(conn);
         if written {
@@ -820,7 +784,7 @@
 
     /// Stops waiting for an attempt. Its connection is closed, unless the answer is hardly due yet: a client
     /// in a hurry must not cost those after it the handshake of a new connection, nor the box.
-    fn give_up(&mut self, key: AttemptKey, status: AttemptStatus) {
+    fn give_up(&mut self, key: AttemptId, status: AttemptStatus) {
         if self.unsend(key) {
             return;
         }
@@ -841,7 +805,7 @@
     }
 
     /// Closes a connection that has not answered what was sent on it.
-    fn abort(&mut self, conn: ConnId, server: ServerId, sent: Micros) {
+    fn abort(&mut self, conn: ConnectionId, server: ServerId, sent: Micros) {
         self.pool.close(conn);
         // Against a machine that vanished: its kept connections stay open and silent, and each would cost
         // a request its whole time. A fresh one tells within the time-out of a connect.
@@ -854,21 +818,21 @@
         }
     }
 
-    fn end(&mut self, key: AttemptKey, status: AttemptStatus) {
+    fn end(&mut self, key: AttemptId, status: AttemptStatus) {
         self.end_with(
             key,
-            Response {
+            ServerResponse {
                 status,
-                note: CacheLookup::Unknown,
+                cache_lookup: CacheLookup::Unknown,
                 load: LoadReport::default(),
                 value: None,
-                keep: false,
+                reusable: false,
             },
         );
     }
 
     /// An attempt has its outcome: the first that serves answers the client, and the module is told.
-    fn end_with(&mut self, key: AttemptKey, response: Response) {
+    fn end_with(&mut self, key: AttemptId, response: ServerResponse) {
         let Some(attempt) = self.attempts.remove(&key) else {
             return;
         };
@@ -885,7 +849,7 @@
                 key.0,
                 key.1,
                 trace::status_word(status),
-                trace::lookup_word(response.note)
+                trace::lookup_word(response.cache_lookup)
             ),
         );
         debug!(request = %open.command.id.escape_ascii(), attempt = key.1, server, ?status, "attempt ended");
@@ -903,7 +867,7 @@
             server: attempt.server,
             status: response.status,
             request_complete: over,
-            cache_lookup: response.note,
+            cache_lookup: response.cache_lookup,
             elapsed: self.clock.now() - attempt.sent,
             load: response.load,
         }));
@@ -911,7 +875,7 @@
 
     // The list.
 
-    fn list(&mut self, listing: Listing, kind: Option<ListUpdate>) {
+    fn list(&mut self, listing: EndpointListing, kind: Option<ListUpdate>) {
         let kind = kind.unwrap_or(if listing.snapshot {
             ListUpdate::Full
         } else {
@@ -937,8 +901,8 @@
             let kind =
                 place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
             let protocol = match self.deployment.settings.origin_kind == Some(kind) {
-                true => Protocol::Http,
-                false => Protocol::Resp,
+                true => ServerProtocol::Http,
+                false => ServerProtocol::Resp,
             };
             // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
             let started = if entry.since_ms == 0 {
--- a/crates/cache-router/src/origin.rs
+++ b/crates/cache-router/src/origin.rs
@@ -4,13 +4,12 @@
 use routing_policy::AttemptStatus;
 
 use crate::caches;
-use crate::clients::Command;
 use crate::http::{self, Chunks};
+use crate::message::{ClientCommand, ProtocolError, ServerResponse};
 use crate::resp::MAX_VALUE;
-use crate::upstreams::{ProtocolError, Response};
 
 /// The request for a client's command. Like a cache server, the origin is told the time that is left.
-pub fn encode(command: &Command, host: &str, left_ms: u64) -> Bytes {
+pub fn encode(command: &ClientCommand, host: &str, left_ms: u64) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
     out.put_slice(if command.write { b"PUT /" } else { b"GET /" });
     out.put_slice(&command.key);
@@ -30,7 +29,7 @@
 pub fn decode(
     buffer: &mut BytesMut,
     load_names: &[String],
-) -> Result<Option<Response>, ProtocolError> {
+) -> Result<Option<ServerResponse>, ProtocolError> {
     let Some(head) = http::head(buffer).map_err(|_| ProtocolError)? else {
         return Ok(None);
     };
@@ -78,11 +77,11 @@
     let value = (status == AttemptStatus::Served).then_some(value);
     let load = caches::load(head.load.as_deref().unwrap_or(""), load_names);
     let note = caches::note(head.note.as_deref().unwrap_or(""));
-    Ok(Some(Response {
+    Ok(Some(ServerResponse {
         status,
-        note,
+        cache_lookup: note,
         load,
         value,
-        keep,
+        reusable: keep,
     }))
 }
--- a/crates/cache-router/src/upstreams.rs
+++ b/crates/cache-router/src/upstreams.rs
@@ -9,67 +9,19 @@
 
 use bytes::{Bytes, BytesMut};
 use routing_policy::settings::Deployment;
-use routing_policy::{AttemptStatus, CacheLookup, LoadReport, Micros, RequestId, ServerId};
+use routing_policy::{Micros, ServerId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use crate::node::{Clock, Input};
+use crate::clock::Clock;
+use crate::message::{
+    AttemptId, ConnectionId, ProtocolError, RouterEvent, ServerConnectionEvent, ServerProtocol,
+    ServerResponse,
+};
 use crate::{caches, origin};
 
-/// Names a connection; never used twice.
-pub type ConnId = u64;
-/// Names an attempt: its request and its number.
-pub type AttemptKey = (RequestId, u16);
-
-/// What a server sent can't be understood; the connection is of no more use.
-#[derive(Debug, PartialEq, Clone, Copy)]
-pub struct ProtocolError;
-
-/// An answer of a server.
-#[derive(Debug, PartialEq)]
-pub struct Response {
-    /// How the attempt ended.
-    pub status: AttemptStatus,
-    /// What the server said of the key.
-    pub note: CacheLookup,
-    /// The load report that came along.
-    pub load: LoadReport,
-    /// What the client is sent.
-    pub value: Option<Bytes>,
-    /// Whether the connection can carry another request.
-    pub keep: bool,
-}
-
-/// What a connection tells the node.
-#[derive(Debug)]
-pub enum ConnEvent {
-    /// It is up, and nothing has been written to it.
-    Up,
-    /// The answer to the request that it carried.
-    Answer(Response),
-    /// The request that it was given was withdrawn, or its time was up, before its first byte was written; it is free.
-    Unsent,
-    /// The process stood still between the node's word and the first byte, which was not written: what came meanwhile
-    /// may forbid it.
-    Stale,
-    /// It could not be opened or is lost.
-    Lost {
-        /// Whether the last byte of its request may have been written.
-        written: bool,
-    },
-}
-
-/// What is spoken with a server.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Protocol {
-    /// RESP2, with cache servers.
-    Resp,
-    /// HTTP/1.1, with the origin.
-    Http,
-}
-
 /// A request on its way to a connection.
 struct Job {
     bytes: Bytes,
@@ -130,7 +82,7 @@
     /// It is being opened, since when.
     Opening(Micros),
     /// It carries an attempt.
-    Busy(AttemptKey),
+    Busy(AttemptId),
     /// What it carried was given up, and its answer may still come; when that was sent.
     Late(Micros),
     /// It owes nothing, since when.
@@ -159,19 +111,19 @@
 #[derive(Default)]
 struct WaitQueue {
     /// Idle connections, the one used last at the end.
-    idle: Vec<ConnId>,
+    idle: Vec<ConnectionId>,
     /// Those being opened, oldest first.
-    opening: VecDeque<ConnId>,
+    opening: VecDeque<ConnectionId>,
     /// Attempts that wait for a connection, oldest first: each takes the first that comes up or becomes free, since
     /// the one that was opened for it may be the last to come.
-    waiting: VecDeque<AttemptKey>,
+    waiting: VecDeque<AttemptId>,
 }
 
 /// All connections to servers.
 pub struct Pool {
-    conns: HashMap<ConnId, Conn>,
+    conns: HashMap<ConnectionId, Conn>,
     queues: HashMap<ServerId, WaitQueue>,
-    next: ConnId,
+    next: ConnectionId,
     limit: usize,
     idle_limit: Micros,
     /// A connection that is up by then is in time; one that is not may still come for this long in all.
@@ -179,7 +131,7 @@
     open_timeout: Micros,
     deployment: Arc<Deployment>,
     clock: Clock,
-    hub: mpsc::Sender<Input>,
+    hub: mpsc::Sender<RouterEvent>,
 }
 
 impl Pool {
@@ -188,7 +140,7 @@
         limit: usize,
         deployment: Arc<Deployment>,
         clock: Clock,
-        hub: mpsc::Sender<Input>,
+        hub: mpsc::Sender<RouterEvent>,
     ) -> Self {
         // Before the server closes it: a request written to a closed connection ends as a reset, which may have
         // run and so may not be sent again. Not long before: one of many nodes meets a server every few seconds.
@@ -218,7 +170,12 @@
     }
 
     /// An idle connection to a server for an attempt, if there is one.
-    pub fn reuse(&mut self, server: ServerId, attempt: AttemptKey, now: Micros) -> Option<ConnId> {
+    pub fn reuse(
+        &mut self,
+        server: ServerId,
+        attempt: AttemptId,
+        now: Micros,
+    ) -> Option<ConnectionId> {
         loop {
             let id = self.queues.get_mut(&server)?.idle.pop()?;
             let Some(conn) = self.conns.get_mut(&id) else {
@@ -239,8 +196,8 @@
     /// sockets is full and none is on its way.
     pub fn wait(
         &mut self,
-        to: (ServerId, SocketAddr, Protocol),
-        attempt: AttemptKey,
+        to: (ServerId, SocketAddr, ServerProtocol),
+        attempt: AttemptId,
         now: Micros,
     ) -> bool {
         let queue = self.queues.entry(to.0).or_default();
@@ -260,7 +217,7 @@
         let Some(queue) = self.queues.get(&server) else {
             return 0;
         };
-        let fresh = |id: &&ConnId| {
+        let fresh = |id: &&ConnectionId| {
             let state = self.conns.get(id).map(|conn| conn.state);
             matches!(state, Some(State::Opening(since)) if now < since + self.in_time)
         };
@@ -270,7 +227,7 @@
     /// Begins to open a connection; `false` where the table is full.
     pub fn open(
         &mut self,
-        (server, address, protocol): (ServerId, SocketAddr, Protocol),
+        (server, address, protocol): (ServerId, SocketAddr, ServerProtocol),
         now: Micros,
     ) -> bool {
         if self.conns.len() >= self.limit {
@@ -294,7 +251,10 @@
                 hub,
             };
             let event = link.run(address, open_timeout).await;
-            let _ = link.hub.send(Input::Conn(id, event)).await;
+            let _ = link
+                .hub
+                .send(RouterEvent::ServerConnection(id, event))
+                .await;
         });
         let (task, state) = (task.abort_handle(), State::Opening(now));
         self.conns.insert(
@@ -314,7 +274,7 @@
     }
 
     /// What a connection is at, and its server; `None` where it is closed.
-    pub fn state(&self, id: ConnId) -> Option<(ServerId, State)> {
+    pub fn state(&self, id: ConnectionId) -> Option<(ServerId, State)> {
         self.conns.get(&id).map(|conn| (conn.server, conn.state))
     }
 
@@ -324,7 +284,7 @@
     }
 
     /// The attempt that has waited for longest for a connection to a server, where more wait than may still come up.
-    pub fn hopeless(&self, server: ServerId, now: Micros) -> Option<AttemptKey> {
+    pub fn hopeless(&self, server: ServerId, now: Micros) -> Option<AttemptId> {
         let queue = self.queues.get(&server)?;
         queue
             .waiting
@@ -337,10 +297,10 @@
     /// One whose server is elsewhere now or takes nothing new is closed.
     pub fn hand_on(
         &mut self,
-        id: ConnId,
+        id: ConnectionId,
         address: Option<SocketAddr>,
         now: Micros,
-    ) -> Option<AttemptKey> {
+    ) -> Option<AttemptId> {
         let conn = self.conns.get_mut(&id)?;
         if address != Some(conn.address) {
             self.close(id);
@@ -360,7 +320,7 @@
     }
 
     /// An attempt waits for a connection no more.
-    pub fn leave(&mut self, server: ServerId, attempt: AttemptKey) {
+    pub fn leave(&mut self, server: ServerId, attempt: AttemptId) {
         self.queues
             .get_mut(&server)
             .into_iter()
@@ -368,7 +328,7 @@
     }
 
     /// The attempts that wait for a connection to a server.
-    pub fn waiting(&self, server: ServerId) -> Vec<AttemptKey> {
+    pub fn waiting(&self, server: ServerId) -> Vec<AttemptId> {
         self.queues
             .get(&server)
             .map(|queue| queue.waiting.iter().copied().collect())
@@ -377,7 +337,7 @@
 
     /// Leaves a connection without its attempt, sent at a time, until the answer comes; `false` if there is none to
     /// leave.
-    pub fn abandon(&mut self, id: ConnId, sent: Micros) -> bool {
+    pub fn abandon(&mut self, id: ConnectionId, sent: Micros) -> bool {
         self.conns
             .get_mut(&id)
             .map(|conn| conn.state = State::Late(sent))
@@ -385,14 +345,14 @@
     }
 
     /// How far the request has come that a connection was given last.
-    pub fn progress(&self, id: ConnId) -> Progress {
+    pub fn progress(&self, id: ConnectionId) -> Progress {
         self.conns
             .get(&id)
             .map_or(Progress::Written, |conn| conn.progress.get())
     }
 
     /// Withdraws the request that a connection was given, if not a byte of it is written; how far it had come.
-    pub fn withdraw(&mut self, id: ConnId) -> Progress {
+    pub fn withdraw(&mut self, id: ConnectionId) -> Progress {
         let conn = self.conns.get(&id);
         match conn.is_some_and(|conn| conn.progress.step(Progress::Handed, Progress::Withdrawn)) {
             true => Progress::Handed,
@@ -401,13 +361,13 @@
     }
 
     /// How many requests a connection has been given.
-    pub fn carried(&self, id: ConnId) -> u64 {
+    pub fn carried(&self, id: ConnectionId) -> u64 {
         self.conns.get(&id).map_or(0, |conn| conn.carried)
     }
 
     /// Hands a request to a connection that is up, to be written before a time; `false` if it is lost already. Where
     /// the node was asked about it once, it is not asked again: it would never go on a machine that is always late.
-    pub fn start(&mut self, id: ConnId, bytes: Bytes, by: Micros, asked: bool) -> bool {
+    pub fn start(&mut self, id: ConnectionId, bytes: Bytes, by: Micros, asked: bool) -> bool {
         let stale_at = if asked { by } else { self.clock.now() + STALE };
         let Some(conn) = self.conns.get_mut(&id) else {
             return false;
@@ -425,7 +385,7 @@
     }
 
     /// Closes a connection.
-    pub fn close(&mut self, id: ConnId) {
+    pub fn close(&mut self, id: ConnectionId) {
         if let Some(conn) = self.conns.remove(&id)
             && let Some(queue) = self.queues.get_mut(&conn.server)
         {
@@ -474,78 +434,90 @@
 
 /// One connection, in its task.
 struct Link {
-    id: ConnId,
-    protocol: Protocol,
+    id: ConnectionId,
+    protocol: ServerProtocol,
     deployment: Arc<Deployment>,
     jobs: mpsc::Receiver<Job>,
     clock: Clock,
-    hub: mpsc::Sender<Input>,
+    hub: mpsc::Sender<RouterEvent>,
 }
 
 impl Link {
     /// Opens the connection and carries one request after the other, until it is lost.
-    async fn run(&mut self, address: SocketAddr, open_timeout: Duration) -> ConnEvent {
+    async fn run(&mut self, address: SocketAddr, open_timeout: Duration) -> ServerConnectionEvent {
         // A machine that vanished answers nothing: the connect has a time-out of its own. It is longer than that of
         // the attempts which wait for it, as a connection that comes up late shows that the server is there.
         let Ok(Ok(mut stream)) =
             tokio::time::timeout(open_timeout, TcpStream::connect(address)).await
         else {
-            return ConnEvent::Lost { written: false };
+            return ServerConnectionEvent::Lost { written: false };
         };
         let _ = stream.set_nodelay(true);
         let mut buffer = BytesMut::new();
-        let mut event = ConnEvent::Up;
+        let mut event = ServerConnectionEvent::Up;
         loop {
-            if self.hub.send(Input::Conn(self.id, event)).await.is_err() {
-                return ConnEvent::Lost { written: false };
+            if self
+                .hub
+                .send(RouterEvent::ServerConnection(self.id, event))
+                .await
+                .is_err()
+            {
+                return ServerConnectionEvent::Lost { written: false };
             }
             buffer.reserve(2048);
             let job = tokio::select! {
                 // First: a connection that the server has ended is not written to, so that its request
                 // surely never ran.
                 biased;
-                _ = stream.read_buf(&mut buffer) => return ConnEvent::Lost { written: false },
+                _ = stream.read_buf(&mut buffer) => return ServerConnectionEvent::Lost { written: false },
                 job = self.jobs.recv() => job,
             };
             let Some(job) = job else {
-                return ConnEvent::Lost { written: false };
+                return ServerConnectionEvent::Lost { written: false };
             };
             // Against a send after a request's end: the process may have been stopped since the node handed it on.
             let now = self.clock.now();
             if now < job.by && now >= job.stale_at {
                 // What came meanwhile is taken in first.
                 tokio::task::yield_now().await;
-                event = ConnEvent::Stale;
+                event = ServerConnectionEvent::Stale;
                 continue;
             }
             if now >= job.by || !job.progress.step(Progress::Handed, Progress::Writing) {
-                event = ConnEvent::Unsent;
+                event = ServerConnectionEvent::Unsent;
                 continue;
             }
             if stream.write_all(&job.bytes).await.is_err() {
-                return ConnEvent::Lost { written: false };
+                return ServerConnectionEvent::Lost { written: false };
             }
             job.progress.step(Progress::Writing, Progress::Written);
             drop(job);
             let response = loop {
                 let decoded = match self.protocol {
-                    Protocol::Resp => caches::decode(&mut buffer, &self.deployment.load_names),
-                    Protocol::Http => origin::decode(&mut buffer, &self.deployment.load_names),
+                    ServerProtocol::Resp => {
+                        caches::decode(&mut buffer, &self.deployment.load_names)
+                    }
+                    ServerProtocol::Http => {
+                        origin::decode(&mut buffer, &self.deployment.load_names)
+                    }
                 };
                 match decoded {
                     Ok(Some(response)) => break response,
                     Ok(None) => {}
-                    Err(ProtocolError) => return ConnEvent::Lost { written: true },
+                    Err(ProtocolError) => return ServerConnectionEvent::Lost { written: true },
                 }
                 buffer.reserve(2048);
                 if !matches!(stream.read_buf(&mut buffer).await, Ok(count) if count > 0) {
-                    return ConnEvent::Lost { written: true };
+                    return ServerConnectionEvent::Lost { written: true };
                 }
             };
             // Bytes beyond the answer belong to no request: nothing after them could be matched.
-            let keep = response.keep && buffer.is_empty();
+            let keep = response.reusable && buffer.is_empty();
             buffer = BytesMut::new();
-            event = ConnEvent::Answer(Response { keep, ..response });
+            event = ServerConnectionEvent::Answer(ServerResponse {
+                reusable: keep,
+                ..response
+            });
             if !keep {
                 return event;
             }
--- a/crates/cache-router/tests/parts/clients.rs
+++ b/crates/cache-router/tests/parts/clients.rs
@@ -4,15 +4,15 @@
 
 /// What is round a client's connection: its inputs to the node, the places, and where the node stands.
 struct Around {
-    inputs: mpsc::Receiver<Input>,
+    inputs: mpsc::Receiver<RouterEvent>,
     front: Arc<Frontend>,
-    phase: watch::Sender<Phase>,
+    phase: watch::Sender<LifecyclePhase>,
 }
 
 /// A connection to a session of its own.
 async fn connected() -> (TcpStream, Around) {
     let (hub, inputs) = mpsc::channel(16);
-    let (set_phase, phase) = watch::channel(Phase::Ready);
+    let (set_phase, phase) = watch::channel(LifecyclePhase::Ready);
     let deployment = routing_policy::settings::read(br#"{"classes":[{"name":"read"}]}"#).unwrap();
     let front = Arc::new(Frontend {
         deployment: Arc::new(deployment),
@@ -104,7 +104,7 @@
 async fn a_node_that_ends_waits_a_moment_for_the_first_command_of_a_new_connection_but_not_for_the_next()
  {
     let (mut client, around) = connected().await;
-    around.phase.send(Phase::Draining).unwrap();
+    around.phase.send(LifecyclePhase::Draining).unwrap();
     tokio::time::sleep(FRESH / 2).await;
     client.write_all(PING).await.unwrap();
     let mut answer = [0; 7];
@@ -114,7 +114,7 @@
         (b"+PONG\r\n", Duration::ZERO)
     );
     let (mut silent, around) = connected().await;
-    around.phase.send(Phase::Draining).unwrap();
+    around.phase.send(LifecyclePhase::Draining).unwrap();
     assert_eq!(closed_after(&mut silent).await, FRESH);
 }
 
@@ -123,7 +123,7 @@
     let (mut client, mut around) = connected().await;
     let get = b"*4\r\n$7\r\nOBJ.GET\r\n$1\r\na\r\n$1\r\n1\r\n$13\r\nc=read,d=9000\r\n";
     client.write_all(get).await.unwrap();
-    let Some(Input::Asked(asked)) = around.inputs.recv().await else {
+    let Some(RouterEvent::ClientRequest(asked)) = around.inputs.recv().await else {
         panic!("no request")
     };
     tokio::time::sleep(Duration::from_secs(8)).await;
@@ -186,20 +186,20 @@
         loop {
             let input = tokio::time::timeout(Duration::from_secs(60), self.inputs.recv()).await;
             match input.expect("the node is told of the client's leave") {
-                Some(Input::Asked(_)) => asked += 1,
-                Some(Input::ClientGone(_)) => return asked,
+                Some(RouterEvent::ClientRequest(_)) => asked += 1,
+                Some(RouterEvent::ClientDisconnected(_)) => return asked,
                 other => panic!("{other:?}"),
             }
         }
     }
 
     /// Takes the next requests.
-    async fn asked(&mut self, count: usize) -> Vec<Box<Asked>> {
+    async fn asked(&mut self, count: usize) -> Vec<Box<ClientRequest>> {
         let mut all = Vec::new();
         while all.len() < count {
             let input = tokio::time::timeout(Duration::from_secs(60), self.inputs.recv()).await;
             match input.expect("a request") {
-                Some(Input::Asked(asked)) => all.push(asked),
+                Some(RouterEvent::ClientRequest(asked)) => all.push(asked),
                 other => panic!("{other:?} and no request"),
             }
         }
@@ -306,14 +306,14 @@
     client.write_all(&get(1)).await.unwrap();
     let asked = around.asked(1).await.remove(0);
     // The node's queue is full.
-    while around.front.hub.try_send(Input::Terminate).is_ok() {}
+    while around.front.hub.try_send(RouterEvent::Terminate).is_ok() {}
     drop(client);
     let left = Instant::now();
     while !asked.answers.is_closed() {
         tokio::time::sleep(Duration::from_millis(1)).await;
         assert!(left.elapsed() <= LEFT);
     }
-    while let Some(Input::Terminate) = around.inputs.recv().await {}
+    while let Some(RouterEvent::Terminate) = around.inputs.recv().await {}
 }
 
 #[tokio::test(start_paused = true)]
@@ -351,7 +351,7 @@
         client.write_all(PING).await.unwrap();
         client.read_exact(&mut [0; 7]).await.unwrap();
         client.write_all(&get(1)[..cut]).await.unwrap();
-        around.phase.send(Phase::Draining).unwrap();
+        around.phase.send(LifecyclePhase::Draining).unwrap();
         for byte in &get(1)[cut..] {
             tokio::time::sleep(Duration::from_millis(5)).await;
             client
@@ -383,7 +383,7 @@
         // The answer lies unread at the client.
         match crowded {
             true => assert!(around.front.resting.ask()),
-            false => around.phase.send(Phase::Draining).unwrap(),
+            false => around.phase.send(LifecyclePhase::Draining).unwrap(),
         }
         let mut first = [0; 7];
         client.read_exact(&mut first[..1]).await.unwrap();
@@ -414,7 +414,7 @@
         let client = client.into_std().unwrap();
         match crowded {
             true => assert!(around.front.resting.ask()),
-            false => around.phase.send(Phase::Draining).unwrap(),
+            false => around.phase.send(LifecyclePhase::Draining).unwrap(),
         }
         std::io::Write::write_all(&mut &client, &get(1)).unwrap();
         assert_eq!(around.asked(1).await.len(), 1, "crowded: {crowded}");
@@ -479,7 +479,7 @@
         client.write_all(PING).await.unwrap();
         newcomers.push(client);
     }
-    around.phase.send(Phase::Draining).unwrap();
+    around.phase.send(LifecyclePhase::Draining).unwrap();
     let since = Instant::now();
     for client in &mut newcomers {
         let mut answer = [0; 7];
@@ -501,10 +501,10 @@
     let (mut client, mut around) = connected().await;
     client.write_all(&[get(1), get(2)].concat()).await.unwrap();
     let asked = around.asked(2).await;
-    around.phase.send(Phase::Draining).unwrap();
+    around.phase.send(LifecyclePhase::Draining).unwrap();
     client.write_all(&get(3)).await.unwrap();
     let third = around.asked(1).await;
-    around.phase.send(Phase::Closing).unwrap();
+    around.phase.send(LifecyclePhase::Closing).unwrap();
     tokio::time::sleep(Duration::from_millis(5)).await;
     client.write_all(&get(4)).await.unwrap();
     tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/cache-router/tests/parts/discovery.rs
+++ b/crates/cache-router/tests/parts/discovery.rs
@@ -71,7 +71,8 @@
         let mut lists = Lists::default();
         let parts = text.as_bytes().chunks(step);
         let taken: Vec<_> = parts.flat_map(|part| lists.take(part).unwrap()).collect();
-        let found = |list: &Listing| (list.index, list.snapshot, list.endpoints[0].name.clone());
+        let found =
+            |list: &EndpointListing| (list.index, list.snapshot, list.endpoints[0].name.clone());
         let change = (8, false, "}{".to_owned());
         let expected = vec![(7, true, "s-1".to_owned()), change.clone(), change];
         assert_eq!(
@@ -122,7 +123,7 @@
     let (hub, mut inputs) = mpsc::channel(8);
     let asked = Instant::now();
     Discovery::new(address, 0, hub).subscribe(true);
-    let Some(Input::List(_, list)) = inputs.recv().await else {
+    let Some(RouterEvent::EndpointList(_, list)) = inputs.recv().await else {
         panic!("no list")
     };
     assert_eq!((list.index, asked.elapsed()), (7, Duration::ZERO));
@@ -143,7 +144,10 @@
         let asked = Instant::now();
         Discovery::new(address, 0, hub).subscribe(true);
         let told = inputs.recv().await;
-        assert!(matches!(told, Some(Input::ListSilent(_))), "{told:?}");
+        assert!(
+            matches!(told, Some(RouterEvent::WatchStalled(_))),
+            "{told:?}"
+        );
         // The head of a chunk says nothing yet: ten more drips at the most.
         assert!(
             asked.elapsed() <= SILENCE + Duration::from_secs(1),
@@ -199,7 +203,10 @@
     let (hub, mut inputs) = mpsc::channel(8);
     let asked = Instant::now();
     Discovery::new(address, 0, hub).subscribe(true);
-    assert!(matches!(inputs.recv().await, Some(Input::List(..))));
+    assert!(matches!(
+        inputs.recv().await,
+        Some(RouterEvent::EndpointList(..))
+    ));
     assert_eq!(asked.elapsed(), HALF_OPEN);
     calls.recv().await.unwrap();
     calls.recv().await.unwrap();
@@ -217,7 +224,10 @@
         let (hub, mut inputs) = mpsc::channel(8);
         let asked = Instant::now();
         Discovery::new(address, 0, hub).subscribe(true);
-        assert!(matches!(inputs.recv().await, Some(Input::ListFailed(_))));
+        assert!(matches!(
+            inputs.recv().await,
+            Some(RouterEvent::DiscoveryFailed(_))
+        ));
         assert_eq!(asked.elapsed(), ANSWER);
     }
 }
@@ -235,14 +245,17 @@
     let (address, _calls) = stand_in(vec![late, waits]).await;
     let (hub, mut inputs) = mpsc::channel(8);
     Discovery::new(address, 0, hub).subscribe(true);
-    assert!(matches!(inputs.recv().await, Some(Input::List(..))));
+    assert!(matches!(
+        inputs.recv().await,
+        Some(RouterEvent::EndpointList(..))
+    ));
 }
 
 // Crossings: what two calls bring, and what fails, in either order.
 
 impl Discovery {
     /// A call that begins now, for tests of whoever takes what it brings.
-    pub(crate) fn test_call(&self) -> Call {
+    pub(crate) fn test_call(&self) -> DiscoveryCall {
         self.calls.begin()
     }
 }
@@ -250,15 +263,15 @@
 /// The operators' time after which a change counts as told; a quarter of it is to spare.
 const TOLD: Duration = Duration::from_millis(4_500);
 
-fn listing(index: u64, snapshot: bool) -> Listing {
-    Listing {
+fn listing(index: u64, snapshot: bool) -> EndpointListing {
+    EndpointListing {
         index,
         snapshot,
         endpoints: Vec::new(),
     }
 }
 
-fn discovery_with(address: SocketAddr, index: u64) -> (Discovery, mpsc::Receiver<Input>) {
+fn discovery_with(address: SocketAddr, index: u64) -> (Discovery, mpsc::Receiver<RouterEvent>) {
     let (hub, inputs) = mpsc::channel(8);
     (Discovery::new(address, index, hub), inputs)
 }
@@ -330,11 +343,11 @@
         "GET /v1/servers?watch=1 HTTP/1.1",
         "none of its versions"
     );
-    let Some(Input::List(call, listing)) = inputs.recv().await else {
+    let Some(RouterEvent::EndpointList(call, listing)) = inputs.recv().await else {
         panic!("no list")
     };
     assert_eq!(discovery.judge(&call, &listing), Verdict::Stale);
-    let Some(Input::ListFailed(call)) = inputs.recv().await else {
+    let Some(RouterEvent::DiscoveryFailed(call)) = inputs.recv().await else {
         panic!("no failure")
     };
     assert!(!discovery.ended(&call), "the present watch is open");
@@ -349,7 +362,7 @@
     let (address, mut calls) = stand_in(vec![says(&[HEAD, "0\r\n\r\n"]); 2]).await;
     let (mut discovery, mut inputs) = discovery_with(address, 41);
     discovery.subscribe(true);
-    let Some(Input::ListFailed(call)) = inputs.recv().await else {
+    let Some(RouterEvent::DiscoveryFailed(call)) = inputs.recv().await else {
         panic!("no failure")
     };
     assert!(discovery.ended(&call) && !discovery.ended(&call));
@@ -372,13 +385,13 @@
         discovery.subscribe(true);
         let silent = calls.recv().await.unwrap().0;
         // As the module does: a silence was waited for already.
-        let Some(Input::ListSilent(call)) = inputs.recv().await else {
+        let Some(RouterEvent::WatchStalled(call)) = inputs.recv().await else {
             panic!("no silence")
         };
         assert!(discovery.ended(&call));
         discovery.subscribe(true);
         assert!(
-            matches!(inputs.recv().await, Some(Input::List(..))),
+            matches!(inputs.recv().await, Some(RouterEvent::EndpointList(..))),
             "{said:?}"
         );
         assert!(
@@ -398,13 +411,13 @@
     let (address, _calls) = stand_in(scripts).await;
     let (mut discovery, mut inputs) = discovery_with(address, 5);
     discovery.subscribe(true);
-    let Some(Input::ListFailed(call)) = inputs.recv().await else {
+    let Some(RouterEvent::DiscoveryFailed(call)) = inputs.recv().await else {
         panic!("no failure")
     };
     assert!(discovery.ended(&call));
     discovery.subscribe(true);
     let since = Instant::now();
-    let Some(Input::ListSilent(call)) = inputs.recv().await else {
+    let Some(RouterEvent::WatchStalled(call)) = inputs.recv().await else {
         panic!("no silence")
     };
     assert!(discovery.ended(&call) && since.elapsed() <= SILENCE);
@@ -417,7 +430,10 @@
     let (mut discovery, mut inputs) = discovery_with(address, 5);
     discovery.follow();
     let asked = calls.recv().await.unwrap().0;
-    assert!(matches!(inputs.recv().await, Some(Input::List(..))));
+    assert!(matches!(
+        inputs.recv().await,
+        Some(RouterEvent::EndpointList(..))
+    ));
     assert!(
         asked.elapsed() < Duration::from_millis(500),
         "after {:?}",
--- a/crates/cache-router/tests/parts/node.rs
+++ b/crates/cache-router/tests/parts/node.rs
@@ -4,7 +4,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::*;
-use crate::discovery::Endpoint;
+use std::time::Duration;
+
+use crate::message::DiscoveredEndpoint;
 
 /// Longer than any of this takes.
 const AIM: Micros = 600_000_000;
@@ -13,9 +15,9 @@
 /// A node that is driven by hand, what reaches it, and its one cache box.
 struct Driven {
     node: Node,
-    inputs: mpsc::Receiver<Input>,
+    inputs: mpsc::Receiver<RouterEvent>,
     cache: TcpListener,
-    hub: mpsc::Sender<Input>,
+    hub: mpsc::Sender<RouterEvent>,
     answer_to: mpsc::Sender<(u64, Bytes)>,
     answers: mpsc::Receiver<(u64, Bytes)>,
 }
@@ -34,7 +36,7 @@
         );
         let deployment = routing_policy::settings::read(settings.as_bytes()).unwrap();
         let (hub, inputs) = mpsc::channel(64);
-        let known = Listing {
+        let known = EndpointListing {
             index: 1,
             snapshot: true,
             endpoints: vec![endpoint(&cache, "active")],
@@ -45,7 +47,7 @@
             discovery: nowhere,
             seed: 1,
             sockets: 64,
-            known: Listing::default(),
+            known: EndpointListing::default(),
             deployment: deployment.clone(),
         };
         let mut node = Node::new(
@@ -70,16 +72,16 @@
 
     /// A client asks; the request's number.
     fn ask(&mut self, id: &'static str) -> RequestId {
-        let command = Command {
+        let command = ClientCommand {
             key: "aa".into(),
             id: id.into(),
             facts: "c=read".into(),
-            time_left: AIM,
-            ..Command::default()
+            remaining_deadline: AIM,
+            ..ClientCommand::default()
         };
         let (number, at) = (self.node.next, self.node.clock.now());
         let (slot, answers) = (number, self.answer_to.clone());
-        self.node.asked(Asked {
+        self.node.asked(ClientRequest {
             command,
             at,
             client: 1,
@@ -98,8 +100,8 @@
     }
 }
 
-fn endpoint(cache: &TcpListener, status: &str) -> Endpoint {
-    Endpoint {
+fn endpoint(cache: &TcpListener, status: &str) -> DiscoveredEndpoint {
+    DiscoveredEndpoint {
         name: "s-1".into(),
         address: cache.local_addr().unwrap().to_string(),
         zone: String::new(),
@@ -156,7 +158,7 @@
 async fn what_comes_after_sigterm_has_its_answer_before_the_node_may_be_killed_or_ends() {
     let mut all = Driven::new().await;
     let sigterm = all.node.clock.now();
-    all.node.input(Input::Terminate);
+    all.node.input(RouterEvent::Terminate);
     let after = all.ask("2d");
     let late = all.node.clock.now();
     let ends = |id| all.node.open[&id].ends;
@@ -282,7 +284,7 @@
         let waits = all.ask("1d");
         let endpoints = vec![endpoint(&all.cache, status)];
         all.node.list(
-            Listing {
+            EndpointListing {
                 index: 2,
                 snapshot: false,
                 endpoints,
@@ -362,7 +364,7 @@
     let mut all = Driven::new().await;
     all.ask("1d");
     let (mut stream, _) = all.cache.accept().await.unwrap();
-    all.node.input(Input::ClientGone(1));
+    all.node.input(RouterEvent::ClientDisconnected(1));
     assert_eq!(
         (all.node.attempts.len(), all.node.open.len()),
         (0, 0),
@@ -383,7 +385,7 @@
 {
     let (mut all, mut stream) = Driven::warmed().await;
     all.ask("1d"); // Handed to the connection that rests, which has not run yet.
-    all.node.input(Input::ClientGone(1));
+    all.node.input(RouterEvent::ClientDisconnected(1));
     assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0));
     all.step().await; // The connection has seen that, and is free.
     all.only(&mut stream, "2d").await;
@@ -395,18 +397,19 @@
     let (answers, gone) = mpsc::channel(1);
     drop(gone);
     let at = all.node.clock.now();
-    let command = Command {
+    let command = ClientCommand {
         key: "aa".into(),
-        time_left: AIM,
-        ..Command::default()
+        remaining_deadline: AIM,
+        ..ClientCommand::default()
     };
-    all.node.input(Input::Asked(Box::new(Asked {
-        command,
-        at,
-        client: 2,
-        slot: 0,
-        answers,
-    })));
+    all.node
+        .input(RouterEvent::ClientRequest(Box::new(ClientRequest {
+            command,
+            at,
+            client: 2,
+            slot: 0,
+            answers,
+        })));
     assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0));
 }
 
@@ -440,7 +443,7 @@
     all.stand_still();
     let endpoints = vec![endpoint(&all.cache, "leaving")];
     all.node.list(
-        Listing {
+        EndpointListing {
             index: 2,
             snapshot: false,
             endpoints,
@@ -484,13 +487,13 @@
 async fn after_a_standstill_what_forbids_sends_is_taken_before_what_asks_for_them() {
     let (mut all, _stream) = Driven::warmed().await;
     let asked = |all: &Driven| {
-        let command = Command {
+        let command = ClientCommand {
             key: "aa".into(),
-            time_left: AIM,
-            ..Command::default()
+            remaining_deadline: AIM,
+            ..ClientCommand::default()
         };
         let (at, answers) = (all.node.clock.now(), all.answer_to.clone());
-        Input::Asked(Box::new(Asked {
+        RouterEvent::ClientRequest(Box::new(ClientRequest {
             command,
             at,
             client: 1,
@@ -504,9 +507,9 @@
     );
     all.hub.try_send(asked(&all)).unwrap();
     all.hub
-        .try_send(Input::List(
+        .try_send(RouterEvent::EndpointList(
             call,
-            Listing {
+            EndpointListing {
                 index: 2,
                 snapshot: false,
                 endpoints,
@@ -528,15 +531,15 @@
     let (number, at) = (all.node.next, all.node.clock.now());
     // More than the machine's buffers hold: the server takes nothing.
     let value = Some(Bytes::from(vec![b'v'; 64 * 1024 * 1024]));
-    let command = Command {
+    let command = ClientCommand {
         key: "aa".into(),
         id: "1d".into(),
         value,
-        time_left: AIM,
-        ..Command::default()
+        remaining_deadline: AIM,
+        ..ClientCommand::default()
     };
     let answers = all.answer_to.clone();
-    all.node.asked(Asked {
+    all.node.asked(ClientRequest {
         command,
         at,
         client: 1,
@@ -547,7 +550,7 @@
     while all.node.pool.progress(conn) != Progress::Writing {
         tokio::task::yield_now().await;
     }
-    all.node.input(Input::ClientGone(1));
+    all.node.input(RouterEvent::ClientDisconnected(1));
     assert_eq!(
         (all.node.attempts.len(), all.node.pool.state(conn)),
         (0, None)
@@ -585,12 +588,12 @@
     let mut all = Driven::new().await;
     all.ask("1d");
     let moved = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let endpoints = vec![Endpoint {
+    let endpoints = vec![DiscoveredEndpoint {
         since_ms: 5,
         ..endpoint(&moved, "active")
     }];
     all.node.list(
-        Listing {
+        EndpointListing {
             index: 2,
             snapshot: false,
             endpoints,
