Split the configuration crate by concern and name its errors and log limiter

Change: one module each for environment, errors, layers, files, positions in a text, and the limiter. Positions, flags, files and invalid values are structs in place of tuples. `ConfigError::Wrong` is `Invalid`, `NoText` is `NotText`, `Place` is `ValueSource`. `read_toml` takes any error that converts to `InvalidValue`, a pair of texts as before among them.

--- a/crates/router-config/src/layers.rs
+++ b/crates/router-config/src/layers.rs
@@ -1,8 +1,6 @@
-//! The layers of a configuration: defaults, file, environment, flags, each over those before it. An error says which
-//! layer a value stands in, for a file the line, and what would do instead.
+//! The layers of a configuration: defaults, file, environment, flags, each of which overrides those before it. An
+//! error says in which layer the value stands, for a file in which line, and what would be accepted.
 
-use std::fmt::{self, Display, Formatter};
-use std::io::Read;
 use std::path::{Path, PathBuf};
 
 use figment::error::Kind;
@@ -11,87 +9,38 @@
 use figment::{Figment, Metadata, Profile, Provider};
 use serde::de::DeserializeOwned;
 
-use crate::locate;
+use crate::environment::Environment;
+use crate::error::{ConfigError, InvalidValue, ValueSource};
 use crate::schema::Config;
+use crate::toml_file::{self, TomlFile};
 
-/// The variables of the environment that belong to the configuration: `CACHE_ROUTER_LOG__LEVEL` is `log.level`.
-const PREFIX: &str = "CACHE_ROUTER_";
-/// The variable that names the file; it is no key.
-const FILE: &str = "CACHE_ROUTER_CONFIG";
-/// The longest file. A configuration is a page or two.
-const MAX_FILE: u64 = 1024 * 1024;
+/// How alike a known key or value must be to one that was written to be suggested, from 0 to 1 (Jaro similarity).
+const SUGGESTION_SIMILARITY: f64 = 0.7;
+/// What a layer of one environment variable is called, before the variable's name.
+const VARIABLE_LAYER: &str = "variable ";
+/// What a layer of one flag is called, before the flag's key.
+const FLAG_LAYER: &str = "--set ";
 
-/// Where a value comes from.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Place {
-    /// A file, with line and column where they are known.
-    File(PathBuf, Option<(usize, usize)>),
-    /// A variable of the environment.
-    Variable(String),
-    /// A flag, with its key.
-    Flag(String),
-    /// The defaults: a fault of the program's own.
-    Defaults,
-}
-
-impl Display for Place {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        match self {
-            Place::File(path, Some((line, column))) => {
-                write!(f, "{}:{line}:{column}", path.display())
-            }
-            Place::File(path, None) => write!(f, "{}", path.display()),
-            Place::Variable(name) => write!(f, "variable {name}"),
-            Place::Flag(key) => write!(f, "--set {key}"),
-            Place::Defaults => write!(f, "defaults"),
-        }
-    }
-}
-
-/// Why a configuration is refused. Nothing of it is used then.
-#[derive(Debug, thiserror::Error)]
-pub enum ConfigError {
-    /// The file can't be read.
-    #[error("cannot read {}: {source}", path.display())]
-    Unreadable {
-        /// Which.
-        path: PathBuf,
-        /// What the system said.
-        source: std::io::Error,
-    },
-    /// The file is no configuration at all.
-    #[error("{}: {why}", path.display())]
-    NoText {
-        /// Which.
-        path: PathBuf,
-        /// What it is instead.
-        why: &'static str,
-    },
-    /// A value, a key or the text itself is wrong.
-    #[error("{place}: {what}")]
-    Wrong {
-        /// Where.
-        place: Place,
-        /// What was found, and what would do.
-        what: String,
-    },
+/// A command line flag that sets a key.
+#[derive(Debug, Clone)]
+struct Flag {
+    key: String,
+    value: String,
 }
 
 /// The layers of a configuration.
 #[derive(Debug, Clone, Default)]
 pub struct Layers {
     file: Option<PathBuf>,
-    /// What the file is based on, the nearest first.
-    bases: Vec<(PathBuf, String)>,
-    variables: Vec<(String, String)>,
-    flags: Vec<(String, String)>,
+    environment: Environment,
+    flags: Vec<Flag>,
 }
 
 impl Layers {
     /// The layers that this process was started with: the file that `CACHE_ROUTER_CONFIG` names, if any, and the
     /// variables beside it.
     pub fn from_env() -> Layers {
-        // What is not Unicode can't be one of our keys.
+        // A name that is not Unicode cannot be one of ours.
         Layers::default().variables(std::env::vars_os().filter_map(|(name, value)| {
             Some((
                 name.into_string().ok()?,
@@ -100,248 +49,217 @@
         }))
     }
 
-    /// With the variables of an environment.
+    /// Adds the variables of an environment, by name and value. Those that do not belong to the configuration are
+    /// ignored.
     pub fn variables(mut self, all: impl IntoIterator<Item = (String, String)>) -> Layers {
         for (name, value) in all {
-            if name == FILE {
-                self.file = Some(value)
-                    .filter(|value| !value.is_empty())
-                    .map(PathBuf::from);
-            } else if name.starts_with(PREFIX) {
-                self.variables.push((name, value));
-            }
+            self.environment.add(name, value);
+        }
+        if let Some(path) = self.environment.file() {
+            self.file = Some(path.into());
         }
         self
     }
 
-    /// With a file, in place of one that a variable names.
+    /// Sets the file, in place of one that a variable names.
     pub fn file(mut self, path: impl Into<PathBuf>) -> Layers {
         self.file = Some(path.into());
         self
     }
 
-    /// With a flag: a key with dots, and its value as it would stand in the file, or a text without quotes.
+    /// Adds a flag: a key with dots, and its value as it would stand in the file, or a text without quotes.
     pub fn flag(mut self, key: &str, value: &str) -> Layers {
-        self.flags.push((key.into(), value.into()));
+        self.flags.push(Flag {
+            key: key.into(),
+            value: value.into(),
+        });
         self
     }
 
     /// Reads all layers.
     ///
     /// # Errors
-    /// Where the file can't be read or any layer holds what the schema does not allow.
+    /// Where the file cannot be read or any layer holds what the schema does not allow.
     pub fn read(&self) -> Result<Config, ConfigError> {
-        self.extract(
-            Figment::from(Serialized::defaults(Config::default())),
-            Config::impossible,
-        )
+        let defaults = Figment::from(Serialized::defaults(Config::default()));
+        let loaded = self.load(Vec::new())?;
+        loaded.extract(defaults, Config::first_invalid_value)
     }
 
-    /// Reads all layers over some defaults into a schema, and asks it for a value that is impossible.
+    /// Reads the file, if there is one.
+    fn load(&self, bases: Vec<TomlFile>) -> Result<LoadedLayers<'_>, ConfigError> {
+        let file = self.file.as_deref().map(TomlFile::read).transpose()?;
+        if let Some(file) = &file {
+            file.check_syntax()?;
+        }
+        Ok(LoadedLayers {
+            file,
+            bases,
+            environment: &self.environment,
+            flags: &self.flags,
+        })
+    }
+}
+
+/// Reads a file of the caller's own schema, with the same errors, and without the environment. A file may name
+/// another that it is based on by the key `base`, a path beside it: what it does not set is taken from there. `set`
+/// holds keys with dots and values that override the file's. `first_invalid_value` returns the first value that has
+/// the right type and is still not acceptable: its key with dots, and what would be accepted.
+///
+/// # Errors
+/// Where a file cannot be read, is based on itself, or holds what the schema does not allow.
+pub fn read_toml<T, I>(
+    path: &Path,
+    set: &[(String, String)],
+    first_invalid_value: impl Fn(&T) -> Option<I>,
+) -> Result<T, ConfigError>
+where
+    T: DeserializeOwned,
+    I: Into<InvalidValue>,
+{
+    let bases = toml_file::read_bases(path)?;
+    let layers = set
+        .iter()
+        .fold(Layers::default().file(path), |layers, (key, value)| {
+            layers.flag(key, value)
+        });
+    let loaded = layers.load(bases)?;
+    loaded.extract(Figment::new(), |found| {
+        first_invalid_value(found).map(Into::into)
+    })
+}
+
+/// Layers whose files have been read.
+struct LoadedLayers<'a> {
+    file: Option<TomlFile>,
+    /// The files that the file is based on, the nearest first.
+    bases: Vec<TomlFile>,
+    environment: &'a Environment,
+    flags: &'a [Flag],
+}
+
+impl LoadedLayers<'_> {
+    /// Merges all layers over some defaults into a schema, and rejects the first value that is not acceptable.
     fn extract<T: DeserializeOwned>(
         &self,
         defaults: Figment,
-        impossible: impl Fn(&T) -> Option<(String, String)>,
+        first_invalid_value: impl Fn(&T) -> Option<InvalidValue>,
     ) -> Result<T, ConfigError> {
-        let text = self.file.as_deref().map(read_file).transpose()?;
-        let file = self.file.as_deref().zip(text.as_deref());
-        if let Some((path, text)) = file
-            && let Some((at, what)) = locate::fault(text)
-        {
-            let place = Place::File(path.into(), Some(at));
-            return Err(ConfigError::Wrong {
-                place,
-                what: format!("not TOML: {what}"),
-            });
-        }
-        let mut layers = defaults;
-        for (_, text) in self.bases.iter().rev() {
-            layers = layers.merge(Toml::string(text));
-        }
-        if let Some((_, text)) = file {
-            layers = layers.merge(Toml::string(text));
+        let merged = self.merge(defaults);
+        let found: T = merged.extract().map_err(|error| self.rejected(&error))?;
+        let Some(invalid) = first_invalid_value(&found) else {
+            return Ok(found);
+        };
+        let path: Vec<String> = invalid.key.split('.').map(str::to_string).collect();
+        let layer = merged
+            .find_metadata(&invalid.key)
+            .map(|metadata| metadata.name.to_string());
+        Err(ConfigError::Invalid {
+            value_source: self.source_of(layer, &path),
+            message: format!("{}: {}", invalid.key, invalid.message),
+        })
+    }
+
+    fn merge(&self, defaults: Figment) -> Figment {
+        let mut merged = defaults;
+        for file in self.bases.iter().rev().chain(&self.file) {
+            merged = merged.merge(Toml::string(&file.text));
         }
-        let key = |name: &str| name[PREFIX.len()..].to_ascii_lowercase().replace("__", ".");
-        for (name, value) in &self.variables {
-            layers = layers.merge(Pair {
-                source: format!("variable {name}"),
-                key: key(name),
-                value,
+        for variable in self.environment.key_variables() {
+            merged = merged.merge(KeyLayer {
+                name: format!("{VARIABLE_LAYER}{}", variable.name),
+                key: &variable.key,
+                value: &variable.value,
             });
         }
-        for (key, value) in &self.flags {
-            layers = layers.merge(Pair {
-                source: format!("--set {key}"),
-                key: key.clone(),
-                value,
+        for flag in self.flags {
+            merged = merged.merge(KeyLayer {
+                name: format!("{FLAG_LAYER}{}", flag.key),
+                key: &flag.key,
+                value: &flag.value,
             });
         }
-        let found: T = layers.extract().map_err(|e| self.wrong(&e, file))?;
-        match impossible(&found) {
-            None => Ok(found),
-            Some((key, what)) => {
-                let path: Vec<String> = key.split('.').map(str::to_string).collect();
-                let source = layers
-                    .find_metadata(&key)
-                    .map(|found| found.name.to_string());
-                Err(ConfigError::Wrong {
-                    place: self.place(source, &path, file),
-                    what: format!("{key}: {what}"),
-                })
-            }
-        }
+        merged
     }
 
-    fn wrong(&self, error: &figment::Error, file: Option<(&Path, &str)>) -> ConfigError {
+    /// The error for a value that the schema does not take.
+    fn rejected(&self, error: &figment::Error) -> ConfigError {
         let mut path = error.path.clone();
-        let what = match &error.kind {
+        let problem = match &error.kind {
             Kind::UnknownField(name, known) => {
                 if path.last() != Some(name) {
                     path.push(name.clone());
                 }
-                format!("there is no such key{}", instead(name, known))
+                format!("there is no such key{}", alternatives(name, known))
+            }
+            Kind::UnknownVariant(name, known) => {
+                format!("found {name:?}{}", alternatives(name, known))
             }
-            Kind::UnknownVariant(name, known) => format!("found {name:?}{}", instead(name, known)),
             Kind::InvalidType(actual, wanted) | Kind::InvalidValue(actual, wanted) => {
                 format!("found {actual}: write {wanted}")
             }
             other => other.to_string(),
         };
-        let source = error.metadata.as_ref().map(|found| found.name.to_string());
-        let place = self.place(source, &path, file);
-        ConfigError::Wrong {
-            place,
-            what: format!("{}: {what}", path.join(".")),
+        let layer = error
+            .metadata
+            .as_ref()
+            .map(|metadata| metadata.name.to_string());
+        ConfigError::Invalid {
+            value_source: self.source_of(layer, &path),
+            message: format!("{}: {problem}", path.join(".")),
         }
     }
 
-    /// The place of a key in the layer that a name of a source tells.
-    fn place(&self, source: Option<String>, path: &[String], file: Option<(&Path, &str)>) -> Place {
+    /// Where a key is set, given the name of the layer that holds it as far as it is known.
+    fn source_of(&self, layer: Option<String>, path: &[String]) -> ValueSource {
         let key = path.join(".");
-        let source = source.unwrap_or_default();
-        if let Some(name) = source.strip_prefix("variable ") {
-            return Place::Variable(name.into());
-        }
-        // An unknown key has no source of its own: the last layer that holds it is the one.
-        if source.starts_with("--set ") || self.flags.iter().any(|(name, _)| *name == key) {
-            return Place::Flag(key);
-        }
-        let variable = format!("{PREFIX}{}", key.to_ascii_uppercase().replace('.', "__"));
-        if self.variables.iter().any(|(name, _)| *name == variable) {
-            return Place::Variable(variable);
+        let layer = layer.unwrap_or_default();
+        if let Some(name) = layer.strip_prefix(VARIABLE_LAYER) {
+            return ValueSource::Variable(name.into());
         }
-        let bases = self
-            .bases
-            .iter()
-            .map(|(path, text)| (path.as_path(), text.as_str()));
-        let holds = |(_, text): &(&Path, &str)| locate::holds(text, path);
-        match file.into_iter().chain(bases).find(holds).or(file) {
-            Some((file, text)) => Place::File(file.into(), locate::key(text, path)),
-            None => Place::Defaults,
+        // An unknown key comes without a layer: it is the last layer that holds it.
+        if layer.starts_with(FLAG_LAYER) || self.flags.iter().any(|flag| flag.key == key) {
+            return ValueSource::Flag(key);
         }
-    }
-}
-
-/// Reads a file of a schema of the caller's own, with the same errors, and without the environment. A file may name
-/// another that it is based on by the key `base`, a path beside it: what it does not set is as it is there. `set` holds
-/// keys with dots and values over the file's. `impossible` tells the first value that is of the right kind and yet
-/// impossible: its key with dots, and what would do.
-///
-/// # Errors
-/// Where a file can't be read, is based on itself, or holds what the schema does not allow.
-pub fn read_toml<T: DeserializeOwned>(
-    path: &Path,
-    set: &[(String, String)],
-    impossible: impl Fn(&T) -> Option<(String, String)>,
-) -> Result<T, ConfigError> {
-    let bases = bases(path)?;
-    let layers = Layers {
-        bases,
-        flags: set.to_vec(),
-        ..Layers::default().file(path)
-    };
-    layers.extract(Figment::new(), impossible)
-}
-
-/// The files that one is based on, the nearest first.
-fn bases(path: &Path) -> Result<Vec<(PathBuf, String)>, ConfigError> {
-    let mut seen = vec![path.to_path_buf()];
-    let mut bases = Vec::new();
-    let mut text = read_file(path)?;
-    while let Some((base, at)) = locate::text(&text, "base") {
-        let from = seen.last().map_or(path, PathBuf::as_path).to_path_buf();
-        let base = from.parent().unwrap_or(Path::new("")).join(base);
-        let same = |other: &PathBuf| other.canonicalize().ok() == base.canonicalize().ok();
-        let wrong = |what| ConfigError::Wrong {
-            place: Place::File(from.clone(), Some(at)),
-            what,
-        };
-        if base.exists() && seen.iter().any(same) {
-            return Err(wrong(format!(
-                "base: {} is based on itself: name another or none",
-                base.display()
-            )));
+        if let Some(variable) = self.environment.variable_for(&key) {
+            return ValueSource::Variable(variable.name.clone());
         }
-        text = read_file(&base).map_err(|e| wrong(format!("base: {e}")))?;
-        if let Some((at, what)) = locate::fault(&text) {
-            let place = Place::File(base, Some(at));
-            return Err(ConfigError::Wrong {
-                place,
-                what: format!("not TOML: {what}"),
-            });
+        let mut files = self.file.iter().chain(&self.bases);
+        match files.find(|file| file.has_key(path)).or(self.file.as_ref()) {
+            Some(file) => file.source_of(path),
+            None => ValueSource::Defaults,
         }
-        seen.push(base.clone());
-        bases.push((base, text.clone()));
     }
-    Ok(bases)
 }
 
-/// What could have been meant.
-fn instead(name: &str, known: &[&str]) -> String {
-    let alike = |known: &&&str| (strsim::jaro(name, known) * 1e6) as u64;
-    let near = known
+/// The names that would be accepted in place of one that was not, with the likeliest.
+fn alternatives(name: &str, known: &[&str]) -> String {
+    let similarity = |known: &&&str| (strsim::jaro(name, known) * 1e6) as u64;
+    let suggestion = known
         .iter()
-        .max_by_key(alike)
-        .filter(|near| strsim::jaro(name, near) > 0.7);
-    let meant = near.map_or(String::new(), |near| format!("; did you mean {near:?}?"));
-    format!("; there are {}{meant}", known.join(", "))
-}
-
-fn read_file(path: &Path) -> Result<String, ConfigError> {
-    let unreadable = |source| ConfigError::Unreadable {
-        path: path.into(),
-        source,
-    };
-    let mut bytes = Vec::new();
-    let file = std::fs::File::open(path).map_err(unreadable)?;
-    file.take(MAX_FILE + 1)
-        .read_to_end(&mut bytes)
-        .map_err(unreadable)?;
-    let no_text = |why| ConfigError::NoText {
-        path: path.into(),
-        why,
-    };
-    if bytes.len() as u64 > MAX_FILE {
-        return Err(no_text("longer than 1 MiB, which no configuration is"));
-    }
-    String::from_utf8(bytes).map_err(|_| no_text("not UTF-8 text"))
+        .max_by_key(similarity)
+        .filter(|nearest| strsim::jaro(name, nearest) > SUGGESTION_SIMILARITY)
+        .map_or(String::new(), |nearest| {
+            format!("; did you mean {nearest:?}?")
+        });
+    format!("; there are {}{suggestion}", known.join(", "))
 }
 
-/// A layer of one key.
-struct Pair<'a> {
-    source: String,
-    key: String,
+/// A layer that sets one key.
+struct KeyLayer<'a> {
+    name: String,
+    key: &'a str,
     value: &'a str,
 }
 
-impl Provider for Pair<'_> {
+impl Provider for KeyLayer<'_> {
     fn metadata(&self) -> Metadata {
-        Metadata::named(self.source.clone())
+        Metadata::named(self.name.clone())
     }
 
     fn data(&self) -> Result<Map<Profile, Dict>, figment::Error> {
         let parsed: Value = self.value.parse().unwrap_or_else(|never| match never {});
-        let nested = figment::util::nest(&self.key, parsed);
+        let nested = figment::util::nest(self.key, parsed);
         Ok(Map::from([(
             Profile::Default,
             nested.into_dict().unwrap_or_default(),
--- a/crates/router-config/src/schema.rs
+++ b/crates/router-config/src/schema.rs
@@ -1,12 +1,13 @@
-//! The schema: every key, its default and what it may be. A key that no program reads is not in it.
+//! The schema: every key, its default and the values that it may have. It holds no key that no program reads.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::InvalidValue;
 use crate::units::Span;
 
-/// All that an operator chooses.
+/// All that an operator can configure.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
@@ -20,7 +21,7 @@
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
-    /// The least grave lines that are written.
+    /// The least severe lines that are written.
     pub level: Level,
     /// How a line is written.
     pub format: Format,
@@ -28,17 +29,17 @@
     pub repeat: Repeat,
 }
 
-/// How grave a line is.
+/// The severity of a line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Level {
     /// No line at all.
     Off,
-    /// A program can't do what it is for.
+    /// A program cannot do what it is for.
     Error,
-    /// Something is wrong and the program copes.
+    /// Something is wrong and the program goes on.
     Warn,
-    /// What an operator wants to know of a sound program.
+    /// What an operator wants to know of a healthy program.
     #[default]
     Info,
     /// Each request and attempt.
@@ -58,14 +59,14 @@
     Json,
 }
 
-/// How often a line from one place in the program is repeated: what is over is counted, and the number is written
-/// once there is room again. So a fault that comes with every request can't fill a disk.
+/// How often a line from one place in the program is repeated. The lines over the limit are suppressed and counted, and
+/// the count is written when the next line is, so that a fault that comes with every request cannot fill a disk.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Repeat {
-    /// So many lines at most
+    /// The most lines in an interval.
     pub lines: u32,
-    /// in this time.
+    /// Length of an interval.
     pub per: Span,
 }
 
@@ -86,23 +87,29 @@
     pub trace: bool,
 }
 
-/// The least and the longest time that `log.repeat.per` may be.
-const PER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(3600));
+/// The shortest interval that `log.repeat.per` may be.
+const MIN_REPEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// The longest interval that `log.repeat.per` may be.
+const MAX_REPEAT_INTERVAL: Duration = Duration::from_secs(3600);
 
 impl Config {
-    /// The first value that is of the right kind and yet impossible: its key, and what would do.
-    pub(crate) fn impossible(&self) -> Option<(String, String)> {
+    /// The first value that has the right type and is still not acceptable.
+    pub(crate) fn first_invalid_value(&self) -> Option<InvalidValue> {
         let Repeat { lines, per } = &self.log.repeat;
         if *lines == 0 {
-            let wanted = "found 0, so that no line would ever be written: write 1 or more, or log.level = \"off\"";
-            return Some(("log.repeat.lines".into(), wanted.into()));
+            return Some(InvalidValue {
+                key: "log.repeat.lines".into(),
+                message: "found 0, so that no line would ever be written: write 1 or more, or log.level = \"off\""
+                    .into(),
+            });
         }
-        if per.0 < PER.0 || per.0 > PER.1 {
-            let (least, most) = (Span(PER.0), Span(PER.1));
-            return Some((
-                "log.repeat.per".into(),
-                format!("found {per}: write {least} to {most}"),
-            ));
+        if per.0 < MIN_REPEAT_INTERVAL || per.0 > MAX_REPEAT_INTERVAL {
+            let shortest = Span(MIN_REPEAT_INTERVAL);
+            let longest = Span(MAX_REPEAT_INTERVAL);
+            return Some(InvalidValue {
+                key: "log.repeat.per".into(),
+                message: format!("found {per}: write {shortest} to {longest}"),
+            });
         }
         None
     }
--- /dev/null
+++ b/crates/router-config/src/toml_file.rs
@@ -0,0 +1,113 @@
+//! Reading configuration files: their size and encoding, their syntax, and the files that one is based on.
+
+use std::io::Read;
+use std::path::{Path, PathBuf};
+
+use crate::error::{ConfigError, ValueSource};
+use crate::toml_position::{self, Position};
+
+/// The longest file that is read, in bytes. A configuration is a page or two.
+const MAX_FILE_BYTES: u64 = 1024 * 1024;
+/// The key by which a file names another that it is based on.
+const BASE_KEY: &str = "base";
+
+/// A file that was read.
+#[derive(Debug, Clone)]
+pub(crate) struct TomlFile {
+    pub(crate) path: PathBuf,
+    pub(crate) text: String,
+}
+
+impl TomlFile {
+    /// Reads a file as text. Its syntax is not yet checked.
+    pub(crate) fn read(path: &Path) -> Result<TomlFile, ConfigError> {
+        let unreadable = |source| ConfigError::Unreadable {
+            path: path.into(),
+            source,
+        };
+        let mut bytes = Vec::new();
+        let file = std::fs::File::open(path).map_err(unreadable)?;
+        file.take(MAX_FILE_BYTES + 1)
+            .read_to_end(&mut bytes)
+            .map_err(unreadable)?;
+        let not_text = |reason| ConfigError::NotText {
+            path: path.into(),
+            reason,
+        };
+        if bytes.len() as u64 > MAX_FILE_BYTES {
+            return Err(not_text("longer than 1 MiB, which no configuration is"));
+        }
+        let text = String::from_utf8(bytes).map_err(|_| not_text("not UTF-8 text"))?;
+        Ok(TomlFile {
+            path: path.into(),
+            text,
+        })
+    }
+
+    /// Rejects a text that is not TOML.
+    pub(crate) fn check_syntax(&self) -> Result<(), ConfigError> {
+        match toml_position::syntax_error(&self.text) {
+            None => Ok(()),
+            Some(error) => {
+                Err(self.invalid(error.position, format!("not TOML: {}", error.message)))
+            }
+        }
+    }
+
+    /// Whether the file sets a key.
+    pub(crate) fn has_key(&self, path: &[String]) -> bool {
+        toml_position::has_key(&self.text, path)
+    }
+
+    /// Where the file sets a key.
+    pub(crate) fn source_of(&self, path: &[String]) -> ValueSource {
+        ValueSource::File {
+            path: self.path.clone(),
+            position: toml_position::position_of(&self.text, path),
+        }
+    }
+
+    fn invalid(&self, position: Position, message: String) -> ConfigError {
+        ConfigError::Invalid {
+            value_source: ValueSource::File {
+                path: self.path.clone(),
+                position: Some(position),
+            },
+            message,
+        }
+    }
+}
+
+/// The files that one is based on, the nearest first.
+pub(crate) fn read_bases(path: &Path) -> Result<Vec<TomlFile>, ConfigError> {
+    let mut chain = vec![TomlFile::read(path)?];
+    while let Some(base) = read_base(&chain)? {
+        chain.push(base);
+    }
+    chain.remove(0);
+    Ok(chain)
+}
+
+/// The file that the last of a chain is based on, if it names one.
+fn read_base(chain: &[TomlFile]) -> Result<Option<TomlFile>, ConfigError> {
+    let Some(file) = chain.last() else {
+        return Ok(None);
+    };
+    let Some(named) = toml_position::text_value(&file.text, BASE_KEY) else {
+        return Ok(None);
+    };
+    let folder = file.path.parent().unwrap_or(Path::new(""));
+    let path = folder.join(named.value);
+    let is_base = |other: &TomlFile| other.path.canonicalize().ok() == path.canonicalize().ok();
+    if path.exists() && chain.iter().any(is_base) {
+        let message = format!(
+            "base: {} is based on itself: name another or none",
+            path.display()
+        );
+        return Err(file.invalid(named.position, message));
+    }
+    let base = TomlFile::read(&path)
+        .map_err(|error| file.invalid(named.position, format!("base: {error}")))?;
+    base.check_syntax()?;
+    Ok(Some(base))
+}
--- a/crates/router-config/src/units.rs
+++ b/crates/router-config/src/units.rs
@@ -1,4 +1,4 @@
-//! Values with a unit. A bare number is refused: nobody should have to guess whether it is seconds.
+//! Values with a unit. A bare number is rejected: nobody should have to guess whether it is seconds.
 
 use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
@@ -6,11 +6,12 @@
 use serde::de::{self, Deserialize, Deserializer, Visitor};
 use serde::{Serialize, Serializer};
 
-/// A time with its unit, such as `10s`, `250ms` or `1m 30s`.
+/// A duration that is written with its unit, such as `10s`, `250ms` or `1m 30s`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Span(pub Duration);
 
-const FORM: &str = "a time with its unit, such as \"10s\" or \"250ms\"";
+/// What a duration looks like, for errors.
+const EXPECTED_FORM: &str = "a time with its unit, such as \"10s\" or \"250ms\"";
 
 impl Display for Span {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
@@ -26,21 +27,21 @@
 
 impl<'de> Deserialize<'de> for Span {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Span, D::Error> {
-        struct Text;
-        impl Visitor<'_> for Text {
+        struct DurationVisitor;
+        impl Visitor<'_> for DurationVisitor {
             type Value = Span;
 
             fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
-                f.write_str(FORM)
+                f.write_str(EXPECTED_FORM)
             }
 
             fn visit_str<E: de::Error>(self, text: &str) -> Result<Span, E> {
                 let parsed = humantime::parse_duration(text);
-                parsed
-                    .map(Span)
-                    .map_err(|e| E::custom(format!("found {text:?} ({e}): write {FORM}")))
+                parsed.map(Span).map_err(|error| {
+                    E::custom(format!("found {text:?} ({error}): write {EXPECTED_FORM}"))
+                })
             }
         }
-        deserializer.deserialize_str(Text)
+        deserializer.deserialize_str(DurationVisitor)
     }
 }
--- a/crates/router-config/tests/config.rs
+++ b/crates/router-config/tests/config.rs
@@ -1,4 +1,4 @@
-//! What a configuration takes, and what it says of what it does not take.
+//! What a configuration accepts, and the errors for what it does not accept.
 #![allow(
     missing_docs,
     clippy::unwrap_used,
@@ -24,8 +24,8 @@
     (name.into(), value.into())
 }
 
-/// What is said of a file, without the folder.
-fn refusal(text: &str) -> String {
+/// The error for a file, without the folder.
+fn error_for(text: &str) -> String {
     let (folder, path) = file(text);
     let error = Layers::default()
         .file(path)
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn flags_are_over_variables_over_the_file_over_the_defaults() {
+fn flags_override_variables_override_the_file_overrides_the_defaults() {
     let (_folder, path) =
         file("[log]\nlevel = \"warn\"\nformat = \"json\"\nrepeat = { lines = 7 }\n");
     let layers = Layers::default()
@@ -62,8 +62,8 @@
 }
 
 #[test]
-fn a_fault_in_a_file_is_told_with_its_line_and_with_what_would_do() {
-    let faults = [
+fn an_error_in_a_file_has_its_line_and_what_would_be_accepted() {
+    let cases = [
         (
             "[log]\nlevle = \"info\"\n",
             "2:1: log.levle: there is no such key; there are level, format, repeat; did you mean \"level\"?",
@@ -106,82 +106,82 @@
             "3:1: not TOML: ",
         ),
     ];
-    for (text, told) in faults {
-        let refusal = refusal(text);
+    for (text, expected) in cases {
+        let error = error_for(text);
         assert!(
-            refusal.starts_with(&format!("router.toml:{told}")),
-            "{text:?} is told as {refusal:?}"
+            error.starts_with(&format!("router.toml:{expected}")),
+            "{text:?} gives {error:?}"
         );
     }
 }
 
 #[test]
-fn a_fault_in_a_variable_or_a_flag_is_told_with_its_name() {
+fn an_error_in_a_variable_or_a_flag_has_its_name() {
     let (_folder, path) = file("[log]\nlevel = \"warn\"\n");
-    let wrong = |name, value| {
+    let error_for = |name, value| {
         let layers = Layers::default()
             .file(&path)
             .variables([variable(name, value)]);
         layers.read().unwrap_err().to_string()
     };
-    let told = wrong("CACHE_ROUTER_LOG__LEVEL", "loud");
+    let error = error_for("CACHE_ROUTER_LOG__LEVEL", "loud");
     assert!(
-        told.starts_with("variable CACHE_ROUTER_LOG__LEVEL: log.level: found \"loud\""),
-        "{told}"
+        error.starts_with("variable CACHE_ROUTER_LOG__LEVEL: log.level: found \"loud\""),
+        "{error}"
     );
-    let told = wrong("CACHE_ROUTER_LOG__LEVLE", "info");
+    let error = error_for("CACHE_ROUTER_LOG__LEVLE", "info");
     assert!(
-        told.starts_with("variable CACHE_ROUTER_LOG__LEVLE: log.levle: there is no such key"),
-        "{told}"
+        error.starts_with("variable CACHE_ROUTER_LOG__LEVLE: log.levle: there is no such key"),
+        "{error}"
     );
-    let told = wrong("CACHE_ROUTER_LOG__REPEAT__LINES", "0");
+    let error = error_for("CACHE_ROUTER_LOG__REPEAT__LINES", "0");
     assert!(
-        told.starts_with("variable CACHE_ROUTER_LOG__REPEAT__LINES: log.repeat.lines: found 0"),
-        "{told}"
+        error.starts_with("variable CACHE_ROUTER_LOG__REPEAT__LINES: log.repeat.lines: found 0"),
+        "{error}"
     );
-    let told = Layers::default()
+    let error = Layers::default()
         .flag("log.repeat.per", "5")
         .read()
         .unwrap_err()
         .to_string();
     assert!(
-        told.starts_with("--set log.repeat.per: log.repeat.per: found"),
-        "{told}"
+        error.starts_with("--set log.repeat.per: log.repeat.per: found"),
+        "{error}"
     );
 }
 
 #[test]
-fn what_is_no_text_too_long_or_not_there_is_refused_by_name() {
-    let nowhere = Layers::default()
+fn a_file_that_is_missing_too_long_or_not_text_is_rejected_by_name() {
+    let missing = Layers::default()
         .file("/nowhere/router.toml")
         .read()
         .unwrap_err();
     assert!(
-        nowhere
+        missing
             .to_string()
             .starts_with("cannot read /nowhere/router.toml: "),
-        "{nowhere}"
+        "{missing}"
     );
     let (_folder, path) = file("");
     fs::write(&path, b"\xff\xfe").unwrap();
-    let no_text = Layers::default()
+    let not_text = Layers::default()
         .file(&path)
         .read()
         .unwrap_err()
         .to_string();
     assert!(
-        no_text.ends_with("router.toml: not UTF-8 text"),
-        "{no_text}"
+        not_text.ends_with("router.toml: not UTF-8 text"),
+        "{not_text}"
     );
     fs::write(&path, vec![b'#'; 1024 * 1024 + 1]).unwrap();
-    let long = Layers::default()
+    let too_long = Layers::default()
         .file(&path)
         .read()
         .unwrap_err()
         .to_string();
     assert!(
-        long.ends_with("longer than 1 MiB, which no configuration is"),
-        "{long}"
+        too_long.ends_with("longer than 1 MiB, which no configuration is"),
+        "{too_long}"
     );
 }
 
--- a/crates/router-config/tests/logging.rs
+++ b/crates/router-config/tests/logging.rs
@@ -1,4 +1,4 @@
-//! What is written at a level and in a form, and how often the same is repeated.
+//! Which lines are logged at a level and in a format, and how often the same line is repeated.
 #![allow(
     missing_docs,
     clippy::unwrap_used,
@@ -14,9 +14,9 @@
 use tracing_subscriber::fmt::MakeWriter;
 
 #[derive(Clone, Default)]
-struct Written(Arc<Mutex<Vec<u8>>>);
+struct Buffer(Arc<Mutex<Vec<u8>>>);
 
-impl Write for Written {
+impl Write for Buffer {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
         self.0.lock().unwrap().write(bytes)
     }
@@ -26,21 +26,21 @@
     }
 }
 
-impl MakeWriter<'_> for Written {
-    type Writer = Written;
+impl MakeWriter<'_> for Buffer {
+    type Writer = Buffer;
 
-    fn make_writer(&self) -> Written {
+    fn make_writer(&self) -> Buffer {
         self.clone()
     }
 }
 
-/// The lines that some work writes.
-fn written(log: &Log, work: impl FnOnce()) -> Vec<String> {
-    let written = Written::default();
-    let (subscriber, guard) = logging::subscriber(log, written.clone());
+/// The lines that `work` logs.
+fn lines_of(log: &Log, work: impl FnOnce()) -> Vec<String> {
+    let buffer = Buffer::default();
+    let (subscriber, guard) = logging::subscriber(log, buffer.clone());
     tracing::subscriber::with_default(subscriber, work);
     drop(guard);
-    let bytes = written.0.lock().unwrap().clone();
+    let bytes = buffer.0.lock().unwrap().clone();
     String::from_utf8(bytes)
         .unwrap()
         .lines()
@@ -60,28 +60,28 @@
 }
 
 #[test]
-fn a_line_that_repeats_is_cut_short_and_the_number_left_out_is_told() {
-    let lines = written(&log(3, Format::Text), || {
-        (0..1000).for_each(|id| tracing::warn!(request = id, "turned away"));
-        tracing::info!("another place has room of its own");
+fn repeated_lines_over_the_limit_are_suppressed_and_their_count_is_reported() {
+    let lines = lines_of(&log(3, Format::Text), || {
+        (0..1000).for_each(|id| tracing::warn!(request = id, "rejected"));
+        tracing::info!("another place has a limit of its own");
     });
     assert_eq!(lines.len(), 5, "{lines:?}");
     assert!(
-        lines[0].contains(" WARN ") && lines[0].ends_with("turned away request=0"),
+        lines[0].contains(" WARN ") && lines[0].ends_with("rejected request=0"),
         "{}",
         lines[0]
     );
     assert!(lines[3].contains("another place"), "{}", lines[3]);
-    let told = &lines[4];
+    let report = &lines[4];
     assert!(
-        told.starts_with("WARN log: 997 more lines from ") && told.ends_with(" were left out"),
-        "{told}"
+        report.starts_with("WARN log: 997 more lines from ") && report.ends_with(" were left out"),
+        "{report}"
     );
 }
 
 #[test]
-fn json_lines_have_the_request_as_a_field_and_so_has_what_is_left_out() {
-    let lines = written(&log(1, Format::Json), || {
+fn json_lines_and_the_count_of_suppressed_lines_have_fields() {
+    let lines = lines_of(&log(1, Format::Json), || {
         (7..9).for_each(|id| tracing::error!(request = id, "failed: \"why\""));
     });
     let objects: Vec<serde_json::Value> = lines
@@ -98,9 +98,9 @@
 }
 
 #[test]
-fn a_level_that_is_off_writes_nothing_and_does_not_look_at_the_fields() {
-    let mut looked = false;
-    let lines = written(
+fn a_disabled_level_writes_nothing_and_does_not_evaluate_fields() {
+    let mut evaluated = false;
+    let lines = lines_of(
         &Log {
             level: Level::Warn,
             ..log(9, Format::Text)
@@ -108,15 +108,15 @@
         || {
             tracing::info!(
                 request = {
-                    looked = true;
+                    evaluated = true;
                     1
                 },
                 "served"
             );
         },
     );
-    assert!(lines.is_empty() && !looked, "{lines:?}");
-    let lines = written(
+    assert!(lines.is_empty() && !evaluated, "{lines:?}");
+    let lines = lines_of(
         &Log {
             level: Level::Off,
             ..log(9, Format::Text)
