Read configuration variables under their deprecated prefix, with one warning

Need: the variables of the configuration were `SPARDEAL_*` in earlier releases; a deployment that still sets those lost its settings without a word.

Change: variables under the old prefix are read, those under `CACHE_ROUTER_` win. Reading the layers records which were set; `logging::init` logs one warning that names all of them and their replacements, and `routerctl check` prints it on standard error.

--- a/crates/router-config/src/environment.rs
+++ b/crates/router-config/src/environment.rs
@@ -1,13 +1,36 @@
-//! The environment variables that set configuration keys.
+//! The environment variables that set configuration keys, under their current and their deprecated prefix.
 
 /// Prefix of the variables that set a key: `CACHE_ROUTER_LOG__LEVEL` sets `log.level`.
 const PREFIX: &str = "CACHE_ROUTER_";
+/// The prefix of earlier releases. It is still read, so that a deployment can be upgraded before its variables are
+/// renamed.
+const DEPRECATED_PREFIX: &str = "SPARDEAL_";
 /// What follows the prefix in the variable that names the configuration file; it sets no key.
 const FILE_SUFFIX: &str = "CONFIG";
 
+/// Which of the two prefixes a variable has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Prefix {
+    Deprecated,
+    Current,
+}
+
+impl Prefix {
+    /// The later overrides the earlier where both set the same key.
+    const IN_ORDER_OF_PRECEDENCE: [Prefix; 2] = [Prefix::Deprecated, Prefix::Current];
+
+    fn text(self) -> &'static str {
+        match self {
+            Prefix::Deprecated => DEPRECATED_PREFIX,
+            Prefix::Current => PREFIX,
+        }
+    }
+}
+
 /// An environment variable that sets a key.
 #[derive(Debug, Clone)]
 pub(crate) struct KeyVariable {
+    prefix: Prefix,
     /// The name as the operator wrote it.
     pub(crate) name: String,
     /// The key that it sets, with dots.
@@ -16,30 +39,53 @@
     pub(crate) value: String,
 }
 
+/// The environment variable that names the configuration file.
+#[derive(Debug, Clone)]
+struct FileVariable {
+    prefix: Prefix,
+    path: String,
+}
+
 /// The variables of an environment that belong to the configuration.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Environment {
     key_variables: Vec<KeyVariable>,
-    file: Option<String>,
+    file_variables: Vec<FileVariable>,
 }
 
 impl Environment {
     /// Takes a variable if it belongs to the configuration, and ignores it otherwise.
     pub(crate) fn add(&mut self, name: String, value: String) {
-        let Some(suffix) = name.strip_prefix(PREFIX) else {
+        let with_prefix = |prefix: &Prefix| name.starts_with(prefix.text());
+        let Some(prefix) = Prefix::IN_ORDER_OF_PRECEDENCE.into_iter().find(with_prefix) else {
             return;
         };
+        let suffix = &name[prefix.text().len()..];
         if suffix == FILE_SUFFIX {
-            self.file = Some(value);
+            self.file_variables.push(FileVariable {
+                prefix,
+                path: value,
+            });
             return;
         }
         let key = suffix.to_ascii_lowercase().replace("__", ".");
-        self.key_variables.push(KeyVariable { name, key, value });
+        self.key_variables.push(KeyVariable {
+            prefix,
+            name,
+            key,
+            value,
+        });
     }
 
     /// The variables that set keys, each to override those before it.
     pub(crate) fn key_variables(&self) -> impl DoubleEndedIterator<Item = &KeyVariable> {
-        self.key_variables.iter()
+        let with_prefix = |prefix| {
+            let variables = self.key_variables.iter();
+            variables.filter(move |variable| variable.prefix == prefix)
+        };
+        Prefix::IN_ORDER_OF_PRECEDENCE
+            .into_iter()
+            .flat_map(with_prefix)
     }
 
     /// The variable that takes effect for a key.
@@ -51,6 +97,101 @@
 
     /// The configuration file that the environment names, if it names one. A variable set to nothing names none.
     pub(crate) fn file(&self) -> Option<&str> {
-        self.file.as_deref().filter(|path| !path.is_empty())
+        let with_prefix = |prefix| {
+            let mut variables = self.file_variables.iter().rev();
+            variables.find(|variable| variable.prefix == prefix)
+        };
+        let variable = Prefix::IN_ORDER_OF_PRECEDENCE
+            .into_iter()
+            .rev()
+            .find_map(with_prefix)?;
+        Some(variable.path.as_str()).filter(|path| !path.is_empty())
+    }
+
+    /// The variables under the deprecated prefix.
+    pub(crate) fn deprecated(&self) -> DeprecatedVariables {
+        let key_variables = self.key_variables.iter();
+        let deprecated_keys =
+            key_variables.filter(|variable| variable.prefix == Prefix::Deprecated);
+        let mut file_variables = self.file_variables.iter();
+        let file = file_variables
+            .find(|variable| variable.prefix == Prefix::Deprecated)
+            .map(|_| DeprecatedVariable::with_suffix(FILE_SUFFIX));
+        let keys = deprecated_keys.map(|variable| {
+            DeprecatedVariable::with_suffix(&variable.name[DEPRECATED_PREFIX.len()..])
+        });
+        let mut variables: Vec<DeprecatedVariable> = file.into_iter().chain(keys).collect();
+        // The order of an environment means nothing: the warning reads the same on each start.
+        variables.sort();
+        DeprecatedVariables { variables }
+    }
+}
+
+/// An environment variable that was set under the deprecated prefix.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DeprecatedVariable {
+    /// The name as the operator wrote it.
+    pub name: String,
+    /// The name to use in its place.
+    pub replacement: String,
+}
+
+impl DeprecatedVariable {
+    fn with_suffix(suffix: &str) -> DeprecatedVariable {
+        DeprecatedVariable {
+            name: format!("{DEPRECATED_PREFIX}{suffix}"),
+            replacement: format!("{PREFIX}{suffix}"),
+        }
+    }
+}
+
+/// All environment variables that were set under the deprecated prefix, for one warning about all of them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DeprecatedVariables {
+    variables: Vec<DeprecatedVariable>,
+}
+
+impl DeprecatedVariables {
+    /// The variables, by name.
+    pub fn variables(&self) -> &[DeprecatedVariable] {
+        &self.variables
+    }
+
+    /// One line that names each variable and its replacement, or `None` where no deprecated variable is set.
+    pub fn warning(&self) -> Option<String> {
+        if self.variables.is_empty() {
+            return None;
+        }
+        let renames: Vec<String> = self
+            .variables
+            .iter()
+            .map(|variable| format!("{} instead of {}", variable.replacement, variable.name))
+            .collect();
+        Some(format!(
+            "deprecated environment variables are set: use {}",
+            renames.join(", ")
+        ))
+    }
+
+    /// Logs one warning, if a deprecated variable is set. [`crate::logging::init`] does this by itself.
+    pub fn log_warning(&self) {
+        if self.variables.is_empty() {
+            return;
+        }
+        let names: Vec<&str> = self
+            .variables
+            .iter()
+            .map(|variable| variable.name.as_str())
+            .collect();
+        let replacements: Vec<&str> = self
+            .variables
+            .iter()
+            .map(|variable| variable.replacement.as_str())
+            .collect();
+        tracing::warn!(
+            deprecated = names.join(", "),
+            replacement = replacements.join(", "),
+            "deprecated environment variables are set"
+        );
     }
 }
--- a/crates/router-config/src/layers.rs
+++ b/crates/router-config/src/layers.rs
@@ -83,7 +83,9 @@
     pub fn read(&self) -> Result<Config, ConfigError> {
         let defaults = Figment::from(Serialized::defaults(Config::default()));
         let loaded = self.load(Vec::new())?;
-        loaded.extract(defaults, Config::first_invalid_value)
+        let mut config: Config = loaded.extract(defaults, Config::first_invalid_value)?;
+        config.log.deprecated_variables = self.environment.deprecated();
+        Ok(config)
     }
 
     /// Reads the file, if there is one.
--- a/crates/router-config/src/lib.rs
+++ b/crates/router-config/src/lib.rs
@@ -13,6 +13,7 @@
 mod toml_position;
 mod units;
 
+pub use environment::{DeprecatedVariable, DeprecatedVariables};
 pub use error::{ConfigError, InvalidValue, ValueSource};
 pub use layers::{Layers, read_toml};
 pub use schema::{Config, Format, Level, Log, Node, Repeat};
--- a/crates/router-config/src/logging/mod.rs
+++ b/crates/router-config/src/logging/mod.rs
@@ -33,13 +33,14 @@
     }
 }
 
-/// Sends all lines of this process to standard error.
+/// Sends all lines of this process to standard error, and warns if deprecated environment variables were read.
 ///
 /// # Errors
 /// Where logging was set up before.
 pub fn init(log: &Log) -> Result<Guard, AlreadySet> {
     let (subscriber, guard) = subscriber(log, std::io::stderr);
     set_global_default(subscriber).map_err(|_| AlreadySet)?;
+    log.deprecated_variables.log_warning();
     Ok(guard)
 }
 
--- a/crates/router-config/src/schema.rs
+++ b/crates/router-config/src/schema.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::environment::DeprecatedVariables;
 use crate::error::InvalidValue;
 use crate::units::Span;
 
@@ -27,6 +28,10 @@
     pub format: Format,
     /// How often a line from one place in the program is repeated.
     pub repeat: Repeat,
+    /// Environment variables that were read under their deprecated names. It is no key of the configuration: reading
+    /// the layers fills it, and setting up logging warns about it once.
+    #[serde(skip)]
+    pub deprecated_variables: DeprecatedVariables,
 }
 
 /// The severity of a line.
--- a/crates/router-config/tests/logging.rs
+++ b/crates/router-config/tests/logging.rs
@@ -56,6 +56,7 @@
             lines,
             per: Span(Duration::from_secs(3600)),
         },
+        ..Log::default()
     }
 }
 
--- a/crates/routerctl/src/main.rs
+++ b/crates/routerctl/src/main.rs
@@ -252,6 +252,9 @@
         .fold(layers, |layers, (key, value)| layers.flag(key, value));
     match layers.read() {
         Ok(config) => {
+            if let Some(warning) = config.log.deprecated_variables.warning() {
+                eprintln!("routerctl: {warning}");
+            }
             if show {
                 print!("{}", toml::to_string(&config)?);
             } else {
--- a/crates/routerctl/tests/cli.rs
+++ b/crates/routerctl/tests/cli.rs
@@ -11,13 +11,20 @@
 
 /// Exit code, standard output and standard error.
 fn routerctl(arguments: &[&str]) -> (i32, String, String) {
+    routerctl_with(&[], arguments)
+}
+
+/// The same with some environment variables set.
+fn routerctl_with(variables: &[(&str, &str)], arguments: &[&str]) -> (i32, String, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_routerctl"));
     // Whatever this machine sets is no part of the test.
-    for (name, _) in
-        std::env::vars_os().filter(|(name, _)| name.to_string_lossy().starts_with("CACHE_ROUTER_"))
-    {
+    for (name, _) in std::env::vars_os().filter(|(name, _)| {
+        let name = name.to_string_lossy();
+        name.starts_with("CACHE_ROUTER_") || name.starts_with("SPARDEAL_")
+    }) {
         command.env_remove(name);
     }
+    command.envs(variables.iter().copied());
     let output = command.args(arguments).output().unwrap();
     let text = |bytes| String::from_utf8(bytes).unwrap();
     (
@@ -57,6 +64,29 @@
     );
 }
 
+#[test]
+fn deprecated_environment_variables_are_read_with_one_warning() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("router.toml");
+    fs::write(&path, "").unwrap();
+    let variables = [
+        ("SPARDEAL_LOG__LEVEL", "debug"),
+        ("SPARDEAL_LOG__FORMAT", "json"),
+    ];
+    let arguments = ["check", path.to_str().unwrap(), "--show"];
+    let (code, shown, warning) = routerctl_with(&variables, &arguments);
+    assert_eq!(code, 0);
+    assert!(
+        shown.contains("level = \"debug\"") && shown.contains("format = \"json\""),
+        "{shown}"
+    );
+    assert_eq!(
+        warning,
+        "routerctl: deprecated environment variables are set: use CACHE_ROUTER_LOG__FORMAT instead of \
+         SPARDEAL_LOG__FORMAT, CACHE_ROUTER_LOG__LEVEL instead of SPARDEAL_LOG__LEVEL\n"
+    );
+}
+
 #[test]
 fn wrong_use_is_told_with_what_would_do() {
     for (arguments, told) in [
