--- a/crates/acceptance/src/lib.rs
+++ b/crates/acceptance/src/lib.rs
@@ -1,8 +1,9 @@
-//! The operators' standing fleet test, seen from this side: whether it has been played and passed on the sources as
-//! they are ([`duty`]), and how far a play stayed from the limits of the rules ([`margins`]). Reads journals and
-//! logs, changes nothing, and needs neither the bench nor a node.
+//! The operators' fleet test, read from what it leaves behind: whether it was run and passed on the sources as they
+//! are ([`check`]), and how far a run stayed from the limits of the rules ([`margins`]).
+//!
+//! The crate reads journals and logs and changes nothing. It needs neither the test itself nor a node.
 
-pub mod duty;
+pub mod check;
 pub mod journal;
 pub mod margins;
 pub mod sources;
--- /dev/null
+++ b/crates/acceptance/src/margins/mod.rs
@@ -0,0 +1,86 @@
+//! How far a run of the fleet test stayed from the limits of its rules, from the traces of its nodes: load on servers
+//! that are warming up, sends to servers that are draining, delay of notifications, and lateness of final answers.
+//!
+//! [`measure`] reads the logs of a run into a recording, evaluates the recording and returns [`Margins`].
+
+mod evaluation;
+mod process;
+mod recording;
+mod report;
+
+use std::io::BufRead;
+use std::path::{Path, PathBuf};
+
+use self::process::ProcessRecorder;
+use self::recording::Recording;
+pub use self::report::{
+    AnswerLateness, BrokenLines, Capacity, DiscoveryCalls, Margins, NotificationDelay,
+    SendAfterDrain, WarmUpLoad,
+};
+
+/// Why a run has no margins.
+#[derive(Debug, thiserror::Error)]
+pub enum MarginsError {
+    /// A file or folder cannot be read.
+    #[error("cannot read {}: {source}", path.display())]
+    Unreadable {
+        /// Its path.
+        path: PathBuf,
+        /// The operating system's error.
+        source: std::io::Error,
+    },
+    /// None of the files holds a trace.
+    #[error("no trace in {}: run the day with deploy/trace.toml and --logs", folder.display())]
+    NoTrace {
+        /// The folder of the run.
+        folder: PathBuf,
+    },
+}
+
+/// Measures the margins of a run whose logs are in a folder, one file for each node.
+///
+/// # Errors
+/// Where a log cannot be read or none holds a trace.
+pub fn measure(folder: &Path) -> Result<Margins, MarginsError> {
+    let mut recording = Recording::default();
+    for path in log_paths(folder)? {
+        read_log(&path, &mut recording).map_err(|source| MarginsError::Unreadable {
+            path: path.clone(),
+            source,
+        })?;
+    }
+    recording.sort();
+    match recording.parameters {
+        Some(parameters) => Ok(evaluation::evaluate(recording, parameters)),
+        None => Err(MarginsError::NoTrace {
+            folder: folder.into(),
+        }),
+    }
+}
+
+/// The files of a folder, by name.
+fn log_paths(folder: &Path) -> Result<Vec<PathBuf>, MarginsError> {
+    let unreadable = |source| MarginsError::Unreadable {
+        path: folder.into(),
+        source,
+    };
+    let mut paths = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(unreadable)? {
+        paths.push(entry.map_err(unreadable)?.path());
+    }
+    paths.retain(|path| path.is_file());
+    paths.sort();
+    Ok(paths)
+}
+
+fn read_log(path: &Path, recording: &mut Recording) -> std::io::Result<()> {
+    let mut reader = std::io::BufReader::new(std::fs::File::open(path)?);
+    let mut process = ProcessRecorder::default();
+    let mut line = Vec::new();
+    while reader.read_until(b'\n', &mut line)? > 0 {
+        process.read_line(&String::from_utf8_lossy(&line), recording);
+        line.clear();
+    }
+    process.end(recording);
+    Ok(())
+}
--- /dev/null
+++ b/crates/acceptance/src/margins/recording.rs
@@ -0,0 +1,129 @@
+//! What was seen in all traces of a run, in the form that the evaluation needs.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::report::{AnswerLateness, BrokenLines, DiscoveryCalls};
+use crate::trace::{Micros, RuleParameters};
+
+/// By the protocol every node counts as notified of what discovery has to report after this time.
+pub(super) const NOTIFIED_AFTER: Micros = 6_000_000;
+
+/// An attempt that was sent.
+#[derive(Debug)]
+pub(super) struct RecordedSend {
+    pub(super) at: Micros,
+    pub(super) server: u32,
+    pub(super) node: u32,
+    /// The last start of the server that the node's list had; 0 for long ago.
+    pub(super) known_start: Micros,
+    /// When the node's list first had the server not ready, if it did.
+    pub(super) unready_since: Option<Micros>,
+    /// Whether the server answered it, as far as its outcome shows.
+    pub(super) answered: bool,
+}
+
+/// A node's notification that a server is not ready any more.
+#[derive(Debug)]
+pub(super) struct UnreadyNotification {
+    pub(super) server: u32,
+    pub(super) at: Micros,
+    pub(super) node: u32,
+    /// When the node's process started.
+    pub(super) process_started: Micros,
+}
+
+/// The last start of a server before some send to it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownStart {
+    /// When it started; 0 for long ago.
+    pub(super) at: Micros,
+    /// Whether the sending node knew of it or counts as notified.
+    pub(super) node_informed: bool,
+}
+
+/// Times of events, for each server.
+pub(super) type TimesByServer = HashMap<u32, Vec<Micros>>;
+
+/// All that was seen in one run.
+#[derive(Debug, Default)]
+pub(super) struct Recording {
+    /// The settings, as the process that was read last has them.
+    pub(super) parameters: Option<RuleParameters>,
+    pub(super) sends: Vec<RecordedSend>,
+    /// The kind of each server.
+    pub(super) kinds: HashMap<u32, i64>,
+    /// The starts of each server that discovery reported, with the time at which a node first heard of each.
+    pub(super) starts: HashMap<u32, BTreeMap<Micros, Micros>>,
+    /// When nodes were notified that a server is ready.
+    pub(super) ready_notifications: TimesByServer,
+    /// When nodes were notified that a server is not ready.
+    pub(super) unready_notifications: TimesByServer,
+    /// Each of the latter, in full.
+    pub(super) notifications: Vec<UnreadyNotification>,
+    /// When servers ended an attempt that was work to them.
+    pub(super) answers: TimesByServer,
+    /// When servers rejected an attempt.
+    pub(super) rejections: TimesByServer,
+    /// Final answers, by how they ended.
+    pub(super) outcomes: BTreeMap<String, u64>,
+    pub(super) latest_answer: Option<AnswerLateness>,
+    /// Requests that were never answered.
+    pub(super) unanswered: u64,
+    pub(super) discovery_calls: DiscoveryCalls,
+    pub(super) broken_lines: BrokenLines,
+}
+
+impl Recording {
+    /// Sorts all events by time, as the look-ups below need them.
+    pub(super) fn sort(&mut self) {
+        for times in [
+            &mut self.ready_notifications,
+            &mut self.unready_notifications,
+            &mut self.answers,
+            &mut self.rejections,
+        ] {
+            times.values_mut().for_each(|times| times.sort_unstable());
+        }
+        self.sends.sort_unstable_by_key(|send| send.at);
+    }
+
+    pub(super) fn kind_of(&self, server: u32) -> i64 {
+        self.kinds.get(&server).copied().unwrap_or(-1)
+    }
+
+    /// When the first node was notified that a server is not ready, of the period without service that a time is in.
+    pub(super) fn first_unready_notification(&self, server: u32, at: Micros) -> Option<Micros> {
+        // Earlier notifications are void once the server is back.
+        let last_return = last_not_after(&self.ready_notifications, server, at);
+        let times = self.unready_notifications.get(&server)?;
+        let first = times.partition_point(|time| *time <= last_return);
+        times.get(first).copied()
+    }
+
+    /// The last start of a send's server before the send.
+    pub(super) fn start_before(&self, send: &RecordedSend) -> KnownStart {
+        let starts = self.starts.get(&send.server);
+        let last = starts.and_then(|starts| starts.range(..=send.at).next_back());
+        let (start, first_heard) = last.map_or((0, 0), |(start, heard)| (*start, *heard));
+        KnownStart {
+            at: start,
+            node_informed: send.known_start >= start || send.at >= first_heard + NOTIFIED_AFTER,
+        }
+    }
+
+    /// The last start of a server that discovery reported; 0 where there is none.
+    pub(super) fn last_start(&self, server: u32) -> Micros {
+        let starts = self.starts.get(&server);
+        let last = starts.and_then(|starts| starts.keys().next_back());
+        last.copied().unwrap_or(0)
+    }
+}
+
+/// The last of a server's times that is not after another, 0 where there is none.
+fn last_not_after(times: &TimesByServer, server: u32, at: Micros) -> Micros {
+    let times = times.get(&server).map_or(&[][..], Vec::as_slice);
+    times[..times.partition_point(|time| *time <= at)]
+        .last()
+        .copied()
+        .unwrap_or(0)
+}
--- a/crates/acceptance/src/sources.rs
+++ b/crates/acceptance/src/sources.rs
@@ -1,29 +1,29 @@
-//! Which sources a score was played on, held against those in the working tree. Reads only.
+//! The sources in the working tree, and whether a run of the fleet test was made on the same.
 
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
+use std::process::{Command, Output, Stdio};
 
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
 
-use crate::journal::{Entry, PlayedFile};
+use crate::journal::{Entry, SourceFile, SourceTree};
 
-/// Why the sources as they are now can't be told.
+/// Why the sources in the working tree cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum SourceError {
-    /// A file or folder can't be read.
+    /// A file or folder cannot be read.
     #[error("cannot read {}: {source}", path.display())]
     Unreadable {
-        /// Which.
+        /// Its path.
         path: PathBuf,
-        /// What the system said.
+        /// The operating system's error.
         source: std::io::Error,
     },
-    /// The deploy file is no TOML or lacks a key.
+    /// The deploy file is not TOML or lacks a key.
     #[error("{} does not name the sources: {message}", path.display())]
-    Deploy {
-        /// The file.
+    InvalidDeployFile {
+        /// Path of the deploy file.
         path: PathBuf,
         /// What is wrong, and where.
         message: String,
@@ -32,25 +32,27 @@
 
 /// The keys of the deploy file that name sources.
 #[derive(Deserialize)]
-struct Deploy {
+struct DeployFile {
     policy: Vec<String>,
     node: Vec<String>,
 }
 
-/// What the policy is made of, the files that the deploy file names as such included.
-const POLICY_CRATE: &str = "crates/routing-policy/src";
+/// The deploy file, from the root of the repository.
+const DEPLOY_FILE: &str = "deploy/balancer.toml";
+/// All sources of the policy, including the files that the deploy file names.
+const POLICY_SOURCES: &str = "crates/routing-policy/src";
 
 /// The sources in the working tree that decide how a node acts.
 #[derive(Debug)]
 pub struct Sources {
     root: PathBuf,
-    policy: Vec<PlayedFile>,
-    node: Vec<PlayedFile>,
-    /// What the module is made of besides the policy files.
-    rest: Vec<PlayedFile>,
+    policy_files: Vec<SourceFile>,
+    node_files: Vec<SourceFile>,
+    /// Sources of the policy besides the files that the deploy file names.
+    other_policy_files: Vec<SourceFile>,
 }
 
-/// How the sources of an entry compare with these.
+/// How the sources of a run compare with those in the working tree.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Match {
     /// They are the same.
@@ -62,96 +64,118 @@
 }
 
 impl Sources {
-    /// Reads them from the root of a repository.
+    /// Reads and hashes them.
+    ///
+    /// `root` is the root of the repository.
     ///
     /// # Errors
-    /// Where the deploy file or a file that it names can't be read.
+    /// Where the deploy file or a file that it names cannot be read.
     pub fn read(root: &Path) -> Result<Sources, SourceError> {
-        let path = root.join("deploy/balancer.toml");
+        let path = root.join(DEPLOY_FILE);
         let text = std::fs::read_to_string(&path).map_err(|source| SourceError::Unreadable {
             path: path.clone(),
             source,
         })?;
-        let deploy: Deploy = toml::from_str(&text).map_err(|e| SourceError::Deploy {
-            path,
-            message: e.to_string(),
-        })?;
-        let policy = hashed(root, &deploy.policy)?;
-        let node = hashed(root, &deploy.node)?;
-        let mut rest = hashed(root, &[POLICY_CRATE.to_string()])?;
-        let listed: BTreeSet<_> = policy.iter().chain(&node).map(|f| f.path.clone()).collect();
-        rest.retain(|f| !listed.contains(&f.path));
+        let deploy: DeployFile =
+            toml::from_str(&text).map_err(|error| SourceError::InvalidDeployFile {
+                path,
+                message: error.to_string(),
+            })?;
+        let policy_files = hash_files(root, &deploy.policy)?;
+        let node_files = hash_files(root, &deploy.node)?;
+        let mut other_policy_files = hash_files(root, &[POLICY_SOURCES.to_string()])?;
+        let listed: BTreeSet<&str> = policy_files
+            .iter()
+            .chain(&node_files)
+            .map(|file| file.path.as_str())
+            .collect();
+        other_policy_files.retain(|file| !listed.contains(file.path.as_str()));
         Ok(Sources {
             root: root.into(),
-            policy,
-            node,
-            rest,
+            policy_files,
+            node_files,
+            other_policy_files,
         })
     }
 
-    /// Whether an entry was played on these, or on their network code at the least.
-    pub fn compare(&self, entry: &Entry, network_only: bool) -> Match {
-        let sorted = |files: &[PlayedFile]| files.iter().cloned().collect::<BTreeSet<_>>();
-        if sorted(&entry.node) != sorted(&self.node) {
+    /// Compares the sources of a run with these: all of them, or the network code alone.
+    pub fn compare(&self, entry: &Entry, network_code_only: bool) -> Match {
+        if !same_files(&entry.node_files, &self.node_files) {
             return Match::Differ;
         }
-        if network_only {
+        if network_code_only {
             return Match::Same;
         }
-        if sorted(&entry.policy) != sorted(&self.policy) {
+        if !same_files(&entry.policy_files, &self.policy_files) {
             return Match::Differ;
         }
-        let Some(tree) = &entry.tree else {
-            return Match::Unknown;
-        };
-        for file in &self.rest {
-            if tree.gone.contains(&file.path) {
+        match &entry.source_tree {
+            Some(tree) => self.compare_other_policy_files(tree),
+            None => Match::Unknown,
+        }
+    }
+
+    fn compare_other_policy_files(&self, tree: &SourceTree) -> Match {
+        for file in &self.other_policy_files {
+            if tree.removed.contains(&file.path) {
                 return Match::Differ;
             }
-            let played = match tree.files.iter().find(|played| played.path == file.path) {
-                Some(played) => Some(played.sha256.clone()),
-                None => match self.committed(&tree.base, &file.path) {
+            let changed = tree.files.iter().find(|changed| changed.path == file.path);
+            let sha256 = match changed {
+                Some(changed) => Some(changed.sha256.clone()),
+                None => match self.committed_sha256(&tree.base_commit, &file.path) {
                     Ok(sha256) => sha256,
-                    Err(()) => return Match::Unknown,
+                    Err(UnknownCommit) => return Match::Unknown,
                 },
             };
-            if played.as_ref() != Some(&file.sha256) {
+            if sha256.as_ref() != Some(&file.sha256) {
                 return Match::Differ;
             }
         }
         Match::Same
     }
 
-    /// Hash of a file in a commit, `None` where the commit has no such file; an error where there is no commit.
-    fn committed(&self, commit: &str, path: &str) -> Result<Option<String>, ()> {
-        // The name goes to another program: nothing but a commit's hash does.
+    /// Hash of a file in a commit, `None` where the commit has no such file.
+    fn committed_sha256(&self, commit: &str, path: &str) -> Result<Option<String>, UnknownCommit> {
+        // The text becomes an argument of another program: nothing but a commit's hash may.
         if commit.is_empty() || !commit.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            return Err(());
+            return Err(UnknownCommit);
         }
-        let git = |arguments: [&str; 3]| {
-            let mut call = Command::new("git");
-            call.arg("-C")
-                .arg(&self.root)
-                .args(arguments)
-                .stderr(Stdio::null());
-            call.output().map_err(drop)
-        };
-        if !git(["cat-file", "-e", &format!("{commit}^{{commit}}")])?
-            .status
-            .success()
-        {
-            return Err(());
+        let exists = self.git(["cat-file", "-e", &format!("{commit}^{{commit}}")])?;
+        if !exists.status.success() {
+            return Err(UnknownCommit);
         }
-        let blob = git(["cat-file", "blob", &format!("{commit}:{path}")])?;
+        let blob = self.git(["cat-file", "blob", &format!("{commit}:{path}")])?;
         Ok(blob.status.success().then(|| sha256(&blob.stdout)))
     }
+
+    fn git(&self, arguments: [&str; 3]) -> Result<Output, UnknownCommit> {
+        Command::new("git")
+            .arg("-C")
+            .arg(&self.root)
+            .args(arguments)
+            .stderr(Stdio::null())
+            .output()
+            // Without git no commit can be looked up.
+            .map_err(|_| UnknownCommit)
+    }
+}
+
+/// A commit cannot be read in this repository.
+struct UnknownCommit;
+
+/// Whether two lists have the same files, in whatever order.
+fn same_files(left: &[SourceFile], right: &[SourceFile]) -> bool {
+    let left: BTreeSet<&SourceFile> = left.iter().collect();
+    let right: BTreeSet<&SourceFile> = right.iter().collect();
+    left == right
 }
 
-/// The files under some paths, folders read through, with their hashes.
-fn hashed(root: &Path, paths: &[String]) -> Result<Vec<PlayedFile>, SourceError> {
+/// All files under some paths, at any depth, with their hashes, in the order of their paths.
+fn hash_files(root: &Path, paths: &[String]) -> Result<Vec<SourceFile>, SourceError> {
     let mut files = Vec::new();
-    let mut open: Vec<PathBuf> = paths.iter().map(PathBuf::from).collect();
-    while let Some(path) = open.pop() {
+    let mut pending: Vec<PathBuf> = paths.iter().map(PathBuf::from).collect();
+    while let Some(path) = pending.pop() {
         let full = root.join(&path);
         let unreadable = |source| SourceError::Unreadable {
             path: full.clone(),
@@ -159,11 +183,11 @@
         };
         if full.is_dir() {
             for entry in std::fs::read_dir(&full).map_err(unreadable)? {
-                open.push(path.join(entry.map_err(unreadable)?.file_name()));
+                pending.push(path.join(entry.map_err(unreadable)?.file_name()));
             }
         } else {
             let sha256 = sha256(&std::fs::read(&full).map_err(unreadable)?);
-            files.push(PlayedFile {
+            files.push(SourceFile {
                 path: path.to_string_lossy().into_owned(),
                 sha256,
             });
--- a/crates/acceptance/src/trace.rs
+++ b/crates/acceptance/src/trace.rs
@@ -1,194 +1,244 @@
-//! The lines that a node writes with `node.trace` on, read back. `docs/FLEET.md` describes them.
+//! The trace lines that a node writes with `node.trace` on, read back. `docs/FLEET.md` describes their form.
 
-/// Unix time in microseconds.
+use std::str::{FromStr, Split};
+
+/// Unix time or a duration, in microseconds.
 pub type Micros = u64;
 
-/// A line: when it was written, and what it tells.
+/// What the fields of a line are preceded by.
+const MARKER: &str = "trace ";
+
+/// A trace line: when it was written, and what it reports.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Line<'a> {
-    /// When.
+pub struct TraceLine<'a> {
+    /// Unix time.
     pub at: Micros,
-    /// What.
-    pub fact: Fact<'a>,
+    /// What it reports.
+    pub event: TraceEvent<'a>,
 }
 
-/// What a line tells.
+/// What a trace line reports.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Fact<'a> {
-    /// A process has begun, with these figures of its settings.
-    Start(Figures),
-    /// A list, or a change of one, is in force from here on; its servers follow.
-    List {
-        /// Whether a server that it does not name is gone.
-        whole: bool,
-        /// Whether it is the old one that a process begins with.
+pub enum TraceEvent<'a> {
+    /// A process has started, with these of its settings.
+    Started(RuleParameters),
+    /// An endpoint list, or a change of one, takes effect; its servers follow.
+    ListReceived {
+        /// Whether a server that it does not name is removed.
+        complete: bool,
+        /// Whether it is the saved one that a process starts with.
         cached: bool,
     },
-    /// A line of that list.
-    Server(Server),
+    /// A server of the list before it.
+    ListedServer(ListedServer),
     /// A client's request has come.
-    Request {
-        /// Its number in this process.
-        id: u64,
-        /// The key's hash.
+    RequestReceived {
+        /// Number of the request in this process.
+        request: u64,
+        /// Hash of the key.
         key: u64,
         /// How long its client waits.
-        left: Micros,
-        /// The client's own name for it, which all nodes see.
-        name: &'a str,
+        remaining: Micros,
+        /// The client's own name for it, which is the same at all nodes.
+        client_name: &'a str,
     },
-    /// An attempt is written.
-    Send {
-        /// Its request.
-        id: u64,
-        /// Its number in the request, from 0.
+    /// An attempt was handed to a connection.
+    AttemptSent {
+        /// Number of its request.
+        request: u64,
+        /// Number of the attempt in the request, from 0.
         attempt: u16,
-        /// Where to.
+        /// Id of the server.
         server: u32,
     },
     /// An attempt has its outcome.
-    Outcome {
-        /// Its request.
-        id: u64,
-        /// Its number in the request.
+    AttemptEnded {
+        /// Number of its request.
+        request: u64,
+        /// Number of the attempt in the request, from 0.
         attempt: u16,
-        /// Where it was.
+        /// Id of the server.
         server: u32,
-        /// How it ended.
+        /// How it ended, such as `Served` or `TimedOut`.
         status: &'a str,
     },
-    /// A request has its final answer, or its client has gone.
-    End {
-        /// The request.
-        id: u64,
+    /// A request has its final answer, or its client has disconnected.
+    RequestEnded {
+        /// Number of the request.
+        request: u64,
         /// `served`, `refused`, `failed` or `gone`.
-        how: &'a str,
-        /// After its client's time, in microseconds; negative before.
-        late: i64,
+        outcome: &'a str,
+        /// How long after its deadline, in microseconds; negative before it.
+        lateness_us: i64,
     },
-    /// Discovery is asked for a watch, or a watch was given up.
-    Asked,
-    /// A call to discovery failed.
-    Unheard,
+    /// Discovery was called to open a watch, or a watch was ended.
+    DiscoveryCalled,
+    /// A call to discovery failed or a watch broke.
+    DiscoveryFailed,
 }
 
-/// The settings that the rules rest on.
+/// The settings that the rules are stated in.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Figures {
+pub struct RuleParameters {
     /// The node's number.
-    pub me: u32,
+    pub node: u32,
     /// How many nodes there are.
-    pub balancers: u32,
-    /// Part of its capacity that a server starts with.
-    pub cold_share: f64,
-    /// It is warm after this time, in microseconds.
-    pub warm_up: f64,
-    /// Sent more than this multiple of what it can do.
-    pub fall_multiple: f64,
-    /// For this time, in microseconds, a cold server falls over.
-    pub fall_after: f64,
+    pub nodes: u32,
+    /// Part of its capacity that a server starts with, from 0 to 1.
+    pub initial_capacity_share: f64,
+    /// Time after its start at which a server has its full capacity, in microseconds.
+    pub warm_up_us: f64,
+    /// A server that is warming up collapses when it receives more than this multiple of its capacity ...
+    pub overload_multiple: f64,
+    /// ... for this time, in microseconds.
+    pub overload_window_us: f64,
     /// Sends to a draining server have to end within this time, in microseconds.
-    pub drain_grace: f64,
+    pub drain_grace_us: f64,
     /// The kind of the origin, which is no cache server; -1 for none.
     pub origin_kind: i64,
 }
 
-/// A server as a list has it.
+/// A server as an endpoint list has it.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Server {
+pub struct ListedServer {
     /// Its id.
     pub id: u32,
     /// Whether it takes requests.
     pub ready: bool,
-    /// Place of its kind in the settings.
+    /// Index of its kind in the settings.
     pub kind: i64,
     /// When it last started; 0 for long ago.
     pub started: Micros,
 }
 
-/// Reads a line of a log: `None` where it is none of a trace, an error with the line where it is broken.
-pub fn read(line: &str) -> Option<Result<Line<'_>, &str>> {
-    // The bench puts the time of its clock before each line.
-    let (before, rest) = line.trim_end().split_once("trace ")?;
-    if !before
-        .bytes()
-        .all(|byte| byte.is_ascii_digit() || matches!(byte, b'.' | b' '))
-    {
-        return None;
+/// A line that has the marker of a trace and not its form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("broken trace line: {line}")]
+pub struct BrokenLine<'a> {
+    /// The line as it was read.
+    pub line: &'a str,
+}
+
+/// Reads a line of a log. It returns `None` for a line that is no part of a trace.
+///
+/// # Errors
+/// Where a trace line does not have the form that its event requires.
+pub fn read_line(line: &str) -> Result<Option<TraceLine<'_>>, BrokenLine<'_>> {
+    let Some((before, fields)) = line.trim_end().split_once(MARKER) else {
+        return Ok(None);
+    };
+    // The fleet test puts the time of its own clock before each line.
+    let is_clock = |byte: u8| byte.is_ascii_digit() || matches!(byte, b'.' | b' ');
+    if !before.bytes().all(is_clock) {
+        return Ok(None);
+    }
+    match parse(Fields::of(fields)) {
+        Some(line) => Ok(Some(line)),
+        None => Err(BrokenLine { line }),
     }
-    Some(parse(rest).ok_or(line))
 }
 
-fn parse(rest: &str) -> Option<Line<'_>> {
-    let mut fields = rest.split(' ');
-    let mut next = || fields.next();
-    let at = next()?.parse().ok()?;
-    let fact = match next()? {
-        "start" => {
-            let (me, balancers) = (next()?.parse().ok()?, next()?.parse().ok()?);
-            let mut figure = || next()?.parse::<f64>().ok();
-            Fact::Start(Figures {
-                me,
-                balancers,
-                cold_share: figure()?,
-                warm_up: figure()?,
-                fall_multiple: figure()?,
-                fall_after: figure()?,
-                drain_grace: figure()?,
-                origin_kind: figure()? as i64,
-            })
-        }
-        "list" => {
-            let kind = next()?;
-            Fact::List {
-                whole: kind != "Delta",
-                cached: kind == "Cached",
-            }
-        }
-        "server" => Fact::Server(Server {
-            id: next()?.parse().ok()?,
-            ready: next()? == "Ready",
-            kind: next()?.parse().ok()?,
-            started: {
-                next()?;
-                next()?.parse().ok()?
-            },
-        }),
-        "request" => {
-            let (id, key) = (
-                next()?.parse().ok()?,
-                u64::from_str_radix(next()?, 16).ok()?,
-            );
-            next()?; // Its class.
-            Fact::Request {
-                id,
-                key,
-                left: next()?.parse().ok()?,
-                name: next()?,
-            }
+/// The fields of a line that are still to be read.
+struct Fields<'a> {
+    rest: Split<'a, char>,
+}
+
+impl<'a> Fields<'a> {
+    fn of(text: &'a str) -> Fields<'a> {
+        Fields {
+            rest: text.split(' '),
         }
-        "send" => Fact::Send {
-            id: next()?.parse().ok()?,
-            attempt: next()?.parse().ok()?,
-            server: next()?.parse().ok()?,
+    }
+
+    fn text(&mut self) -> Option<&'a str> {
+        self.rest.next()
+    }
+
+    fn number<T: FromStr>(&mut self) -> Option<T> {
+        self.text()?.parse().ok()
+    }
+
+    fn hexadecimal(&mut self) -> Option<u64> {
+        u64::from_str_radix(self.text()?, 16).ok()
+    }
+
+    fn skip(&mut self) -> Option<()> {
+        self.text().map(drop)
+    }
+}
+
+fn parse(mut fields: Fields<'_>) -> Option<TraceLine<'_>> {
+    let at = fields.number()?;
+    let event = match fields.text()? {
+        "start" => TraceEvent::Started(parse_parameters(&mut fields)?),
+        "list" => parse_list(&mut fields)?,
+        "server" => TraceEvent::ListedServer(parse_server(&mut fields)?),
+        "request" => parse_request(&mut fields)?,
+        "send" => TraceEvent::AttemptSent {
+            request: fields.number()?,
+            attempt: fields.number()?,
+            server: fields.number()?,
         },
-        "outcome" => {
-            let (id, attempt) = (next()?.parse().ok()?, next()?.parse().ok()?);
-            Fact::Outcome {
-                id,
-                attempt,
-                server: next()?.parse().ok()?,
-                status: next()?,
-            }
-        }
-        "end" => Fact::End {
-            id: next()?.parse().ok()?,
-            how: next()?,
-            late: next()?.parse().ok()?,
+        "outcome" => TraceEvent::AttemptEnded {
+            request: fields.number()?,
+            attempt: fields.number()?,
+            server: fields.number()?,
+            status: fields.text()?,
         },
-        "ask" => Fact::Asked,
-        "unheard" => Fact::Unheard,
+        "end" => TraceEvent::RequestEnded {
+            request: fields.number()?,
+            outcome: fields.text()?,
+            lateness_us: fields.number()?,
+        },
+        "ask" => TraceEvent::DiscoveryCalled,
+        "unheard" => TraceEvent::DiscoveryFailed,
         _ => return None,
     };
-    Some(Line { at, fact })
+    Some(TraceLine { at, event })
+}
+
+fn parse_parameters(fields: &mut Fields<'_>) -> Option<RuleParameters> {
+    Some(RuleParameters {
+        node: fields.number()?,
+        nodes: fields.number()?,
+        initial_capacity_share: fields.number()?,
+        warm_up_us: fields.number()?,
+        overload_multiple: fields.number()?,
+        overload_window_us: fields.number()?,
+        drain_grace_us: fields.number()?,
+        origin_kind: fields.number::<f64>()? as i64,
+    })
+}
+
+fn parse_list<'a>(fields: &mut Fields<'a>) -> Option<TraceEvent<'a>> {
+    let update = fields.text()?;
+    Some(TraceEvent::ListReceived {
+        complete: update != "Delta",
+        cached: update == "Cached",
+    })
+}
+
+fn parse_server(fields: &mut Fields<'_>) -> Option<ListedServer> {
+    let id = fields.number()?;
+    let ready = fields.text()? == "Ready";
+    let kind = fields.number()?;
+    fields.skip()?; // Its zone.
+    Some(ListedServer {
+        id,
+        ready,
+        kind,
+        started: fields.number()?,
+    })
+}
+
+fn parse_request<'a>(fields: &mut Fields<'a>) -> Option<TraceEvent<'a>> {
+    let request = fields.number()?;
+    let key = fields.hexadecimal()?;
+    fields.skip()?; // Its class.
+    Some(TraceEvent::RequestReceived {
+        request,
+        key,
+        remaining: fields.number()?,
+        client_name: fields.text()?,
+    })
 }
--- a/crates/acceptance/tests/duty.rs
+++ b/crates/acceptance/tests/check.rs
@@ -1,4 +1,4 @@
-//! The verdict on the standing duty, over journals made for it.
+//! The verdict of the acceptance check, over journals made for it.
 #![allow(
     missing_docs,
     clippy::unwrap_used,
@@ -10,7 +10,7 @@
 use std::path::Path;
 use std::process::Command;
 
-use acceptance::duty::Verdict;
+use acceptance::check::Verdict;
 use acceptance::journal::{Journal, JournalError};
 use acceptance::sources::Sources;
 use serde_json::{Value, json};
@@ -51,8 +51,8 @@
     json!({"path": path, "sha256": hex})
 }
 
-/// An entry for the sources as they are.
-fn entry(root: &Path, id: &str, panel: &str, figure: f64) -> Value {
+/// An entry of a run on the sources as they are.
+fn entry(root: &Path, id: &str, panel: &str, score: f64) -> Value {
     let argv = match panel {
         LATER => vec!["S", "--panel", "later", "--quick"],
         BRINK => vec!["S", "--panel", "brink"],
@@ -61,7 +61,7 @@
     json!({
         "id": id, "at": [id, id], "cmd": "real-score", "argv": argv, "site": "s", "ok": true, "panel": panel,
         "policy": [file(root, FILES[0])], "node": [file(root, FILES[1])],
-        "figures": {"real_score": figure, "gate": 1.0},
+        "figures": {"real_score": score, "gate": 1.0},
         "days": [{"name": "join+mass", "rules": {"drain": 0}, "gate": null, "fault": null}],
         "tree": {"base": "", "files": [file(root, FILES[2])], "gone": []},
     })
@@ -72,7 +72,7 @@
     fs::write(root.join(name), entry.to_string()).unwrap();
 }
 
-fn all(root: &Path) {
+fn write_all_scores(root: &Path) {
     for (id, panel) in [("1", FULL), ("2", QUICK), ("3", LATER), ("3b", BRINK)] {
         write(root, &entry(root, id, panel, 0.8));
     }
@@ -83,43 +83,43 @@
         &Journal::read(&root.join("journal")).unwrap(),
         &Sources::read(root).unwrap(),
     );
-    (verdict.holds(), verdict.to_string())
+    (verdict.passed(), verdict.to_string())
 }
 
 #[test]
-fn it_holds_where_each_score_was_passed_on_these_sources() {
+fn it_passes_where_each_score_was_passed_on_these_sources() {
     let root = repository();
-    all(root.path());
-    let told = "the standing duty holds: full score 0.800 (1); quick score 0.800 (2); later panel 0.800 (3); \
+    write_all_scores(root.path());
+    let text = "the acceptance check passes: full score 0.800 (1); quick score 0.800 (2); later panel 0.800 (3); \
                 brink panel 0.800 (3b)";
-    assert_eq!(verdict(root.path()), (true, told.into()));
+    assert_eq!(verdict(root.path()), (true, text.into()));
 }
 
 #[test]
-fn a_change_of_the_module_or_the_node_leaves_every_score_missing() {
+fn a_change_of_the_policy_or_the_node_leaves_every_score_missing() {
     for changed in FILES {
         let root = repository();
-        all(root.path());
+        write_all_scores(root.path());
         fs::write(root.path().join(changed), "changed").unwrap();
-        let (holds, told) = verdict(root.path());
-        assert!(!holds);
+        let (passed, text) = verdict(root.path());
+        assert!(!passed);
         let network = changed.starts_with("crates/cache-router/");
         assert_eq!(
-            told.matches("missing for these sources").count(),
+            text.matches("missing for these sources").count(),
             if network { 4 } else { 3 },
-            "{changed}: {told}"
+            "{changed}: {text}"
         );
         assert_eq!(
-            told.contains("brink panel missing"),
+            text.contains("brink panel missing"),
             network,
-            "{changed}: {told}"
+            "{changed}: {text}"
         );
     }
 }
 
 #[test]
-fn the_last_play_on_these_sources_counts_and_its_fault_is_named() {
-    let faults = [
+fn the_last_run_on_these_sources_counts_and_its_failure_is_named() {
+    let failures = [
         (
             "/days/0/rules/drain",
             json!(2),
@@ -136,44 +136,44 @@
         ("/figures/real_score", Value::Null, "it has no figure"),
         ("/days", json!([]), "it has no days"),
     ];
-    for (place, value, why) in faults {
+    for (pointer, value, reason) in failures {
         let root = repository();
-        all(root.path());
+        write_all_scores(root.path());
         let mut worse = entry(root.path(), "4", FULL, 0.9);
-        *worse.pointer_mut(place).unwrap() = value;
+        *worse.pointer_mut(pointer).unwrap() = value;
         write(root.path(), &worse);
-        let (holds, told) = verdict(root.path());
+        let (passed, text) = verdict(root.path());
         assert!(
-            !holds && told.contains(&format!("full score failed (4: {why})")),
-            "{told}"
+            !passed && text.contains(&format!("full score failed (4: {reason})")),
+            "{text}"
         );
     }
 }
 
 #[test]
-fn a_fall_by_more_than_three_hundredths_is_named_and_a_smaller_one_is_not() {
-    for (figure, holds) in [(0.771, true), (0.769, false)] {
+fn a_regression_by_more_than_three_hundredths_is_named_and_a_smaller_one_is_not() {
+    for (score, passes) in [(0.771, true), (0.769, false)] {
         let root = repository();
-        all(root.path());
+        write_all_scores(root.path());
         fs::write(root.path().join(FILES[0]), "changed").unwrap();
         for (id, panel) in [("4", FULL), ("5", QUICK)] {
             write(root.path(), &entry(root.path(), id, panel, 0.8));
         }
-        write(root.path(), &entry(root.path(), "6", LATER, figure));
-        let (held, told) = verdict(root.path());
-        assert_eq!(held, holds, "{told}");
+        write(root.path(), &entry(root.path(), "6", LATER, score));
+        let (passed, text) = verdict(root.path());
+        assert_eq!(passed, passes, "{text}");
         assert_eq!(
-            told.contains("later panel fell to 0.769 (6) from 0.800 (3)"),
-            !holds,
-            "{told}"
+            text.contains("later panel fell to 0.769 (6) from 0.800 (3)"),
+            !passes,
+            "{text}"
         );
     }
 }
 
 #[test]
-fn a_play_of_another_deployment_is_no_score_of_this_one() {
+fn a_run_of_another_deployment_is_no_score_of_this_one() {
     let root = repository();
-    all(root.path());
+    write_all_scores(root.path());
     let mut other = entry(root.path(), "4", QUICK, 0.2);
     other["site"] = json!("other");
     write(root.path(), &other);
@@ -181,7 +181,7 @@
 }
 
 #[test]
-fn files_that_an_entry_does_not_list_are_held_against_its_commit() {
+fn files_that_an_entry_does_not_list_are_compared_with_its_commit() {
     let root = repository();
     let git = |arguments: &[&str]| {
         let output = Command::new("git")
@@ -206,7 +206,7 @@
         "all",
     ]);
     let commit = git(&["rev-parse", "HEAD"]);
-    let played_on = |base: &str| {
+    let run_on = |base: &str| {
         for (id, panel) in [("1", FULL), ("2", QUICK), ("3", LATER), ("3b", BRINK)] {
             let mut entry = entry(root.path(), id, panel, 0.8);
             entry["tree"] = json!({"base": base, "files": [], "gone": []});
@@ -214,25 +214,25 @@
         }
         verdict(root.path())
     };
-    assert!(played_on(&commit).0);
-    let (holds, told) = played_on(&"0".repeat(40));
+    assert!(run_on(&commit).0);
+    let (passed, text) = run_on(&"0".repeat(40));
     assert!(
-        !holds && told.contains("full score not told (1: "),
-        "{told}"
+        !passed && text.contains("full score unknown (1: "),
+        "{text}"
     );
     fs::write(root.path().join(FILES[2]), "changed").unwrap();
-    let (holds, told) = played_on(&commit);
-    assert!(!holds && told.contains("full score missing"), "{told}");
+    let (passed, text) = run_on(&commit);
+    assert!(!passed && text.contains("full score missing"), "{text}");
 }
 
 #[test]
-fn an_entry_that_is_cut_off_is_named_and_passed_over() {
+fn an_incomplete_entry_is_named_and_skipped() {
     let root = repository();
-    all(root.path());
-    let whole = fs::read(root.path().join("journal/1.json")).unwrap();
+    write_all_scores(root.path());
+    let complete = fs::read(root.path().join("journal/1.json")).unwrap();
     fs::write(
         root.path().join("journal/4.json"),
-        &whole[..whole.len() / 2],
+        &complete[..complete.len() / 2],
     )
     .unwrap();
     fs::write(root.path().join("journal/5.json"), b"\xff no entry").unwrap();
@@ -253,7 +253,7 @@
 }
 
 #[test]
-fn without_a_journal_it_says_so() {
+fn a_missing_journal_is_an_error() {
     let root = repository();
     let error = Journal::read(&root.path().join("nowhere")).unwrap_err();
     assert!(matches!(error, JournalError::Unreadable { .. }));
--- a/crates/acceptance/tests/known_red.rs
+++ b/crates/acceptance/tests/known_red.rs
@@ -1,4 +1,4 @@
-//! What CI passes over: exactly the tests that KNOWN-RED.txt lists, as long as they exist and fail.
+//! What CI skips: exactly the tests that KNOWN-RED.txt lists, as long as they exist and fail.
 #![allow(
     missing_docs,
     clippy::unwrap_used,
@@ -10,9 +10,9 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-/// Stands in for cargo: knows three tests, of which `part::broken` fails, and says what it was asked for.
+/// Stands in for cargo: knows three tests, of which `part::broken` fails, and prints the arguments that it was called with.
 const CARGO: &str = r#"#!/bin/sh
-echo "asked: $*"
+echo "called: $*"
 case "$*" in
 *"--skip part::broken"*) echo "test part::whole ... ok"; exit 0 ;;
 *"--exact part::broken"*) echo "test part::broken ... FAILED"; exit 101 ;;
@@ -22,7 +22,10 @@
 esac
 "#;
 
-struct Ci(PathBuf);
+/// A folder with a stand-in for cargo, and a list of known failures.
+struct Ci {
+    folder: PathBuf,
+}
 
 impl Ci {
     fn new(name: &str) -> Self {
@@ -31,37 +34,37 @@
         let cargo = folder.join("cargo");
         std::fs::write(&cargo, CARGO).unwrap();
         std::fs::set_permissions(&cargo, std::fs::Permissions::from_mode(0o755)).unwrap();
-        Ci(folder)
+        Ci { folder }
     }
 
-    /// Whether CI's tests pass with a list, and what was said.
+    /// Whether CI's tests pass with a list, and what was printed.
     fn run(&self, list: Option<&str>) -> (bool, String) {
-        let file = self.0.join("list");
+        let file = self.folder.join("list");
         let _ = std::fs::remove_file(&file);
         list.iter()
             .for_each(|text| std::fs::write(&file, text).unwrap());
         let path = format!(
             "{}:{}",
-            self.0.display(),
+            self.folder.display(),
             std::env::var("PATH").unwrap_or_default()
         );
         let script = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../.ci/test");
-        let done = Command::new(script)
+        let finished = Command::new(script)
             .env("PATH", path)
             .env("KNOWN_RED", &file)
             .output()
             .unwrap();
-        let said = [done.stdout, done.stderr].concat();
+        let text = [finished.stdout, finished.stderr].concat();
         (
-            done.status.success(),
-            String::from_utf8_lossy(&said).into_owned(),
+            finished.status.success(),
+            String::from_utf8_lossy(&text).into_owned(),
         )
     }
 }
 
 impl Drop for Ci {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
@@ -69,39 +72,41 @@
 fn without_a_list_or_with_an_empty_one_every_test_must_pass() {
     let ci = Ci::new("none");
     for list in [None, Some("")] {
-        let (passed, said) = ci.run(list);
+        let (passed, output) = ci.run(list);
         assert!(
             !passed
-                && !said.contains("--skip")
-                && said.contains("asked: test --locked --workspace"),
-            "{said}"
+                && !output.contains("--skip")
+                && output.contains("called: test --locked --workspace"),
+            "{output}"
         );
     }
 }
 
 #[test]
-fn a_listed_test_that_fails_is_passed_over_by_its_whole_name_and_printed() {
+fn a_listed_test_that_fails_is_skipped_by_its_whole_name_and_printed() {
     let ci = Ci::new("listed");
-    let (passed, said) = ci.run(Some("part::broken, the fault and where it is, 25\n"));
-    assert!(passed && said.contains("part::broken, the fault"), "{said}");
+    let (passed, output) = ci.run(Some("part::broken, the fault and where it is, 25\n"));
+    assert!(
+        passed && output.contains("part::broken, the fault"),
+        "{output}"
+    );
     assert!(
-        said.contains("asked: test --locked --workspace -- --exact --skip part::broken"),
-        "{said}"
+        output.contains("called: test --locked --workspace -- --exact --skip part::broken"),
+        "{output}"
     );
 }
 
 #[test]
-fn a_listed_test_that_passes_or_does_not_exist_fails_the_run_and_so_does_a_list_that_is_malformed_or_long()
- {
+fn a_list_that_is_wrong_malformed_or_too_long_fails_the_run() {
     let ci = Ci::new("wrong");
-    for (list, why) in [
+    for (list, reason) in [
         ("part::whole, a cause, 25\n", "passes"),
         ("part::nowhere, a cause, 25\n", "no test is named"),
         ("part::broken\n", "each line must be"),
         ("part::broken, 25\n", "each line must be"),
         ("a, b, 1\na, b, 1\na, b, 1\na, b, 1\n", "three at most"),
     ] {
-        let (passed, said) = ci.run(Some(list));
-        assert!(!passed && said.contains(why), "{list:?}: {said}");
+        let (passed, output) = ci.run(Some(list));
+        assert!(!passed && output.contains(reason), "{list:?}: {output}");
     }
 }
--- a/crates/acceptance/tests/margins.rs
+++ b/crates/acceptance/tests/margins.rs
@@ -8,7 +8,10 @@
 
 use std::fs;
 
-use acceptance::margins::{self, Cold, Drain, MarginError, Margins};
+use acceptance::margins::{
+    self, AnswerLateness, BrokenLines, Capacity, Margins, MarginsError, NotificationDelay,
+    SendAfterDrain,
+};
 use tempfile::TempDir;
 
 /// The clock of the traces: microseconds after this are given in milliseconds below.
@@ -24,34 +27,34 @@
     format!("cache-router: listening\n{start}trace {T0} list Full 1\n{list}")
 }
 
-fn server(ms: u64, id: u32, condition: &str, started: u64) -> String {
-    format!("trace {} server {id} {condition} 1 0 {started}\n", at(ms))
+fn server(ms: u64, id: u32, state: &str, started: u64) -> String {
+    format!("trace {} server {id} {state} 1 0 {started}\n", at(ms))
 }
 
 fn send(ms: u64, request: u64, server: u32) -> String {
     format!("trace {} send {request} 0 {server}\n", at(ms))
 }
 
-fn played(nodes: &[String]) -> (TempDir, Result<Margins, MarginError>) {
+fn measured(nodes: &[String]) -> (TempDir, Result<Margins, MarginsError>) {
     let folder = tempfile::tempdir().unwrap();
     for (i, text) in nodes.iter().enumerate() {
         fs::write(folder.path().join(format!("n{i}.log")), text).unwrap();
     }
-    let margins = margins::of(folder.path());
+    let margins = margins::measure(folder.path());
     (folder, margins)
 }
 
-/// A warm server 1 that answers ten attempts a second and turns two away, for a minute.
+/// A warm server 1 that answers ten attempts a second and rejects two, for a minute.
 fn warm() -> String {
     let answers = (0..600).map(|i| format!("trace {} outcome {i} 0 1 Served\n", at(i * 100)));
-    let away = (0..120).map(|i| format!("trace {} outcome {i} 1 1 Full\n", at(i * 500)));
-    answers.chain(away).collect()
+    let rejected = (0..120).map(|i| format!("trace {} outcome {i} 1 1 Full\n", at(i * 500)));
+    answers.chain(rejected).collect()
 }
 
 #[test]
-fn a_cold_servers_load_is_told_as_a_part_of_that_at_which_it_falls_over_all_nodes() {
-    let begun = at(1_000);
-    let list = server(0, 1, "Ready", 0) + &server(0, 2, "Ready", begun);
+fn warm_up_load_over_all_nodes_is_a_part_of_that_at_which_the_server_collapses() {
+    let started = at(1_000);
+    let list = server(0, 1, "Ready", 0) + &server(0, 2, "Ready", started);
     // From the start of server 2 to two seconds on it can do (0.2 + 0.8 * 1 s / 20 s) * 10 a second: 4.8 in all.
     let early = (0..4)
         .map(|i| send(1_500 + i * 400, i, 2))
@@ -59,7 +62,7 @@
     let crowd = (0..18)
         .map(|i| send(1_600 + i * 81, i, 2))
         .collect::<String>();
-    // The early ones are answered, the crowd is turned away or called off: what it answered tells no more than the
+    // The early ones are answered, the crowd is rejected or cancelled: what it answered shows no more than the
     // settings do.
     let ended = |i: u64, how| format!("trace {} outcome {i} 0 2 {how}\n", at(3_400 + i));
     let early = early + &(0..4).map(|i| ended(i, "Served")).collect::<String>();
@@ -73,20 +76,26 @@
     let unaware = (0..60).map(|i| send(5_100 + i, i, 2)).collect::<String>();
     let unaware =
         node(2, &server(0, 1, "Ready", 0)) + &server(0, 2, "Ready", 0) + &early + &unaware;
-    let (_folder, margins) = played(&[node(1, &list) + &crowd + &later + &warm(), unaware]);
+    let (_folder, margins) = measured(&[node(1, &list) + &crowd + &later + &warm(), unaware]);
     let margins = margins.unwrap();
-    assert_eq!(margins.capacity[&1], (10.0, true));
-    let cold = margins.cold.clone().unwrap();
+    assert_eq!(
+        margins.capacity[&1],
+        Capacity {
+            attempts_per_s: 10.0,
+            seen_busy: true
+        }
+    );
+    let load = margins.warm_up_load.clone().unwrap();
     // The window ends with the last of the crowd, 1.977 s after the start.
     let allowed: f64 = 2.5 * 10.0 * (0.2 + 0.8 * 0.977 / 20.0) * 2.0;
     assert_eq!(
-        (cold.server, cold.age, cold.attempts, cold.knew),
+        (load.server, load.age, load.attempts, load.informed_attempts),
         (2, 1_977_000, 22, 18)
     );
-    assert_eq!(cold.answered, 4);
-    let falls_at = allowed + 3.0 * allowed.sqrt() + 3.0;
-    assert!((cold.load - 22.0 / falls_at).abs() < 1e-9, "{cold:?}");
-    assert!(margins.narrow());
+    assert_eq!(load.answered, 4);
+    let collapse_limit = allowed + 3.0 * allowed.sqrt() + 3.0;
+    assert!((load.load - 22.0 / collapse_limit).abs() < 1e-9, "{load:?}");
+    assert!(margins.is_narrow());
     let table = margins.table("join");
     assert!(
         table.contains(
@@ -97,26 +106,27 @@
 }
 
 #[test]
-fn a_drain_counts_from_what_the_nodes_own_list_said_or_six_seconds_after_the_first_heard() {
+fn a_drain_counts_from_the_nodes_own_list_or_six_seconds_after_the_first_notification() {
     let ready = server(0, 1, "Ready", 0);
-    let news = format!("trace {} list Delta 2\n", at(2_000)) + &server(2_000, 1, "Draining", 0);
-    let quick = node(1, &ready) + &news + &send(2_100, 1, 1);
+    let notification =
+        format!("trace {} list Delta 2\n", at(2_000)) + &server(2_000, 1, "Draining", 0);
+    let quick = node(1, &ready) + &notification + &send(2_100, 1, 1);
     let late = node(2, &ready) + &send(7_000, 1, 1);
-    let drain = |after_ms: u64, node, heard| Drain {
+    let drain = |elapsed_ms: u64, node, in_own_list| SendAfterDrain {
         server: 1,
         node,
-        after: after_ms * 1_000,
-        heard,
+        elapsed: elapsed_ms * 1_000,
+        in_own_list,
     };
-    let (_folder, margins) = played(&[quick.clone(), late.clone()]);
-    assert_eq!(margins.unwrap().drain, Some(drain(100, 1, true)));
-    let (_folder, margins) = played(&[quick, late + &send(8_300, 2, 1)]);
+    let (_folder, margins) = measured(&[quick.clone(), late.clone()]);
+    assert_eq!(margins.unwrap().send_after_drain, Some(drain(100, 1, true)));
+    let (_folder, margins) = measured(&[quick, late + &send(8_300, 2, 1)]);
     let margins = margins.unwrap();
-    assert_eq!(margins.drain, Some(drain(300, 2, false)));
+    assert_eq!(margins.send_after_drain, Some(drain(300, 2, false)));
     assert_eq!(
-        margins.unheard,
-        Some((0, 1)),
-        "the other never heard, which its sends show"
+        margins.notification_delay,
+        Some(NotificationDelay { delay: 0, node: 1 }),
+        "the other was never notified, which its sends show"
     );
     assert!(
         margins
@@ -128,28 +138,28 @@
 }
 
 #[test]
-fn what_a_whole_list_does_not_name_is_told_gone_and_what_starts_again_is_not() {
+fn a_server_that_a_complete_list_does_not_name_is_removed_until_it_starts_again() {
     let two = server(0, 1, "Ready", 0) + &server(0, 2, "Ready", 0);
-    let whole = format!("trace {} list Full 2\n", at(1_000)) + &server(1_000, 2, "Ready", 0);
-    // The news of its start may bear a time before that of its end.
+    let complete = format!("trace {} list Full 2\n", at(1_000)) + &server(1_000, 2, "Ready", 0);
+    // The notification of its start may carry a time before that of its end.
     let again = format!("trace {} list Delta 3\n", at(3_000)) + &server(3_000, 1, "Ready", at(900));
-    let text = node(1, &two) + &whole + &send(1_200, 1, 1) + &again + &send(12_000, 2, 1);
-    let (_folder, margins) = played(&[text]);
+    let text = node(1, &two) + &complete + &send(1_200, 1, 1) + &again + &send(12_000, 2, 1);
+    let (_folder, margins) = measured(&[text]);
     assert_eq!(
-        margins.unwrap().drain,
-        Some(Drain {
+        margins.unwrap().send_after_drain,
+        Some(SendAfterDrain {
             server: 1,
             node: 1,
-            after: 200_000,
-            heard: true
+            elapsed: 200_000,
+            in_own_list: true
         })
     );
 }
 
 #[test]
-fn the_latest_answer_and_what_was_never_answered_are_told_but_not_what_a_killed_node_had_open() {
+fn the_latest_answer_and_unanswered_requests_count_but_not_what_a_killed_node_had_open() {
     let ready = server(0, 1, "Ready", 0);
-    let ask = |ms: u64, id: u64| {
+    let request = |ms: u64, id: u64| {
         format!(
             "trace {} request {id} 00000000000000aa 0 400000 c{id}\n",
             at(ms)
@@ -158,40 +168,60 @@
     let end = |ms: u64, id: u64, how: &str, late: i64| {
         format!("trace {} end {id} {how} {late}\n", at(ms))
     };
-    let killed = node(1, &ready) + &ask(10, 1) + &ask(20, 2) + &end(300, 2, "served", -120_000);
+    let killed =
+        node(1, &ready) + &request(10, 1) + &request(20, 2) + &end(300, 2, "served", -120_000);
     let killed = killed + &node(1, &ready).replace(&T0.to_string(), &at(5_000).to_string());
-    let gone_on = node(2, &ready) + &ask(10, 3) + &ask(20, 4) + &end(60, 4, "gone", 9_000_000);
-    let more = ask(30, 5) + &end(450, 5, "refused", 20_000) + &end(2_000, 9, "failed", 1);
-    let (_folder, margins) = played(&[killed, gone_on + &more]);
+    let continued =
+        node(2, &ready) + &request(10, 3) + &request(20, 4) + &end(60, 4, "gone", 9_000_000);
+    let more = request(30, 5) + &end(450, 5, "refused", 20_000) + &end(2_000, 9, "failed", 1);
+    let (_folder, margins) = measured(&[killed, continued + &more]);
     let margins = margins.unwrap();
-    assert_eq!(margins.latest, Some((20_000, "c5".into())));
+    assert_eq!(
+        margins.latest_answer,
+        Some(AnswerLateness {
+            lateness_us: 20_000,
+            client_name: "c5".into()
+        })
+    );
     assert_eq!(margins.unanswered, 1);
-    assert!(margins.narrow());
+    assert!(margins.is_narrow());
 }
 
 #[test]
-fn news_that_reaches_a_node_late_is_told_but_not_what_was_old_when_it_began() {
+fn a_late_notification_counts_but_not_one_older_than_the_process() {
     let ready = server(0, 1, "Ready", 0);
-    let news = |ms| format!("trace {} list Delta 2\n", at(ms)) + &server(ms, 1, "Gone", 0);
-    let begun = node(3, "").replace(&T0.to_string(), &at(9_000).to_string());
+    let notification = |ms| format!("trace {} list Delta 2\n", at(ms)) + &server(ms, 1, "Gone", 0);
+    let started = node(3, "").replace(&T0.to_string(), &at(9_000).to_string());
     let cached = format!("trace {} list Cached 1\n", at(9_000)) + &server(9_000, 1, "Ready", 0);
     let nodes = [
-        node(1, &ready) + &news(2_000),
-        node(2, &ready) + &news(5_500),
-        begun + &cached + &news(9_100),
+        node(1, &ready) + &notification(2_000),
+        node(2, &ready) + &notification(5_500),
+        started + &cached + &notification(9_100),
     ];
-    let (_folder, margins) = played(&nodes);
-    assert_eq!(margins.unwrap().unheard, Some((3_500_000, 2)));
+    let (_folder, margins) = measured(&nodes);
+    assert_eq!(
+        margins.unwrap().notification_delay,
+        Some(NotificationDelay {
+            delay: 3_500_000,
+            node: 2
+        })
+    );
 }
 
 #[test]
-fn broken_lines_are_counted_and_a_folder_without_a_trace_is_refused() {
+fn broken_lines_are_counted_and_a_folder_without_a_trace_is_an_error() {
     let (_folder, margins) =
-        played(&[node(1, &server(0, 1, "Ready", 0)) + "trace 12 send 1\ntrace x\n"]);
+        measured(&[node(1, &server(0, 1, "Ready", 0)) + "trace 12 send 1\ntrace x\n"]);
     let margins = margins.unwrap();
-    assert_eq!(margins.broken, (2, "trace 12 send 1".into()));
-    assert_eq!(margins.cold, None::<Cold>);
-    let (_folder, margins) = played(&["cache-router: listening on trace 12\n".into()]);
+    assert_eq!(
+        margins.broken_lines,
+        BrokenLines {
+            count: 2,
+            first: "trace 12 send 1".into()
+        }
+    );
+    assert_eq!(margins.warm_up_load, None);
+    let (_folder, margins) = measured(&["cache-router: listening on trace 12\n".into()]);
     let error = margins.unwrap_err().to_string();
     assert!(error.starts_with("no trace in "), "{error}");
 }
--- a/crates/routerctl/src/main.rs
+++ b/crates/routerctl/src/main.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use acceptance::duty::Verdict;
+use acceptance::check::Verdict;
 use acceptance::journal::Journal;
 use acceptance::margins;
 use acceptance::sources::Sources;
@@ -572,7 +572,7 @@
         .for_each(|line| eprintln!("routerctl: passed over {line}"));
     let verdict = Verdict::of(&journal, &sources);
     println!("{verdict}");
-    Ok(verdict.holds())
+    Ok(verdict.passed())
 }
 
 fn measure(plays: &[PathBuf], table: bool) -> Held {
@@ -585,11 +585,11 @@
             .file_name()
             .unwrap_or(play.as_os_str())
             .to_string_lossy();
-        let margins = margins::of(play)?;
+        let margins = margins::measure(play)?;
         if !table {
             println!("{name}\n{margins}");
         }
-        wide &= !margins.narrow();
+        wide &= !margins.is_narrow();
         rows += &margins.table(&name);
     }
     print!("{rows}");
