--- a/crates/simulator-adapter/tests/frames.rs
+++ b/crates/simulator-adapter/tests/frames.rs
@@ -1,4 +1,4 @@
-//! The adapter as a process: frames built by hand go in, replies are read byte by byte.
+//! The adapter as a process: batches built by hand go in, replies are read byte by byte.
 #![allow(
     missing_docs,
     clippy::unwrap_used,
@@ -20,18 +20,18 @@
 }
 
 impl Batch {
-    fn record(&mut self, code: u8, node: u16, fields: &[(usize, &[u8])]) -> &mut Self {
-        let mut r = [0u8; 48];
-        r[0] = code;
-        r[1..3].copy_from_slice(&node.to_le_bytes());
-        for (at, bytes) in fields {
-            r[*at..at + bytes.len()].copy_from_slice(bytes);
+    fn record(&mut self, code: u8, instance: u16, fields: &[(usize, &[u8])]) -> &mut Self {
+        let mut record = [0u8; 48];
+        record[0] = code;
+        record[1..3].copy_from_slice(&instance.to_le_bytes());
+        for (offset, bytes) in fields {
+            record[*offset..offset + bytes.len()].copy_from_slice(bytes);
         }
-        self.records.push(r);
+        self.records.push(record);
         self
     }
 
-    fn part(&mut self, bytes: &[u8], count: usize) -> [u8; 8] {
+    fn append_to_tail(&mut self, bytes: &[u8], count: usize) -> [u8; 8] {
         let mut field = [0u8; 8];
         field[..4].copy_from_slice(&(self.tail.len() as u32).to_le_bytes());
         field[4..].copy_from_slice(&(count as u32).to_le_bytes());
@@ -39,13 +39,19 @@
         field
     }
 
-    fn start(&mut self, node: u16, settings: &str) -> &mut Self {
-        let part = self.part(settings.as_bytes(), settings.len());
-        self.record(5, node, &[(3, &7u64.to_le_bytes()), (11, &part)])
+    fn start(&mut self, instance: u16, settings: &str) -> &mut Self {
+        let reference = self.append_to_tail(settings.as_bytes(), settings.len());
+        self.record(5, instance, &[(3, &7u64.to_le_bytes()), (11, &reference)])
     }
 
-    /// A list of ready servers (id and machine kind), then its number to the instance.
-    fn list(&mut self, node: u16, number: u16, how: u8, servers: &[(u32, u16)]) -> &mut Self {
+    /// A list of ready servers (id and kind), then a notification of the instance.
+    fn list(
+        &mut self,
+        instance: u16,
+        number: u16,
+        update: u8,
+        servers: &[(u32, u16)],
+    ) -> &mut Self {
         let mut lines = Vec::new();
         for (id, kind) in servers {
             lines.extend_from_slice(&[0; 9]);
@@ -55,25 +61,32 @@
             lines.extend_from_slice(&kind.to_le_bytes());
             lines.extend_from_slice(&1f32.to_le_bytes());
         }
-        let part = self.part(&lines, servers.len());
-        self.record(9, number, &[(3, &part)]);
-        self.record(10, node, &[(3, &number.to_le_bytes()), (9, &[how])])
+        let reference = self.append_to_tail(&lines, servers.len());
+        self.record(9, number, &[(3, &reference)]);
+        self.record(10, instance, &[(3, &number.to_le_bytes()), (9, &[update])])
     }
 
-    fn demand(&mut self, node: u16, id: u64, key: u64) -> &mut Self {
-        let budget = 1_500_000u32.to_le_bytes();
+    fn request(&mut self, instance: u16, id: u64, key: u64) -> &mut Self {
+        let remaining = 1_500_000u32.to_le_bytes();
         self.record(
             4,
-            node,
+            instance,
             &[
                 (3, &id.to_le_bytes()),
                 (19, &key.to_le_bytes()),
-                (31, &budget),
+                (31, &remaining),
             ],
         )
     }
 
-    fn report(&mut self, node: u16, id: u64, attempt: u16, server: u32, code: u16) -> &mut Self {
+    fn outcome(
+        &mut self,
+        instance: u16,
+        id: u64,
+        attempt: u16,
+        server: u32,
+        code: u16,
+    ) -> &mut Self {
         let (id, attempt, server) = (
             id.to_le_bytes(),
             attempt.to_le_bytes(),
@@ -81,7 +94,7 @@
         );
         self.record(
             3,
-            node,
+            instance,
             &[
                 (3, &id),
                 (19, &attempt),
@@ -109,12 +122,12 @@
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped());
-    command.spawn().expect("the wirehost starts")
+    command.spawn().expect("the adapter starts")
 }
 
 fn run(input: &[u8]) -> Output {
     let mut child = spawn();
-    // It may stop reading at a fault: a broken pipe is then expected.
+    // It may stop reading at an error: a broken pipe is then expected.
     let _ = child.stdin.take().expect("piped").write_all(input);
     child.wait_with_output().expect("ended")
 }
@@ -141,10 +154,12 @@
 }
 
 fn sends(records: &[Vec<u8>]) -> Vec<(u16, u64, u32)> {
-    let node = |r: &[u8]| u16::from_le_bytes([r[1], r[2]]);
-    let id = |r: &[u8]| u64::from_le_bytes(r[3..11].try_into().unwrap());
-    let sent = records.iter().filter(|r| r[0] == 1);
-    sent.map(|r| (node(r), id(r), u32_at(r, 11))).collect()
+    let instance = |record: &[u8]| u16::from_le_bytes([record[1], record[2]]);
+    let request = |record: &[u8]| u64::from_le_bytes(record[3..11].try_into().unwrap());
+    let sends = records.iter().filter(|record| record[0] == 1);
+    sends
+        .map(|record| (instance(record), request(record), u32_at(record, 11)))
+        .collect()
 }
 
 #[test]
@@ -158,16 +173,16 @@
 }
 
 #[test]
-fn no_input_ends_well_and_says_nothing() {
+fn no_input_ends_successfully_without_output() {
     let output = run(&[]);
     assert!(output.status.success() && output.stdout.is_empty() && output.stderr.is_empty());
 }
 
 #[test]
-fn a_request_is_sent_missed_fetched_and_each_reply_comes_before_the_next_batch() {
+fn a_request_is_sent_missed_fetched_and_each_reply_precedes_the_next_batch() {
     let mut child = spawn();
     let (mut stdin, mut stdout) = (child.stdin.take().unwrap(), child.stdout.take().unwrap());
-    let mut ask = |batch: &Batch, now: u64, number: u32| {
+    let mut exchange = |batch: &Batch, now: u64, number: u32| {
         stdin.write_all(&batch.frame(now, number)).unwrap();
         let mut header = [0u8; 12];
         stdout.read_exact(&mut header).unwrap();
@@ -180,19 +195,19 @@
     first
         .start(3, SETTINGS)
         .list(3, 0, 1, &[(11, 0), (500, 1)])
-        .demand(3, 77, 9);
-    let answer = ask(&first, 1_000_000, 1);
-    assert_eq!(sends(&answer), [(3, 77, 11)]);
+        .request(3, 77, 9);
+    let reply = exchange(&first, 1_000_000, 1);
+    assert_eq!(sends(&reply), [(3, 77, 11)]);
     assert!(
-        answer.iter().any(|r| r[0] == 11 && r[3] == 1),
-        "subscribes where discovery is asked"
+        reply.iter().any(|r| r[0] == 11 && r[3] == 1),
+        "subscribes where discovery is polled"
     );
     let mut second = Batch::default();
-    second.report(3, 77, 0, 11, 204);
-    assert_eq!(sends(&ask(&second, 1_010_000, 2)), [(3, 77, 500)]);
+    second.outcome(3, 77, 0, 11, 204);
+    assert_eq!(sends(&exchange(&second, 1_010_000, 2)), [(3, 77, 500)]);
     let mut third = Batch::default();
-    third.report(3, 77, 1, 500, 200);
-    assert_eq!(sends(&ask(&third, 1_020_000, 3)), []);
+    third.outcome(3, 77, 1, 500, 200);
+    assert_eq!(sends(&exchange(&third, 1_020_000, 3)), []);
     drop(stdin);
     assert!(child.wait().unwrap().success());
 }
@@ -202,32 +217,32 @@
     let mut batch = Batch::default();
     batch.start(0, SETTINGS).start(1, SETTINGS);
     batch.list(0, 4, 1, &[(11, 0)]).list(1, 4, 1, &[(22, 0)]);
-    batch.demand(0, 1, 9).demand(1, 2, 9);
+    batch.request(0, 1, 9).request(1, 2, 9);
     let output = run(&batch.frame(1_000_000, 1));
     assert_eq!(sends(&replies(&output.stdout)[0]), [(0, 1, 11), (1, 2, 22)]);
 }
 
 #[test]
-fn an_instance_killed_and_started_in_one_batch_begins_anew() {
+fn an_instance_stopped_and_started_in_one_batch_has_no_earlier_state() {
     let mut batch = Batch::default();
     batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]);
     batch
         .record(7, 0, &[])
         .start(0, SETTINGS)
         .list(0, 1, 1, &[(12, 0)])
-        .demand(0, 1, 9);
+        .request(0, 1, 9);
     let output = run(&batch.frame(1_000_000, 1));
     assert_eq!(sends(&replies(&output.stdout)[0]), [(0, 1, 12)]);
 }
 
 #[test]
-fn every_event_of_the_wire_is_read() {
+fn every_event_of_the_wire_is_decoded() {
     let mut batch = Batch::default();
     batch
         .start(0, SETTINGS)
         .list(0, 0, 1, &[(11, 0)])
-        .demand(0, 1, 9);
-    let blob = batch.part(b"hello", 5);
+        .request(0, 1, 9);
+    let reference = batch.append_to_tail(b"hello", 5);
     batch.record(1, 0, &[(3, &99u64.to_le_bytes())]);
     batch.record(2, 0, &[(3, &5u32.to_le_bytes())]);
     batch.record(
@@ -245,120 +260,97 @@
         &[(3, &1u64.to_le_bytes()), (11, &11u32.to_le_bytes())],
     );
     batch.record(10, 0, &[(9, &[2])]);
-    batch.record(11, 0, &[(3, &1u32.to_le_bytes()), (7, &blob)]);
+    batch.record(11, 0, &[(3, &1u32.to_le_bytes()), (7, &reference)]);
     for (attempt, code) in [200, 502, 429, 408, 521, 520, 444, 409, 204]
         .into_iter()
         .enumerate()
     {
-        batch.report(0, 1, attempt as u16, 11, code);
+        batch.outcome(0, 1, attempt as u16, 11, code);
     }
     assert!(run(&batch.frame(1_000_000, 1)).status.success());
 }
 
+/// Checks that the adapter stops at an input with one line of error and no partial reply.
+fn assert_rejected(expected: &str, input: &[u8]) {
+    let output = run(input);
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1), "{expected}: {message}");
+    assert!(
+        message.contains(expected),
+        "expected {expected:?} in {message:?}"
+    );
+    assert_eq!(message.lines().count(), 1, "{message}");
+    assert!(
+        output.stdout.is_empty(),
+        "{expected}: no part of a reply is written"
+    );
+}
+
+/// A batch that starts instance 0 with one ready server.
+fn started() -> Batch {
+    let mut batch = Batch::default();
+    batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]);
+    batch
+}
+
 #[test]
-fn malformed_input_ends_with_one_plain_line_and_no_half_reply() {
-    let started = |f: &dyn Fn(&mut Batch)| {
-        let mut batch = Batch::default();
-        batch.start(0, SETTINGS).list(0, 0, 1, &[(11, 0)]);
-        f(&mut batch);
-        batch.frame(1_000_000, 1)
-    };
-    let whole = started(&|_| {});
-    let mut long = whole.clone();
+fn a_truncated_frame_ends_with_one_line_of_error_and_no_partial_reply() {
+    let complete = started().frame(1_000_000, 1);
+    let mut long = complete.clone();
     long[8..12].copy_from_slice(&u32::MAX.to_le_bytes());
-    let mut many = whole.clone();
-    many[12..16].copy_from_slice(&u32::MAX.to_le_bytes());
-    let mut bad_settings = Batch::default();
-    bad_settings.start(0, "{\"classes\": 3}");
-    let mut bad_effect = Batch::default();
-    bad_effect.start(0, "{\"classes\": [{\"effect\": \"maybe\"}]}");
-    let far = [0xff, 0xff, 0xff, 0xff, 9, 0, 0, 0];
-    let cases: Vec<(&str, Vec<u8>)> = vec![
-        ("truncated frame", whole[..10].to_vec()),
-        ("truncated frame", whole[..60].to_vec()),
-        ("truncated frame", long),
-        ("records exceed", many),
-        (
-            "unknown event code 77",
-            started(&|b| {
-                b.record(77, 0, &[]);
-            }),
-        ),
-        (
-            "unknown instance 5",
-            started(&|b| {
-                b.demand(5, 1, 9);
-            }),
-        ),
-        (
-            "unknown instance 5",
-            started(&|b| {
-                b.record(7, 5, &[]);
-            }),
-        ),
-        (
-            "unknown outcome 999",
-            started(&|b| {
-                b.report(0, 1, 0, 11, 999);
-            }),
-        ),
-        (
-            "leave the frame",
-            started(&|b| {
-                b.record(9, 0, &[(3, &far)]);
-            }),
-        ),
-        (
-            "leave the frame",
-            started(&|b| {
-                b.record(11, 0, &[(7, &far)]);
-            }),
-        ),
-        (
-            "out of range",
-            started(&|b| {
-                b.record(9, 16, &[]);
-            }),
-        ),
-        (
-            "unknown list 7",
-            started(&|b| {
-                b.record(10, 0, &[(3, &[7, 0])]);
-            }),
-        ),
-        (
-            "unknown kind 9",
-            started(&|b| {
-                b.record(10, 0, &[(9, &[9])]);
-            }),
-        ),
-        (
-            "class 3",
-            started(&|b| {
-                b.record(4, 0, &[(14, &[3])]);
-            }),
-        ),
-        (
-            "tenant 2",
-            started(&|b| {
-                b.record(4, 0, &[(11, &[2])]);
-            }),
-        ),
-        ("unreadable settings", bad_settings.frame(1, 1)),
-        ("unreadable settings", bad_effect.frame(1, 1)),
+    let mut too_many_records = complete.clone();
+    too_many_records[12..16].copy_from_slice(&u32::MAX.to_le_bytes());
+    assert_rejected("truncated frame", &complete[..10]);
+    assert_rejected("truncated frame", &complete[..60]);
+    assert_rejected("truncated frame", &long);
+    assert_rejected("records exceed", &too_many_records);
+}
+
+#[test]
+fn a_malformed_record_ends_with_one_line_of_error_and_no_partial_reply() {
+    /// A reference to bytes that no tail has.
+    const OUTSIDE: [u8; 8] = [0xff, 0xff, 0xff, 0xff, 9, 0, 0, 0];
+    struct Case {
+        expected: &'static str,
+        add: fn(&mut Batch) -> &mut Batch,
+    }
+    let case = |expected, add| Case { expected, add };
+    let cases = [
+        case("unknown event code 77", |batch| batch.record(77, 0, &[])),
+        case("unknown instance 5", |batch| batch.request(5, 1, 9)),
+        case("unknown instance 5", |batch| batch.record(7, 5, &[])),
+        case("unknown outcome 999", |batch| {
+            batch.outcome(0, 1, 0, 11, 999)
+        }),
+        case("leave the frame", |batch| {
+            batch.record(9, 0, &[(3, &OUTSIDE)])
+        }),
+        case("leave the frame", |batch| {
+            batch.record(11, 0, &[(7, &OUTSIDE)])
+        }),
+        case("out of range", |batch| batch.record(9, 16, &[])),
+        case("unknown list 7", |batch| {
+            batch.record(10, 0, &[(3, &[7, 0])])
+        }),
+        case("unknown kind 9", |batch| batch.record(10, 0, &[(9, &[9])])),
+        case("class 3", |batch| batch.record(4, 0, &[(14, &[3])])),
+        case("tenant 2", |batch| batch.record(4, 0, &[(11, &[2])])),
     ];
-    for (expected, input) in cases {
-        let output = run(&input);
-        let message = String::from_utf8(output.stderr).unwrap();
-        assert_eq!(output.status.code(), Some(1), "{expected}: {message}");
-        assert!(
-            message.contains(expected),
-            "expected {expected:?} in {message:?}"
-        );
-        assert_eq!(message.lines().count(), 1, "{message}");
-        assert!(
-            output.stdout.is_empty(),
-            "{expected}: no reply half written"
-        );
+    for Case { expected, add } in cases {
+        let mut batch = started();
+        add(&mut batch);
+        assert_rejected(expected, &batch.frame(1_000_000, 1));
+    }
+}
+
+#[test]
+fn unreadable_settings_end_with_one_line_of_error_and_no_partial_reply() {
+    for settings in [
+        "{\"classes\": 3}",
+        "{\"classes\": [{\"effect\": \"maybe\"}]}",
+    ] {
+        let mut batch = Batch::default();
+        batch.start(0, settings);
+        assert_rejected("unreadable settings", &batch.frame(1, 1));
     }
 }
