Split the command line by command and call its commands acceptance and testbed

Change: a module for each command with its arguments; outcome and errors are types; the progress display and runs on sockets are modules of their own. `standing` is `acceptance` and `lab` is `testbed`; the old names stay as hidden aliases. Help, messages and table headings are in plain terms ("run" for "play", "is valid" for "would do", "sustains" for "bears"). Options, exit codes and the form of the output stay.

--- /dev/null
+++ b/crates/routerctl/src/commands/check.rs
@@ -0,0 +1,70 @@
+//! `routerctl check`: whether a configuration is valid.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use router_config::{Config, ConfigError, Layers};
+
+use crate::outcome::{CommandError, CommandResult, Outcome};
+
+#[derive(Args)]
+#[command(after_help = "Examples:\n  routerctl check router.toml\n  \
+                        routerctl check router.toml --set log.level=debug --show")]
+pub struct Arguments {
+    /// The file, TOML (docs/CONFIG.md)
+    file: PathBuf,
+    /// Set a key, in place of the file's and the environment's value
+    #[arg(long = "set", value_name = "KEY=VALUE", value_parser = parse_assignment)]
+    set: Vec<Assignment>,
+    /// Print all values in force, as TOML
+    #[arg(long)]
+    show: bool,
+}
+
+/// A key and the value that it is set to.
+#[derive(Debug, Clone)]
+struct Assignment {
+    key: String,
+    value: String,
+}
+
+fn parse_assignment(text: &str) -> Result<Assignment, &'static str> {
+    match text.split_once('=') {
+        Some((key, value)) if !key.is_empty() => Ok(Assignment {
+            key: key.into(),
+            value: value.into(),
+        }),
+        _ => Err("write KEY=VALUE, such as log.level=debug"),
+    }
+}
+
+pub fn run(arguments: &Arguments) -> CommandResult {
+    let file_layers = Layers::from_env().file(&arguments.file);
+    let layers = arguments
+        .set
+        .iter()
+        .fold(file_layers, |layers, set| layers.flag(&set.key, &set.value));
+    match layers.read() {
+        Ok(config) => {
+            print_valid(arguments, &config)?;
+            Ok(Outcome::Passed)
+        }
+        Err(error @ ConfigError::Unreadable { .. }) => Err(error.into()),
+        Err(error) => {
+            println!("{error}");
+            Ok(Outcome::Failed)
+        }
+    }
+}
+
+fn print_valid(arguments: &Arguments, config: &Config) -> Result<(), CommandError> {
+    if let Some(warning) = config.log.deprecated_variables.warning() {
+        eprintln!("routerctl: {warning}");
+    }
+    if arguments.show {
+        print!("{}", toml::to_string(config)?);
+    } else {
+        println!("{} is valid", arguments.file.display());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/routerctl/src/commands/margins.rs
@@ -0,0 +1,40 @@
+//! `routerctl margins`: how far runs of the fleet test stayed from the limits of the rules.
+
+use std::path::PathBuf;
+
+use acceptance::margins;
+use clap::Args;
+
+use crate::outcome::{CommandResult, Outcome};
+
+#[derive(Args)]
+#[command(after_help = "Example:\n  routerctl margins logs/join-11 logs/zone-11")]
+pub struct Arguments {
+    /// Folders of logs, one for each run; the table names a run by its folder
+    #[arg(required = true, value_name = "RUNS")]
+    runs: Vec<PathBuf>,
+    /// Print the table alone
+    #[arg(long)]
+    table: bool,
+}
+
+pub fn run(arguments: &Arguments) -> CommandResult {
+    let mut table = String::from(
+        "| run | figure | worst | limit | distance |\n| --- | --- | --- | --- | --- |\n",
+    );
+    let mut any_narrow = false;
+    for folder in &arguments.runs {
+        let name = folder
+            .file_name()
+            .unwrap_or(folder.as_os_str())
+            .to_string_lossy();
+        let margins = margins::measure(folder)?;
+        if !arguments.table {
+            println!("{name}\n{margins}");
+        }
+        any_narrow |= margins.is_narrow();
+        table += &margins.table(&name);
+    }
+    print!("{table}");
+    Ok(Outcome::passed_if(!any_narrow))
+}
--- /dev/null
+++ b/crates/routerctl/src/commands/testbed/experiment.rs
@@ -0,0 +1,63 @@
+//! `routerctl testbed experiment`: the runs of an experiment, and a report on them.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use clap::Args;
+use testbed::experiment::{self, Experiment, Play, Step};
+
+use super::report;
+use crate::outcome::CommandResult;
+
+#[derive(Args)]
+#[command(
+    after_help = "Example:\n  routerctl testbed experiment crates/testbed/experiments/retries.toml --out target/retries"
+)]
+pub struct Arguments {
+    /// The experiment, TOML (docs/LAB.md)
+    file: PathBuf,
+    /// Folder of its results; an experiment that was interrupted is resumed
+    #[arg(long, value_name = "DIR")]
+    out: PathBuf,
+    /// Threads for runs in virtual time [default: one for each core]
+    #[arg(long, value_parser = clap::value_parser!(u16).range(1..=1024))]
+    threads: Option<u16>,
+}
+
+pub fn run(arguments: &Arguments) -> CommandResult {
+    let experiment = Experiment::read(&arguments.file)?;
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let threads = arguments.threads.map_or(cores, usize::from);
+    let stop = Arc::new(AtomicBool::new(false));
+    set_on_interrupt(stop.clone())?;
+    experiment::run(&experiment, &arguments.out, threads, &stop, print_step)?;
+    report::print(&arguments.out)
+}
+
+fn print_step(step: &Step) {
+    let Play {
+        scenario,
+        seed,
+        variant,
+    } = &step.play;
+    let (completed, all) = step.done;
+    println!(
+        "{completed:>4} of {all}  {scenario}, seed {seed}, {variant}: service {:.4}",
+        step.service
+    );
+}
+
+/// Sets a flag at the first Ctrl-C.
+fn set_on_interrupt(flag: Arc<AtomicBool>) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    // The thread ends with the process: there is nothing to wait for.
+    std::thread::spawn(move || {
+        // Where signals cannot be received, an experiment is stopped as if by one.
+        drop(runtime.block_on(tokio::signal::ctrl_c()));
+        flag.store(true, Ordering::Relaxed);
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/routerctl/src/commands/testbed/report.rs
@@ -0,0 +1,61 @@
+//! `routerctl testbed report`: what the runs of an experiment show.
+
+use std::path::{Path, PathBuf};
+
+use clap::Args;
+use testbed::experiment::Play;
+use testbed::page::{self, Summary};
+
+use crate::outcome::{CommandResult, Outcome};
+
+/// The metric whose differences are printed; the page has all of them.
+const PRINTED_METRIC: &str = "service";
+
+#[derive(Args)]
+#[command(after_help = "Example:\n  routerctl testbed report target/retries")]
+pub struct Arguments {
+    /// The folder
+    folder: PathBuf,
+}
+
+pub fn run(arguments: &Arguments) -> CommandResult {
+    print(&arguments.folder)
+}
+
+/// Writes the page of an experiment's folder and prints the differences between its variants.
+pub fn print(folder: &Path) -> CommandResult {
+    let summary = page::write(folder)?;
+    print_differences(&summary);
+    for Play {
+        scenario,
+        seed,
+        variant,
+    } in &summary.broken
+    {
+        println!("RULES BROKEN: {scenario}, seed {seed}, {variant}");
+    }
+    let (completed, all) = summary.plays;
+    println!(
+        "{completed} of {all} runs; {} and results.jsonl beside it",
+        folder.join("report.html").display()
+    );
+    Ok(Outcome::passed_if(
+        summary.broken.is_empty() && completed == all,
+    ))
+}
+
+fn print_differences(summary: &Summary) {
+    println!(
+        "{:<16} {:<16} {:>5} {:>8} {:>8}   95% interval",
+        "scenario", "variant", "pairs", "service", "diff."
+    );
+    let differences = summary.differences.iter();
+    for difference in differences.filter(|difference| difference.what == PRINTED_METRIC) {
+        let (low, high) = difference.interval;
+        let service = difference.base + difference.mean;
+        println!(
+            "{:<16} {:<16} {:>5} {service:>8.4} {:>+8.4}   {low:+.4} to {high:+.4}",
+            difference.scenario, difference.variant, difference.pairs, difference.mean
+        );
+    }
+}
--- /dev/null
+++ b/crates/routerctl/src/commands/testbed/run.rs
@@ -0,0 +1,52 @@
+//! `routerctl testbed run`: one run of a scenario.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use testbed::{Scenario, virtual_time};
+
+use crate::outcome::{CommandError, CommandResult, Outcome};
+use crate::socket_run::{self, SocketOptions};
+
+#[derive(Args)]
+#[command(
+    after_help = "Examples:\n  routerctl testbed run crates/testbed/scenarios/storm.toml\n  \
+                  routerctl testbed run crates/testbed/scenarios/storm.toml --seed 7 --json report.json\n  \
+                  routerctl testbed run crates/testbed/scenarios/demo.toml --sockets"
+)]
+pub struct Arguments {
+    /// The scenario, TOML (docs/LAB.md)
+    file: PathBuf,
+    /// Seed in place of the file's
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Write the report as JSON to a file too
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Run in real time on sockets, with real nodes
+    #[arg(long)]
+    sockets: bool,
+    #[command(flatten)]
+    socket_options: SocketOptions,
+}
+
+pub fn run(arguments: &Arguments) -> CommandResult {
+    let scenario = Scenario::read(&arguments.file)?;
+    if !arguments.sockets && arguments.socket_options.are_given() {
+        return Err(CommandError::SocketOptionsInVirtualTime);
+    }
+    let seed = arguments.seed.unwrap_or(scenario.seed);
+    let report = if arguments.sockets {
+        socket_run::run(&scenario, seed, &arguments.socket_options)?
+    } else {
+        virtual_time::play(&scenario, seed)
+    };
+    print!("{report}");
+    if let Some(path) = &arguments.json {
+        report.save(path).map_err(|source| CommandError::Write {
+            path: path.clone(),
+            source,
+        })?;
+    }
+    Ok(Outcome::passed_if(report.kept()))
+}
--- /dev/null
+++ b/crates/routerctl/src/outcome.rs
@@ -0,0 +1,97 @@
+//! How a command ends: its exit code, and the errors that are the user's to mend.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use acceptance::journal::JournalError;
+use acceptance::margins::MarginsError;
+use acceptance::sources::SourceError;
+use router_config::ConfigError;
+use testbed::experiment::ExperimentError;
+use testbed::program::ProgramError;
+use testbed::sockets::SocketError;
+
+/// What a command found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// What was checked or run passed.
+    Passed,
+    /// It did not.
+    Failed,
+}
+
+impl Outcome {
+    /// `Passed` where a condition holds.
+    pub fn passed_if(condition: bool) -> Outcome {
+        if condition {
+            Outcome::Passed
+        } else {
+            Outcome::Failed
+        }
+    }
+
+    /// The exit code of the program.
+    pub fn exit_code(self) -> ExitCode {
+        match self {
+            Outcome::Passed => ExitCode::SUCCESS,
+            Outcome::Failed => ExitCode::FAILURE,
+        }
+    }
+}
+
+/// Why a command has no outcome: wrong use, or an input that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// A configuration or scenario cannot be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The sources of the repository cannot be read.
+    #[error(transparent)]
+    Sources(#[from] SourceError),
+    /// The journal cannot be read.
+    #[error(transparent)]
+    Journal(#[from] JournalError),
+    /// The traces of a run cannot be read.
+    #[error(transparent)]
+    Margins(#[from] MarginsError),
+    /// An experiment cannot be run or its results cannot be read.
+    #[error(transparent)]
+    Experiment(#[from] ExperimentError),
+    /// The `cache-router` program is missing.
+    #[error(transparent)]
+    Program(#[from] ProgramError),
+    /// A run on sockets is not possible or was interrupted.
+    #[error(transparent)]
+    Sockets(#[from] SocketError),
+    /// The configuration cannot be printed as TOML.
+    #[error(transparent)]
+    Toml(#[from] toml::ser::Error),
+    /// The operating system refused something.
+    #[error(transparent)]
+    System(#[from] std::io::Error),
+    /// A file cannot be written.
+    #[error("cannot write {}: {source}", path.display())]
+    Write {
+        /// Path of the file.
+        path: PathBuf,
+        /// The operating system's error.
+        source: std::io::Error,
+    },
+    /// A folder cannot be created.
+    #[error("cannot create {}: {source}", path.display())]
+    CreateFolder {
+        /// Path of the folder.
+        path: PathBuf,
+        /// The operating system's error.
+        source: std::io::Error,
+    },
+    /// Options of a run on sockets were given for a run in virtual time.
+    #[error("--node and --logs go with --sockets")]
+    SocketOptionsInVirtualTime,
+    /// A load has no address to be sent to.
+    #[error("there is nothing to send to")]
+    NoTarget,
+}
+
+/// The result of a command.
+pub type CommandResult = Result<Outcome, CommandError>;
--- /dev/null
+++ b/crates/routerctl/src/progress.rs
@@ -0,0 +1,69 @@
+//! Shows how far a run on sockets is: a bar on a terminal, else a line every few seconds.
+
+use std::cell::Cell;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use testbed::Scenario;
+use testbed::sockets::Progress;
+
+/// Time between two lines where there is no terminal, in microseconds.
+const LINE_INTERVAL_US: u64 = 5_000_000;
+/// What the bar looks like.
+const BAR_TEMPLATE: &str = "{bar:30} {elapsed} {msg}";
+
+/// The progress of one run.
+pub struct ProgressDisplay {
+    bar: ProgressBar,
+    /// Number of the last interval for which a line was printed.
+    last_interval: Cell<u64>,
+}
+
+impl ProgressDisplay {
+    /// A display for a run of a scenario.
+    pub fn new(scenario: &Scenario) -> ProgressDisplay {
+        let bar = ProgressBar::new(scenario.length.0.as_millis() as u64);
+        let style = ProgressStyle::with_template(BAR_TEMPLATE)
+            .unwrap_or_else(|_| ProgressStyle::default_bar());
+        ProgressDisplay {
+            bar: bar.with_style(style),
+            last_interval: Cell::new(0),
+        }
+    }
+
+    /// Shows a step of the run.
+    pub fn show(&self, progress: &Progress) {
+        let (elapsed_us, length_us) = progress.at;
+        let elapsed_us = elapsed_us.min(length_us);
+        let seconds = elapsed_us as f64 / 1e6;
+        for message in &progress.news {
+            self.print(&format!("{seconds:>5.1} s  {message}"));
+        }
+        let (nodes, servers) = progress.up;
+        let served_percent = 100.0 * progress.lately.service();
+        let status = format!(
+            "{served_percent:.1}% served in time, {nodes} nodes and {servers} cache servers up"
+        );
+        let interval = elapsed_us / LINE_INTERVAL_US;
+        if self.bar.is_hidden() && interval > self.last_interval.get() {
+            self.last_interval.set(interval);
+            println!("{seconds:>5.1} s  {status}");
+        }
+        self.bar.set_message(status);
+        self.bar.set_position(elapsed_us / 1_000);
+    }
+
+    /// Prints a line without disturbing the bar.
+    fn print(&self, line: &str) {
+        if self.bar.is_hidden() {
+            println!("{line}");
+        } else {
+            self.bar.println(line);
+        }
+    }
+}
+
+impl Drop for ProgressDisplay {
+    fn drop(&mut self) {
+        self.bar.finish_and_clear();
+    }
+}
--- /dev/null
+++ b/crates/routerctl/src/socket_run.rs
@@ -0,0 +1,56 @@
+//! Runs of a scenario in real time, with real nodes on sockets.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use testbed::sockets::{self, Options};
+use testbed::{Report, Scenario, program};
+
+use crate::outcome::CommandError;
+use crate::progress::ProgressDisplay;
+
+/// Options of a run on sockets.
+#[derive(Args)]
+pub struct SocketOptions {
+    /// The cache-router program [default: the one beside this program]
+    #[arg(long, value_name = "PROGRAM")]
+    node: Option<PathBuf>,
+    /// Keep the nodes' configurations and logs in a folder
+    #[arg(long, value_name = "DIR")]
+    logs: Option<PathBuf>,
+}
+
+impl SocketOptions {
+    /// Whether any of the options was given.
+    pub fn are_given(&self) -> bool {
+        self.node.is_some() || self.logs.is_some()
+    }
+}
+
+/// Runs a scenario on sockets and shows its progress. Ctrl-C ends it.
+pub fn run(
+    scenario: &Scenario,
+    seed: u64,
+    options: &SocketOptions,
+) -> Result<Report, CommandError> {
+    let program = program::find(options.node.as_deref())?;
+    let temporary = tempfile::tempdir()?;
+    let folder = options.logs.as_deref().unwrap_or(temporary.path());
+    std::fs::create_dir_all(folder).map_err(|source| CommandError::CreateFolder {
+        path: folder.into(),
+        source,
+    })?;
+    let run_options = Options {
+        program: &program,
+        folder,
+    };
+    let display = ProgressDisplay::new(scenario);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let interrupted = async { drop(tokio::signal::ctrl_c().await) };
+    let run = sockets::play(scenario, seed, &run_options, interrupted, |progress| {
+        display.show(progress);
+    });
+    Ok(runtime.block_on(run)?)
+}
--- a/crates/routerctl/tests/cli.rs
+++ b/crates/routerctl/tests/cli.rs
@@ -7,7 +7,9 @@
 )]
 
 use std::fs;
-use std::process::Command;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 
 /// Exit code, standard output and standard error.
 fn routerctl(arguments: &[&str]) -> (i32, String, String) {
@@ -35,14 +37,14 @@
 }
 
 #[test]
-fn a_file_that_would_do_one_that_would_not_and_one_that_is_not_there_are_told_apart() {
+fn a_valid_an_invalid_and_a_missing_configuration_have_exit_codes_of_their_own() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("router.toml");
     let name = path.to_str().unwrap();
     fs::write(&path, "[log]\nlevel = \"debug\"\n").unwrap();
     assert_eq!(
         routerctl(&["check", name]),
-        (0, format!("{name} would do\n"), String::new())
+        (0, format!("{name} is valid\n"), String::new())
     );
     let (code, shown, _) = routerctl(&["check", name, "--set", "log.repeat.per=3s", "--show"]);
     assert_eq!(code, 0);
@@ -51,16 +53,16 @@
         "{shown}"
     );
     fs::write(&path, "[log]\nlevle = \"debug\"\n").unwrap();
-    let (code, told, _) = routerctl(&["check", name]);
+    let (code, error, _) = routerctl(&["check", name]);
     assert_eq!(code, 1);
     assert!(
-        told.starts_with(&format!("{name}:2:1: log.levle: there is no such key")),
-        "{told}"
+        error.starts_with(&format!("{name}:2:1: log.levle: there is no such key")),
+        "{error}"
     );
-    let (code, _, told) = routerctl(&["check", "/nowhere/router.toml"]);
+    let (code, _, error) = routerctl(&["check", "/nowhere/router.toml"]);
     assert!(
-        code == 2 && told.starts_with("routerctl: cannot read /nowhere/router.toml"),
-        "{code} {told}"
+        code == 2 && error.starts_with("routerctl: cannot read /nowhere/router.toml"),
+        "{code} {error}"
     );
 }
 
@@ -87,67 +89,69 @@
     );
 }
 
+/// Checks that wrong use is an error whose text contains what is expected.
+fn assert_usage_error(arguments: &[&str], expected: &str) {
+    let (code, _, error) = routerctl(arguments);
+    assert!(
+        code == 2 && error.contains(expected),
+        "{arguments:?}: {code} {error}"
+    );
+}
+
 #[test]
-fn wrong_use_is_told_with_what_would_do() {
-    for (arguments, told) in [
+fn wrong_use_is_an_error_that_says_what_would_be_accepted() {
+    for (arguments, expected) in [
         (&["chek"][..], "check"),
         (&["check"], "<FILE>"),
         (&["check", "x", "--set", "log.level"], "write KEY=VALUE"),
-        (&["margins"], "<PLAYS>"),
+        (&["margins"], "<RUNS>"),
         (&["margins", "/nowhere"], "cannot read /nowhere"),
         (
-            &["standing", "--root", "/nowhere"],
+            &["acceptance", "--root", "/nowhere"],
             "cannot read /nowhere/deploy/balancer.toml",
         ),
         (&["completions", "cobol"], "bash"),
-        (&["lab", "run"], "<FILE>"),
-        (
-            &["lab", "run", "/nowhere.toml"],
-            "cannot read /nowhere.toml",
-        ),
         (
             &["demo", "--node", "/nowhere/cache-router"],
             "no program at /nowhere/cache-router",
         ),
-        (&["lab", "experiment", "/nowhere.toml"], "--out <DIR>"),
+    ] {
+        assert_usage_error(arguments, expected);
+    }
+}
+
+#[test]
+fn wrong_use_of_the_testbed_is_an_error_that_says_what_would_be_accepted() {
+    let scenario = "../testbed/scenarios/calm.toml";
+    for (arguments, expected) in [
+        (&["run"][..], "<FILE>"),
+        (&["run", "/nowhere.toml"], "cannot read /nowhere.toml"),
         (
-            &["lab", "experiment", "/nowhere.toml", "--out", "/nowhere"],
-            "cannot read /nowhere.toml",
+            &["run", scenario, "--logs", "x"],
+            "--node and --logs go with --sockets",
         ),
+        (&["experiment", "/nowhere.toml"], "--out <DIR>"),
         (
-            &[
-                "lab",
-                "run",
-                "../testbed/scenarios/calm.toml",
-                "--logs",
-                "x",
-            ],
-            "--node and --logs go with --sockets",
+            &["experiment", "/nowhere.toml", "--out", "/nowhere"],
+            "cannot read /nowhere.toml",
         ),
         (
-            &["lab", "report", "/nowhere"],
+            &["report", "/nowhere"],
             "/nowhere/experiment.json: No such file",
         ),
         (
-            &["lab", "load", "--rate", "0"],
+            &["load", "--rate", "0"],
             "write a number of requests a second, 1 to 1000000",
         ),
-        (&["lab", "load", "--lasts", "5"], "--lasts"),
-        (
-            &["lab", "load", "--to", "127.0.0.1:1"],
-            "Connection refused",
-        ),
+        (&["load", "--lasts", "5"], "--lasts"),
+        (&["load", "--to", "127.0.0.1:1"], "Connection refused"),
     ] {
-        let (code, _, error) = routerctl(arguments);
-        assert!(
-            code == 2 && error.contains(told),
-            "{arguments:?}: {code} {error}"
-        );
+        assert_usage_error(&[&["testbed"], arguments].concat(), expected);
     }
 }
 
 #[test]
-fn a_play_says_what_came_of_it_and_a_report_that_cannot_be_written_is_told() {
+fn a_run_prints_its_report_and_a_report_that_cannot_be_written_is_an_error() {
     let scenario = concat!(
         env!("CARGO_MANIFEST_DIR"),
         "/../testbed/scenarios/calm.toml"
@@ -159,8 +163,8 @@
         .replace("\"20s\"", "\"2s\"");
     fs::write(&short, text).unwrap();
     let (short, json) = (short.to_str().unwrap(), folder.path().join("report.json"));
-    let (code, told, _) = routerctl(&[
-        "lab",
+    let (code, report, _) = routerctl(&[
+        "testbed",
         "run",
         short,
         "--seed",
@@ -169,29 +173,78 @@
         json.to_str().unwrap(),
     ]);
     assert!(
-        code == 0 && told.starts_with("seed 5: 30 nodes, 25 cache servers, "),
-        "{code} {told}"
+        code == 0 && report.starts_with("seed 5: 30 nodes, 25 cache servers, "),
+        "{code} {report}"
     );
     assert!(
         fs::read_to_string(&json)
             .unwrap()
             .starts_with("{\"seed\":5,")
     );
-    let (code, _, told) = routerctl(&["lab", "run", short, "--json", "/dev/full"]);
+    let (code, _, error) = routerctl(&["testbed", "run", short, "--json", "/dev/full"]);
+    assert!(
+        code == 2 && error.contains("cannot write /dev/full: "),
+        "{code} {error}"
+    );
+}
+
+#[test]
+fn the_former_name_of_the_acceptance_command_is_an_alias() {
+    let folder = tempfile::tempdir().unwrap();
+    fs::create_dir_all(folder.path().join("deploy")).unwrap();
+    fs::create_dir_all(folder.path().join("journal")).unwrap();
+    fs::create_dir_all(folder.path().join("crates/routing-policy/src")).unwrap();
+    let deploy = "policy = []\nnode = []\n";
+    fs::write(folder.path().join("deploy/balancer.toml"), deploy).unwrap();
+    let root = folder.path().to_str().unwrap();
+    let current = routerctl(&["acceptance", "--root", root]);
+    assert!(
+        current.0 == 1
+            && current
+                .1
+                .starts_with("the acceptance check does not pass: "),
+        "{current:?}"
+    );
+    assert_eq!(routerctl(&["standing", "--root", root]), current);
+}
+
+#[test]
+fn the_former_name_of_the_testbed_command_is_an_alias() {
+    let folder = tempfile::tempdir().unwrap();
+    let scenario = folder.path().join("short.toml");
+    let base = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../testbed/scenarios/calm.toml"
+    );
+    fs::write(&scenario, format!("base = \"{base}\"\nlength = \"1s\"\n")).unwrap();
+    let scenario = scenario.to_str().unwrap();
+    let current = routerctl(&["testbed", "run", scenario]);
     assert!(
-        code == 2 && told.contains("cannot write /dev/full: "),
-        "{code} {told}"
+        current.0 == 0 && current.1.starts_with("seed "),
+        "{current:?}"
     );
+    assert_eq!(routerctl(&["lab", "run", scenario]), current);
+}
+
+#[test]
+fn former_names_are_hidden_from_help() {
+    let help = routerctl(&["--help"]).1;
+    for name in ["standing", "lab"] {
+        assert!(
+            !help.split_whitespace().any(|word| word == name),
+            "{name} in {help}"
+        );
+    }
 }
 
 #[test]
 fn help_has_examples_and_completions_name_every_command() {
     let (code, help, _) = routerctl(&["--help"]);
     assert!(
-        code == 0 && help.contains("Exit codes: 0 it held, 1 it fell short, 2 wrong use or input"),
+        code == 0 && help.contains("Exit codes: 0 passed, 1 failed, 2 wrong use or input"),
         "{help}"
     );
-    for command in ["check", "standing", "margins", "completions"] {
+    for command in ["demo", "check", "acceptance", "margins", "completions"] {
         assert!(
             routerctl(&[command, "--help"])
                 .1
@@ -208,9 +261,9 @@
 }
 
 #[test]
-fn a_load_is_told_with_what_it_was_and_what_was_served() {
-    let (code, told, error) = routerctl(&["lab", "load", "--rate", "300", "--lasts", "1s"]);
-    let row = told
+fn a_load_prints_its_rate_and_what_was_served() {
+    let (code, table, error) = routerctl(&["testbed", "load", "--rate", "300", "--lasts", "1s"]);
+    let row = table
         .lines()
         .last()
         .unwrap_or_default()
@@ -218,75 +271,83 @@
         .collect::<Vec<_>>();
     assert!(
         code == 0 && row[..2] == ["alone", "300"] && row[3] == "0",
-        "{code} {told} {error}"
+        "{code} {table} {error}"
     );
 }
 
-#[test]
-fn an_experiment_that_is_interrupted_keeps_whole_results_and_goes_on_with_the_others() {
+/// Writes an experiment of 40 runs of a second each into a folder.
+fn write_experiment(folder: &Path) -> PathBuf {
     let scenarios = concat!(env!("CARGO_MANIFEST_DIR"), "/../testbed/scenarios");
-    let folder = tempfile::tempdir().unwrap();
-    let (file, out) = (folder.path().join("e.toml"), folder.path().join("out"));
-    let text = format!(
+    let scenario = format!("base = \"{scenarios}/calm.toml\"\nlength = \"1s\"\n");
+    fs::write(folder.join("s.toml"), scenario).unwrap();
+    let experiment = format!(
         "scenarios = [\"s.toml\"]\nseeds = {:?}\n[[variant]]\nname = \"a\"\n[[variant]]\nname = \"b\"\n\
          set = {{ \"load.retries\" = 0 }}\n",
         (1..=20).collect::<Vec<u32>>()
     );
-    fs::write(&file, text).unwrap();
-    let day = format!("base = \"{scenarios}/calm.toml\"\nlength = \"1s\"\n");
-    fs::write(folder.path().join("s.toml"), day).unwrap();
-    let arguments = [
-        "lab",
-        "experiment",
-        file.to_str().unwrap(),
-        "--out",
-        out.to_str().unwrap(),
-        "--threads",
-        "1",
-    ];
+    let file = folder.join("e.toml");
+    fs::write(&file, experiment).unwrap();
+    file
+}
+
+/// Runs an experiment and interrupts it once the first of its runs is complete. Returns the number of runs that were
+/// printed as complete, the exit code and standard error.
+fn interrupted(arguments: &[&str]) -> (usize, Option<i32>, String) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_routerctl"))
         .args(arguments)
-        .stdout(std::process::Stdio::piped())
-        .stderr(std::process::Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut lines = std::io::BufRead::lines(std::io::BufReader::new(child.stdout.take().unwrap()));
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let first = lines.next().unwrap().unwrap();
     assert!(
-        lines
-            .next()
-            .unwrap()
-            .unwrap()
-            .starts_with("   1 of 40  s, seed 1, a: service 0.")
+        first.starts_with("   1 of 40  s, seed 1, a: service 0."),
+        "{first}"
     );
     let interrupt = format!("kill -INT {}", child.id());
-    assert!(
-        Command::new("/bin/sh")
-            .arg("-c")
-            .arg(interrupt)
-            .status()
-            .unwrap()
-            .success()
-    );
-    let played = 1 + lines.map_while(Result::ok).count();
+    let sent = Command::new("/bin/sh")
+        .arg("-c")
+        .arg(interrupt)
+        .status()
+        .unwrap();
+    assert!(sent.success());
+    let completed = 1 + lines.map_while(Result::ok).count();
     let output = child.wait_with_output().unwrap();
-    let told = String::from_utf8(output.stderr).unwrap();
-    assert!(
-        output.status.code() == Some(2) && played < 40,
-        "{played} {told}"
-    );
+    let error = String::from_utf8(output.stderr).unwrap();
+    (completed, output.status.code(), error)
+}
+
+#[test]
+fn an_interrupted_experiment_keeps_complete_results_and_is_resumed() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = write_experiment(folder.path());
+    let out = folder.path().join("out");
+    let (file, out_name) = (file.to_str().unwrap(), out.to_str().unwrap());
+    let arguments = [
+        "testbed",
+        "experiment",
+        file,
+        "--out",
+        out_name,
+        "--threads",
+        "1",
+    ];
+    let (completed, code, error) = interrupted(&arguments);
+    assert!(code == Some(2) && completed < 40, "{completed} {error}");
     assert!(
-        told.contains(&format!("interrupted: {played} of 40 plays are kept")),
-        "{told}"
+        error.contains(&format!("interrupted: {completed} of 40 plays are kept")),
+        "{error}"
     );
-    let (code, told, _) = routerctl(&["lab", "report", out.to_str().unwrap()]);
+    let (code, summary, _) = routerctl(&["testbed", "report", out_name]);
     assert!(
-        code == 1 && told.contains(&format!("{played} of 40 plays; ")),
-        "{code} {told}"
+        code == 1 && summary.contains(&format!("{completed} of 40 runs; ")),
+        "{code} {summary}"
     );
-    let (code, told, _) = routerctl(&arguments);
+    let (code, summary, _) = routerctl(&arguments);
     assert!(
-        code == 0 && told.lines().count() == 40 - played + 3,
-        "{code} {told}"
+        code == 0 && summary.lines().count() == 40 - completed + 3,
+        "{code} {summary}"
     );
-    assert!(told.contains("40 of 40 plays; ") && out.join("report.html").is_file());
+    assert!(summary.contains("40 of 40 runs; ") && out.join("report.html").is_file());
 }
