--- a/crates/acceptance/src/check.rs
+++ b/crates/acceptance/src/check.rs
@@ -283,7 +283,7 @@
         return Err(entry
             .error
             .clone()
-            .unwrap_or_else(|| "the run was cut off".into()));
+            .unwrap_or_else(|| "the run was interrupted".into()));
     }
     if entry.edited_meanwhile {
         return Err("the sources changed while it ran".into());
@@ -293,7 +293,7 @@
     if score != Score::Later && metric(GATE_METRIC) != Some(1.0) {
         return Err("the gate failed".into());
     }
-    let value = metric(SCORE_METRIC).ok_or("it has no figure")?;
+    let value = metric(SCORE_METRIC).ok_or("it has no score")?;
     Ok(RunScore {
         value,
         entry: entry.id.clone(),
--- a/crates/acceptance/src/journal.rs
+++ b/crates/acceptance/src/journal.rs
@@ -125,7 +125,7 @@
                 Ok(entry) => journal.entries.push(entry),
                 Err(error) => journal
                     .skipped
-                    .push(format!("{}: no whole entry: {error}", path.display())),
+                    .push(format!("{}: not a complete entry: {error}", path.display())),
             }
         }
         journal.entries.sort_by(|left, right| {
--- a/crates/acceptance/src/margins/report.rs
+++ b/crates/acceptance/src/margins/report.rs
@@ -291,7 +291,7 @@
         let since = if self.in_own_list {
             "its list said so"
         } else {
-            "it counts as told"
+            "it counts as notified"
         };
         write!(
             f,
@@ -307,7 +307,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "news: node {} heard {:.3} s late that a server is not ready",
+            "news: node {} was notified {:.3} s late that a server is not ready",
             self.node,
             seconds(self.delay)
         )
--- a/crates/acceptance/tests/check.rs
+++ b/crates/acceptance/tests/check.rs
@@ -132,8 +132,8 @@
         ),
         ("/days/0/gate", json!("served"), "join+mass: gate served"),
         ("/figures/gate", json!(0.0), "the gate failed"),
-        ("/ok", json!(false), "the run was cut off"),
-        ("/figures/real_score", Value::Null, "it has no figure"),
+        ("/ok", json!(false), "the run was interrupted"),
+        ("/figures/real_score", Value::Null, "it has no score"),
         ("/days", json!([]), "it has no days"),
     ];
     for (pointer, value, reason) in failures {
@@ -245,7 +245,7 @@
         journal.skipped
     );
     assert!(
-        journal.skipped[0].contains("4.json: no whole entry: EOF"),
+        journal.skipped[0].contains("4.json: not a complete entry: EOF"),
         "{:?}",
         journal.skipped
     );
