--- a/crates/cluster-model/src/lib.rs
+++ b/crates/cluster-model/src/lib.rs
@@ -1,30 +1,30 @@
-//! The model of what a node serves: machines that share their cores among requests ([`machine`]), what a cache server
-//! keeps ([`memory`]), cache servers made of these ([`server`]), the origin ([`origin`]), the list of servers with its watches
-//! and its limited capacity ([`list`]), the network between zones ([`network`]), and the rules that all of it is played
-//! by ([`rules`]).
+//! A deterministic model of everything around the router: cache servers ([`server`]), made of a [`machine`] that shares
+//! its cores among requests and a [`memory`] of cached values; the [`origin`]; the [`endpoint_list`] service with its
+//! watches and limited capacity; the [`network`] between zones; and the protocol [`invariants`] that routers must keep.
 //!
-//! Every part is a state machine: time comes as an argument, chance from a generator that the caller owns, and what is
-//! to happen later is asked for by `due`. No clock, thread, socket or hash order has a say, so that one seed gives one
-//! history. Drivers own the queue of events and turn it into virtual time or sockets.
+//! Every part is a state machine: the current time is an argument, random draws come from a generator that the caller
+//! owns, and `next_event_at` says when the part wants to run again. No clock, thread, socket or hash order takes part,
+//! so one seed gives one history. Drivers own the event queue and map it to virtual time or to sockets.
 
-pub mod list;
+pub mod endpoint_list;
+pub mod invariants;
 pub mod machine;
 pub mod memory;
 pub mod network;
 pub mod origin;
-pub mod rules;
 pub mod server;
 
-/// Time in microseconds from a beginning that the driver chooses.
+/// Time in microseconds since an instant that the driver chooses.
 pub type Micros = u64;
 
-/// The generator of chance: the same numbers from a seed on each machine.
-pub type Chance = rand_chacha::ChaCha8Rng;
+/// The random number generator of the model: the same numbers from one seed on every machine.
+pub type RandomStream = rand_chacha::ChaCha8Rng;
 
-/// A generator for one part of the world, so that more chance in one part changes nothing in another.
-pub fn chance(seed: u64, part: u64) -> Chance {
+/// The generator with number `stream` of a seed. Each part of the model has its own, so that more draws in one part
+/// change nothing in another.
+pub fn random_stream(seed: u64, stream: u64) -> RandomStream {
     use rand_chacha::rand_core::SeedableRng;
-    let mut chance = Chance::seed_from_u64(seed);
-    chance.set_stream(part);
-    chance
+    let mut generator = RandomStream::seed_from_u64(seed);
+    generator.set_stream(stream);
+    generator
 }
--- a/crates/cluster-model/src/machine.rs
+++ b/crates/cluster-model/src/machine.rs
@@ -1,50 +1,60 @@
-//! A machine that works on several jobs at once: they share its cores evenly, it has so many slots and a waiting room,
-//! loses efficiency when crowded, is slower while it is cold or a neighbour takes part of it, and turns away what finds
-//! no room.
+//! A machine that works on several jobs at once. Jobs share its cores evenly; it has a limited number of slots and a
+//! limited queue, loses efficiency under congestion, is slower while it warms up or while a neighbour uses part of it,
+//! and rejects jobs that exceed its queue.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 
 use crate::Micros;
 
-/// Names a job; the caller's own number.
+/// Identifies a job; the number is the caller's own.
 pub type JobId = u64;
 
-/// What a machine is.
+/// A neighbour never takes more than this share: some capacity remains, so that every job ends.
+const MAX_STOLEN_SHARE: f64 = 0.99;
+
+/// Jobs with less work than this, in microseconds of the reference core, count as this much.
+const MIN_JOB_WORK: f64 = 1.0;
+
+/// Work that may be left when a job counts as completed, in microseconds of a core: what rounding completion times to
+/// whole microseconds leaves undone.
+const ROUNDING_REMAINDER: f64 = 0.5;
+
+/// Properties of a machine. Times are in microseconds.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Spec {
-    /// Cores. One job uses one at most.
+pub struct MachineConfig {
+    /// Number of cores. One job uses one at most.
     pub cores: f64,
-    /// Work that a core does, as a multiple of the reference core.
+    /// Speed of a core as a multiple of the reference core.
     pub speed: f64,
-    /// Jobs in work at once.
+    /// Jobs that are worked on at once.
     pub slots: usize,
-    /// Jobs that wait for a slot.
-    pub waiting: usize,
-    /// From so many jobs held for each core on it loses efficiency,
-    pub crowd_from: f64,
-    /// this part of it for each further one per core.
-    pub crowd_loss: f64,
-    /// Part of its capacity that it starts with, 1 for all.
+    /// Jobs that may wait for a slot.
+    pub queue_capacity: usize,
+    /// Above this number of jobs per core, in slots or queued, it loses efficiency.
+    pub congestion_threshold: f64,
+    /// Efficiency lost for each further job per core.
+    pub congestion_loss: f64,
+    /// Fraction of the full capacity that it has right after a start; 1 for all.
     pub cold_share: f64,
     /// It is warm after this time at the latest.
     pub warm_up: Micros,
-    /// Work, as a part of what makes it warm by time alone, that makes it warm as well: at 0.5 a machine that is kept
-    /// half busy is warm after half the time. 0 for time alone.
+    /// Fraction of the work possible in `warm_up` that alone would make it warm: at 0.5, a machine kept half busy is
+    /// warm after half the time. 0: it warms up by time alone.
     pub warm_by_work: f64,
-    /// Whether a job that is called off while it waits leaves the waiting room.
+    /// Whether a job that is cancelled while it is queued leaves the queue.
     pub drops_cancelled: bool,
 }
 
-impl Default for Spec {
+impl Default for MachineConfig {
     fn default() -> Self {
-        Spec {
+        MachineConfig {
             cores: 2.0,
             speed: 1.0,
             slots: 8,
-            waiting: 6,
-            crowd_from: f64::INFINITY,
-            crowd_loss: 0.0,
+            queue_capacity: 6,
+            congestion_threshold: f64::INFINITY,
+            congestion_loss: 0.0,
             cold_share: 1.0,
             warm_up: 0,
             warm_by_work: 0.0,
@@ -53,7 +63,7 @@
     }
 }
 
-/// A job's work, ordered for the queue of those that end next.
+/// An amount of work with a total order, for the queue of completions.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Work(f64);
 
@@ -71,182 +81,204 @@
     }
 }
 
-/// A machine at work. Times given to it never go back.
+/// When a job in a slot is completed, on the scale of [`Machine::work_per_job`]. Ordered by work first, then by job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Completion {
+    work: Work,
+    job: JobId,
+}
+
+/// A job that waits for a slot.
+#[derive(Debug, Clone, Copy)]
+struct QueuedJob {
+    job: JobId,
+    work: f64,
+}
+
+/// A machine at work. The times passed to it must never decrease.
 #[derive(Debug, Clone)]
 pub struct Machine {
-    spec: Spec,
+    config: MachineConfig,
     started: Micros,
-    /// Up to when its work is accounted for.
-    at: Micros,
-    /// Work that each job in a slot has had since the beginning; they share evenly, so that one figure does for all.
-    shared: f64,
-    /// Jobs in slots, by the shared figure at which they are done.
-    ends: BinaryHeap<Reverse<(Work, JobId)>>,
-    /// Jobs in slots, and the work that they came with.
-    working: BTreeMap<JobId, f64>,
-    waiting: VecDeque<(JobId, f64)>,
-    /// Part that a neighbour takes.
-    taken: f64,
-    /// Work done since it started, in microseconds of the reference core.
-    done: f64,
+    /// Work is accounted for up to this time.
+    accounted_until: Micros,
+    /// Work that each job in a slot has had since the machine's start. Jobs share evenly, so one number does for all.
+    work_per_job: f64,
+    /// Jobs in slots, the next to be completed first.
+    completions: BinaryHeap<Reverse<Completion>>,
+    /// Jobs in slots.
+    running: BTreeSet<JobId>,
+    queue: VecDeque<QueuedJob>,
+    /// Fraction of the capacity that a neighbour uses.
+    stolen_share: f64,
+    /// Work done since the start, in microseconds of the reference core.
+    work_done: f64,
 }
 
 impl Machine {
-    /// One that started at a time: long ago for one that is warm.
-    pub fn new(spec: Spec, started: Micros, now: Micros) -> Self {
+    /// A machine that started at `started`: long ago for one that is warm.
+    pub fn new(config: MachineConfig, started: Micros, now: Micros) -> Self {
         Machine {
-            spec,
+            config,
             started,
-            at: now,
-            shared: 0.0,
-            ends: BinaryHeap::new(),
-            working: BTreeMap::new(),
-            waiting: VecDeque::new(),
-            taken: 0.0,
-            done: 0.0,
+            accounted_until: now,
+            work_per_job: 0.0,
+            completions: BinaryHeap::new(),
+            running: BTreeSet::new(),
+            queue: VecDeque::new(),
+            stolen_share: 0.0,
+            work_done: 0.0,
         }
     }
 
-    /// Part of its capacity that it has, by time and by the work it has done.
-    pub fn warmth(&self, now: Micros) -> f64 {
-        let Spec {
+    /// Fraction of the full capacity that it has reached, by time and by the work it has done.
+    pub fn warm_fraction(&self, now: Micros) -> f64 {
+        let MachineConfig {
             cold_share,
             warm_up,
             warm_by_work,
             cores,
             speed,
             ..
-        } = self.spec;
+        } = self.config;
         if warm_up == 0 || cold_share >= 1.0 {
             return 1.0;
         }
         let by_time = now.saturating_sub(self.started) as f64 / warm_up as f64;
-        let full = cores * speed * warm_up as f64;
+        let full_work = cores * speed * warm_up as f64;
         let by_work = if warm_by_work > 0.0 {
-            self.done / (full * warm_by_work)
+            self.work_done / (full_work * warm_by_work)
         } else {
             0.0
         };
         (cold_share + (1.0 - cold_share) * (by_time + by_work)).min(1.0)
     }
 
-    /// Work a second that it can do now, in seconds of the reference core.
+    /// Work that it can do now, in seconds of the reference core per second.
     pub fn capacity(&self, now: Micros) -> f64 {
-        self.spec.cores * self.spec.speed * self.warmth(now) * (1.0 - self.taken)
+        self.config.cores * self.config.speed * self.warm_fraction(now) * (1.0 - self.stolen_share)
     }
 
-    /// Jobs in slots and waiting.
-    pub fn held(&self) -> usize {
-        self.working.len() + self.waiting.len()
+    /// Number of jobs in slots and queued.
+    pub fn job_count(&self) -> usize {
+        self.running.len() + self.queue.len()
     }
 
-    /// Jobs waiting.
-    pub fn queued(&self) -> usize {
-        self.waiting.len()
+    /// Number of jobs queued.
+    pub fn queue_length(&self) -> usize {
+        self.queue.len()
     }
 
-    /// Part of its cores that is in use.
-    pub fn busy(&self) -> f64 {
-        (self.working.len() as f64 / self.spec.cores).min(1.0)
+    /// Fraction of its cores that is in use.
+    pub fn utilization(&self) -> f64 {
+        (self.running.len() as f64 / self.config.cores).min(1.0)
     }
 
-    /// A neighbour takes a part of it from now on, 0 for none.
-    pub fn take(&mut self, now: Micros, part: f64) {
+    /// From now on a neighbour uses this fraction of the capacity, 0 for none.
+    pub fn set_stolen_share(&mut self, now: Micros, share: f64) {
         self.catch_up(now);
-        self.taken = part.clamp(0.0, 0.99);
+        self.stolen_share = share.clamp(0.0, MAX_STOLEN_SHARE);
     }
 
-    /// Takes a job of so much work, in microseconds of the reference core, unless there is no room.
-    pub fn arrive(&mut self, now: Micros, job: JobId, work: f64) -> bool {
+    /// Accepts a job with `work` in microseconds of the reference core; false if slots and queue are full.
+    pub fn submit(&mut self, now: Micros, job: JobId, work: f64) -> bool {
         self.catch_up(now);
-        if self.working.len() < self.spec.slots {
-            self.begin(job, work);
-        } else if self.waiting.len() < self.spec.waiting {
-            self.waiting.push_back((job, work));
+        if self.running.len() < self.config.slots {
+            self.run(job, work);
+        } else if self.queue.len() < self.config.queue_capacity {
+            self.queue.push_back(QueuedJob { job, work });
         } else {
             return false;
         }
         true
     }
 
-    /// Work that no job waits for: a handshake, or turning something away. It takes its time from all.
-    pub fn distract(&mut self, now: Micros, work: f64) {
+    /// Work that belongs to no job, such as a handshake or a rejection: it delays all jobs in slots.
+    pub fn charge_overhead(&mut self, now: Micros, work: f64) {
         self.catch_up(now);
-        let jobs = self.working.len();
+        let jobs = self.running.len();
         if jobs > 0 {
-            self.shared -= work / (jobs as f64).max(self.spec.cores);
+            self.work_per_job -= work / (jobs as f64).max(self.config.cores);
         }
     }
 
-    /// Calls a job off. True where it was dropped; one in a slot is worked on to its end.
+    /// Cancels a job. True if it was dropped from the queue; a job in a slot is worked on to its end.
     pub fn cancel(&mut self, now: Micros, job: JobId) -> bool {
         self.catch_up(now);
-        let place = self.waiting.iter().position(|(waiting, _)| *waiting == job);
-        match place.filter(|_| self.spec.drops_cancelled) {
-            Some(place) => self.waiting.remove(place).is_some(),
-            None => false,
+        if !self.config.drops_cancelled {
+            return false;
         }
+        let place = self.queue.iter().position(|queued| queued.job == job);
+        place.is_some_and(|place| self.queue.remove(place).is_some())
     }
 
-    /// The jobs that are done by now, in the order in which they were; room is given to those that wait.
-    pub fn finish(&mut self, now: Micros) -> Vec<JobId> {
+    /// The jobs that are completed by now, in the order of completion. Queued jobs take the slots that become free.
+    pub fn take_completed(&mut self, now: Micros) -> Vec<JobId> {
         self.catch_up(now);
-        let mut finished = Vec::new();
-        // Half a microsecond's work: what rounding to whole microseconds leaves undone.
-        while let Some(&Reverse((Work(end), job))) = self.ends.peek()
-            && end <= self.shared + 0.5 * self.spec.speed
+        let mut completed = Vec::new();
+        while let Some(&Reverse(Completion {
+            work: Work(end),
+            job,
+        })) = self.completions.peek()
+            && end <= self.work_per_job + ROUNDING_REMAINDER * self.config.speed
         {
-            self.ends.pop();
-            self.working.remove(&job);
-            finished.push(job);
-            if let Some((next, work)) = self.waiting.pop_front() {
-                self.begin(next, work);
+            self.completions.pop();
+            self.running.remove(&job);
+            completed.push(job);
+            if let Some(next) = self.queue.pop_front() {
+                self.run(next.job, next.work);
             }
         }
-        finished
+        completed
     }
 
-    /// When the next job is done, if nothing comes before.
-    pub fn due(&self) -> Option<Micros> {
-        let Reverse((Work(end), _)) = self.ends.peek()?;
-        let left = (end - self.shared).max(0.0) / self.rate(self.at);
-        Some(self.at + (left.ceil() as Micros).max(1))
+    /// When the next job will be completed if no other arrives before.
+    pub fn next_event_at(&self) -> Option<Micros> {
+        let Reverse(next) = self.completions.peek()?;
+        let Work(end) = next.work;
+        let left = (end - self.work_per_job).max(0.0) / self.work_rate(self.accounted_until);
+        Some(self.accounted_until + (left.ceil() as Micros).max(1))
     }
 
-    /// All that it holds, which is lost when it stops.
+    /// Stops the machine. Returns the jobs in slots, then those queued; all are lost.
     pub fn stop(&mut self) -> Vec<JobId> {
-        self.ends.clear();
-        let working = std::mem::take(&mut self.working).into_keys();
-        working
-            .chain(
-                std::mem::take(&mut self.waiting)
-                    .into_iter()
-                    .map(|(job, _)| job),
-            )
+        self.completions.clear();
+        let running = std::mem::take(&mut self.running);
+        let queued = std::mem::take(&mut self.queue);
+        running
+            .into_iter()
+            .chain(queued.into_iter().map(|queued| queued.job))
             .collect()
     }
 
-    fn begin(&mut self, job: JobId, work: f64) {
-        let end = Work(self.shared + work.max(1.0));
-        self.ends.push(Reverse((end, job)));
-        self.working.insert(job, work);
+    fn run(&mut self, job: JobId, work: f64) {
+        let work = Work(self.work_per_job + work.max(MIN_JOB_WORK));
+        self.completions.push(Reverse(Completion { work, job }));
+        self.running.insert(job);
     }
 
     /// Work that each job in a slot gets in a microsecond.
-    fn rate(&self, now: Micros) -> f64 {
-        let jobs = self.working.len().max(1) as f64;
-        let over = (self.held() as f64 / self.spec.cores - self.spec.crowd_from).max(0.0);
-        let efficiency = 1.0 / (1.0 + self.spec.crowd_loss * over);
-        self.capacity(now) / self.spec.cores * (self.spec.cores / jobs).min(1.0) * efficiency
+    fn work_rate(&self, now: Micros) -> f64 {
+        let MachineConfig {
+            cores,
+            congestion_threshold,
+            congestion_loss,
+            ..
+        } = self.config;
+        let jobs = self.running.len().max(1) as f64;
+        let excess = (self.job_count() as f64 / cores - congestion_threshold).max(0.0);
+        let efficiency = 1.0 / (1.0 + congestion_loss * excess);
+        self.capacity(now) / cores * (cores / jobs).min(1.0) * efficiency
     }
 
+    /// Accounts for the work done since the last call.
     fn catch_up(&mut self, now: Micros) {
-        let passed = now.saturating_sub(self.at) as f64;
-        let work = passed * self.rate(self.at);
-        if !self.working.is_empty() {
-            self.shared += work;
-            self.done += work * self.working.len() as f64;
+        let elapsed = now.saturating_sub(self.accounted_until) as f64;
+        let work = elapsed * self.work_rate(self.accounted_until);
+        if !self.running.is_empty() {
+            self.work_per_job += work;
+            self.work_done += work * self.running.len() as f64;
         }
-        self.at = self.at.max(now);
+        self.accounted_until = self.accounted_until.max(now);
     }
 }
--- a/crates/cluster-model/src/memory.rs
+++ b/crates/cluster-model/src/memory.rs
@@ -1,82 +1,89 @@
-//! What a cache server keeps: values by key, dropped by age and, when there is no more room, those used longest ago
-//! first.
+//! The memory of a cache server: values by key, evicted by age and, when space runs out, least recently used first.
 
 use lru::LruCache;
 
 use crate::Micros;
 
-/// A memory of so many bytes.
+/// Size and age of a cached value; its content is not modelled.
+#[derive(Debug, Clone, Copy)]
+struct CachedValue {
+    bytes: u64,
+    stored_at: Micros,
+}
+
+/// A memory of limited size.
 #[derive(Debug)]
 pub struct Memory {
-    room: u64,
-    used: u64,
-    /// A value is void after this time; 0 for never.
-    keeps: Micros,
-    values: LruCache<u64, (u64, Micros)>,
+    capacity_bytes: u64,
+    used_bytes: u64,
+    time_to_live: Micros,
+    values: LruCache<u64, CachedValue>,
 }
 
 impl Memory {
-    /// An empty one, whose values are void after a time (0: never).
-    pub fn new(room: u64, keeps: Micros) -> Self {
+    /// An empty memory of `capacity_bytes`, whose values expire after `time_to_live` microseconds (0: never).
+    pub fn new(capacity_bytes: u64, time_to_live: Micros) -> Self {
         Memory {
-            room,
-            used: 0,
-            keeps,
+            capacity_bytes,
+            used_bytes: 0,
+            time_to_live,
             values: LruCache::unbounded(),
         }
     }
 
-    /// Whether it holds a key; if so, the key counts as used.
+    /// Whether a key is cached; if so, it counts as used now.
     pub fn get(&mut self, now: Micros, key: u64) -> bool {
-        match self.values.get(&key) {
-            Some((_, stored)) if self.keeps > 0 && now >= stored + self.keeps => {
-                self.drop_key(key);
-                false
-            }
-            held => held.is_some(),
+        let Some(value) = self.values.get(&key) else {
+            return false;
+        };
+        let expired = self.time_to_live > 0 && now >= value.stored_at + self.time_to_live;
+        if expired {
+            self.remove(key);
         }
+        !expired
     }
 
-    /// Stores a value of so many bytes. One that is larger than the whole memory is not kept.
+    /// Stores a value of `bytes`, evicting others as needed. A value larger than the whole memory is not kept.
     pub fn store(&mut self, now: Micros, key: u64, bytes: u64) {
-        self.drop_key(key);
-        if bytes > self.room {
+        self.remove(key);
+        if bytes > self.capacity_bytes {
             return;
         }
-        while self.used + bytes > self.room
-            && let Some((_, (dropped, _))) = self.values.pop_lru()
+        while self.used_bytes + bytes > self.capacity_bytes
+            && let Some((_, evicted)) = self.values.pop_lru()
         {
-            self.used -= dropped;
+            self.used_bytes -= evicted.bytes;
         }
-        self.values.put(key, (bytes, now));
-        self.used += bytes;
+        let stored_at = now;
+        self.values.put(key, CachedValue { bytes, stored_at });
+        self.used_bytes += bytes;
     }
 
-    /// Drops a key, as a write to it does.
-    pub fn drop_key(&mut self, key: u64) {
-        if let Some((bytes, _)) = self.values.pop(&key) {
-            self.used -= bytes;
+    /// Removes a key, as a write to it does.
+    pub fn remove(&mut self, key: u64) {
+        if let Some(value) = self.values.pop(&key) {
+            self.used_bytes -= value.bytes;
         }
     }
 
     /// Bytes in use.
-    pub fn used(&self) -> u64 {
-        self.used
+    pub fn used_bytes(&self) -> u64 {
+        self.used_bytes
     }
 
-    /// Keys held, void ones that nobody asked for included.
+    /// Number of keys, including expired ones that nobody has looked up since.
     pub fn len(&self) -> usize {
         self.values.len()
     }
 
-    /// Whether it holds nothing.
+    /// Whether it holds no key.
     pub fn is_empty(&self) -> bool {
         self.values.is_empty()
     }
 
-    /// Forgets all, as a restart does.
+    /// Removes all values, as a restart does.
     pub fn clear(&mut self) {
         self.values.clear();
-        self.used = 0;
+        self.used_bytes = 0;
     }
 }
--- a/crates/cluster-model/src/network.rs
+++ b/crates/cluster-model/src/network.rs
@@ -1,134 +1,142 @@
-//! The network between zones: how long a message takes, and which ways are cut. A cut says nothing to anyone: what is
-//! sent into it is gone.
+//! The network between zones: how long a message takes, which links are cut, and which answers arrive damaged. A cut is
+//! silent: a message sent into it is lost, and nobody is notified.
 
 use std::collections::BTreeSet;
 
 use rand::Rng;
 
-use crate::{Chance, Micros};
+use crate::{Micros, RandomStream};
 
-/// A zone, by its place in the scenario.
+/// A zone, by its index in the scenario.
 pub type Zone = u8;
 
-/// What the network is like, all times in microseconds one way.
+/// Delays and losses of the network. Delays are one way, in microseconds.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Spec {
-    /// Within a zone.
-    pub same: Micros,
-    /// Between zones.
-    pub cross: Micros,
-    /// Each message takes up to this part of that more, by chance.
+pub struct NetworkConfig {
+    /// Delay within a zone.
+    pub same_zone: Micros,
+    /// Delay between zones.
+    pub cross_zone: Micros,
+    /// Each message takes up to this fraction longer, at random.
     pub jitter: f64,
-    /// Part of the messages that are lost.
-    pub lost: f64,
+    /// Fraction of the messages that are lost.
+    pub loss: f64,
 }
 
-impl Default for Spec {
+impl Default for NetworkConfig {
     fn default() -> Self {
-        Spec {
-            same: 200,
-            cross: 4_000,
+        NetworkConfig {
+            same_zone: 200,
+            cross_zone: 4_000,
             jitter: 0.2,
-            lost: 0.0,
+            loss: 0.0,
         }
     }
 }
 
-/// Parts of the answers that do not come as they were sent. What is left of 1 comes whole.
+/// Fractions of the answers that do not arrive as they were sent. The rest of 1 arrives intact.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Breaks {
-    /// Nothing comes, and the connection stays.
+pub struct AnswerFaults {
+    /// Nothing arrives, and the connection stays open.
     pub lost: f64,
-    /// Something else comes than was sent.
-    pub spoilt: f64,
+    /// Other bytes arrive than were sent.
+    pub corrupted: f64,
     /// The connection is reset instead.
     pub reset: f64,
 }
 
-/// What becomes of an answer.
+/// How an answer arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
-    /// It comes as it was sent.
-    Whole,
-    /// Nothing comes, and the connection stays.
+pub enum Delivery {
+    /// As it was sent.
+    Complete,
+    /// Not at all, and the connection stays open.
     Lost,
-    /// Something else comes than was sent.
-    Spoilt,
-    /// The connection is reset instead.
+    /// As other bytes than were sent.
+    Corrupted,
+    /// Not at all, as the connection is reset.
     Reset,
 }
 
+/// A link between two zones, in one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Link {
+    from: Zone,
+    to: Zone,
+}
+
 /// The network.
 #[derive(Debug, Clone, Default)]
 pub struct Network {
-    spec: Spec,
-    breaks: Breaks,
-    /// Ways that are cut, each in one direction.
-    cut: BTreeSet<(Zone, Zone)>,
+    config: NetworkConfig,
+    answer_faults: AnswerFaults,
+    cut_links: BTreeSet<Link>,
 }
 
 impl Network {
-    /// One without cuts.
-    pub fn new(spec: Spec) -> Self {
+    /// A network in which every link works.
+    pub fn new(config: NetworkConfig) -> Self {
         Network {
-            spec,
-            breaks: Breaks::default(),
-            cut: BTreeSet::new(),
+            config,
+            answer_faults: AnswerFaults::default(),
+            cut_links: BTreeSet::new(),
         }
     }
 
-    /// Cuts or mends the way from one zone to another, in that direction only.
-    pub fn cut(&mut self, from: Zone, to: Zone, cut: bool) {
+    /// Cuts or restores the link from one zone to another, in that direction only.
+    pub fn set_cut(&mut self, from: Zone, to: Zone, cut: bool) {
+        let link = Link { from, to };
         if cut {
-            self.cut.insert((from, to));
+            self.cut_links.insert(link);
         } else {
-            self.cut.remove(&(from, to));
+            self.cut_links.remove(&link);
         }
     }
 
-    /// Cuts a zone off from all others, or mends it, both ways.
-    pub fn isolate(&mut self, zone: Zone, zones: Zone, cut: bool) {
+    /// Cuts a zone off from all others of `zones`, or restores its links, in both directions.
+    pub fn set_isolated(&mut self, zone: Zone, zones: Zone, isolated: bool) {
         for other in (0..zones).filter(|other| *other != zone) {
-            self.cut(zone, other, cut);
-            self.cut(other, zone, cut);
+            self.set_cut(zone, other, isolated);
+            self.set_cut(other, zone, isolated);
         }
     }
 
-    /// Whether a way is open.
-    pub fn open(&self, from: Zone, to: Zone) -> bool {
-        !self.cut.contains(&(from, to))
+    /// Whether the link from one zone to another works.
+    pub fn is_open(&self, from: Zone, to: Zone) -> bool {
+        !self.cut_links.contains(&Link { from, to })
     }
 
-    /// From now on these parts of the answers break.
-    pub fn break_answers(&mut self, breaks: Breaks) {
-        self.breaks = breaks;
+    /// From now on these fractions of the answers arrive damaged.
+    pub fn set_answer_faults(&mut self, faults: AnswerFaults) {
+        self.answer_faults = faults;
     }
 
-    /// What becomes of an answer.
-    pub fn fate(&self, chance: &mut Chance) -> Fate {
-        let Breaks {
+    /// Draws how one answer arrives.
+    pub fn draw_delivery(&self, random: &mut RandomStream) -> Delivery {
+        let AnswerFaults {
             lost,
-            spoilt,
+            corrupted,
             reset,
-        } = self.breaks;
-        match chance.random::<f64>() {
-            draw if draw < lost => Fate::Lost,
-            draw if draw < lost + spoilt => Fate::Spoilt,
-            draw if draw < lost + spoilt + reset => Fate::Reset,
-            _ => Fate::Whole,
+        } = self.answer_faults;
+        match random.random::<f64>() {
+            draw if draw < lost => Delivery::Lost,
+            draw if draw < lost + corrupted => Delivery::Corrupted,
+            draw if draw < lost + corrupted + reset => Delivery::Reset,
+            _ => Delivery::Complete,
         }
     }
 
-    /// How long a message takes, `None` where it never comes.
-    pub fn carry(&self, from: Zone, to: Zone, chance: &mut Chance) -> Option<Micros> {
+    /// Draws how long a message takes, in microseconds; `None` if it never arrives.
+    pub fn transit_time(&self, from: Zone, to: Zone, random: &mut RandomStream) -> Option<Micros> {
         let base = if from == to {
-            self.spec.same
+            self.config.same_zone
         } else {
-            self.spec.cross
+            self.config.cross_zone
         };
-        // Drawn in any case, so that a cut does not shift the chance of what comes after it.
-        let (jitter, lost) = (chance.random::<f64>(), chance.random::<f64>());
-        let there = self.open(from, to) && lost >= self.spec.lost;
-        there.then(|| (base as f64 * (1.0 + self.spec.jitter * jitter)).round() as Micros)
+        // Both are drawn in any case, so that a cut does not shift the draws that come after it.
+        let jitter = random.random::<f64>();
+        let loss = random.random::<f64>();
+        let arrives = self.is_open(from, to) && loss >= self.config.loss;
+        arrives.then(|| (base as f64 * (1.0 + self.config.jitter * jitter)).round() as Micros)
     }
 }
--- a/crates/cluster-model/src/origin.rs
+++ b/crates/cluster-model/src/origin.rs
@@ -1,156 +1,183 @@
-//! The origin: a machine that all fetches and writes come to. It turns away what finds no room, works on for calls that
-//! nobody waits for any more, can fail a part of its calls, and falls over when it is kept full for too long.
+//! The origin: a machine that serves all fetches and writes. It rejects calls that exceed its queue, keeps working on
+//! calls whose callers have gone, can fail a fraction of its calls, and collapses when it stays saturated for too long.
 
 use std::collections::BTreeMap;
 
 use rand::Rng;
 
-use crate::machine::{JobId, Machine, Spec as MachineSpec};
-use crate::{Chance, Micros};
+use crate::machine::{JobId, Machine, MachineConfig};
+use crate::{Micros, RandomStream};
 
-/// What the origin is.
+/// Properties of the origin. Times are in microseconds.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct Spec {
-    /// Its machine.
-    pub machine: MachineSpec,
-    /// It falls over when it has turned calls away for so long without a pause; 0: it does not.
-    pub fall_after: Micros,
-    /// A pause in which it turns nothing away, and after which it counts as relieved.
+pub struct OriginConfig {
+    /// The machine that it runs on.
+    pub machine: MachineConfig,
+    /// It collapses after rejecting calls for this long without relief; 0: never.
+    pub collapse_after: Micros,
+    /// A pause this long without a rejection counts as relief.
     pub relief: Micros,
-    /// After a fall it is back after this.
-    pub back_after: Micros,
+    /// After a collapse it is back after this time.
+    pub recovery: Micros,
 }
 
-/// How it answers a call.
+/// How the origin answers a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Answer {
+pub enum Response {
     /// With the value or the receipt (200).
     Done,
-    /// It failed, and may have run (500).
+    /// With a failure, and the call may have run (500).
     Failed,
-    /// It never ran, for want of room (503) or because another behind it did not answer (504).
+    /// The call never ran, for want of capacity (503) or as a server behind the origin did not answer (504).
     Unprocessed,
-    /// No process is there.
+    /// No process is there: the connection is refused.
     Refused,
 }
 
-/// In what way calls fail.
+/// How calls are made to fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     /// They are worked on and fail at the end.
     Late,
-    /// They are turned away unprocessed at once.
+    /// They are rejected at once, unprocessed.
     Early,
 }
 
-/// What becomes of a call that has just come.
+/// What becomes of a call on arrival.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Taken {
-    /// Its answer comes later, out of [`Origin::finish`].
-    Held,
-    /// It has its answer at once.
-    Answered(Answer),
-    /// It was the one too many: the origin has fallen over, and these that it held are lost.
-    FellOver(Vec<JobId>),
+pub enum Admission {
+    /// It is worked on; its response comes later from [`Origin::take_completed`].
+    Accepted,
+    /// It has its response at once.
+    Answered(Response),
+    /// It made the origin collapse; these accepted calls are lost.
+    Collapsed(Vec<JobId>),
 }
 
-/// The origin. Times given to it never go back.
+/// A fault that is injected into a fraction of the calls.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FaultInjection {
+    /// How they fail.
+    pub fault: Fault,
+    /// The fraction of the calls that fail.
+    pub share: f64,
+}
+
+/// A period in which the origin rejected calls without relief.
+#[derive(Debug, Clone, Copy)]
+struct Saturation {
+    since: Micros,
+    last_rejection: Micros,
+}
+
+/// The origin. The times passed to it must never decrease.
 #[derive(Debug)]
 pub struct Origin {
-    spec: Spec,
+    config: OriginConfig,
     machine: Machine,
-    held: BTreeMap<JobId, bool>,
-    fault: Option<(Fault, f64)>,
-    /// Since when it turns calls away, and when it last did.
-    full: Option<(Micros, Micros)>,
+    /// The response that each accepted call will get.
+    accepted: BTreeMap<JobId, Response>,
+    fault: Option<FaultInjection>,
+    saturation: Option<Saturation>,
     down_until: Option<Micros>,
-    falls: u32,
+    collapses: u32,
 }
 
 impl Origin {
-    /// One that is warm and idle.
-    pub fn new(spec: Spec, now: Micros) -> Origin {
-        let machine = Machine::new(spec.machine.clone(), 0, now);
+    /// An origin that is warm and idle.
+    pub fn new(config: OriginConfig, now: Micros) -> Origin {
+        let machine = Machine::new(config.machine.clone(), 0, now);
         Origin {
-            spec,
+            config,
             machine,
-            held: BTreeMap::new(),
+            accepted: BTreeMap::new(),
             fault: None,
-            full: None,
+            saturation: None,
             down_until: None,
-            falls: 0,
+            collapses: 0,
         }
     }
 
-    /// From now on this part of the calls fails in some way, or none.
-    pub fn fail(&mut self, fault: Option<(Fault, f64)>) {
+    /// From now on calls fail as given; `None` ends the fault.
+    pub fn set_fault(&mut self, fault: Option<FaultInjection>) {
         self.fault = fault;
     }
 
-    /// A part of its machine is taken, 0 for none.
-    pub fn take(&mut self, now: Micros, part: f64) {
-        self.machine.take(now, part);
+    /// From now on this fraction of the machine's capacity is used by others.
+    pub fn set_stolen_share(&mut self, now: Micros, share: f64) {
+        self.machine.set_stolen_share(now, share);
     }
 
-    /// Times that it has fallen over.
-    pub fn falls(&self) -> u32 {
-        self.falls
+    /// Number of collapses so far.
+    pub fn collapses(&self) -> u32 {
+        self.collapses
     }
 
-    /// A call comes.
-    pub fn arrive(&mut self, now: Micros, job: JobId, work: f64, chance: &mut Chance) -> Taken {
-        // Drawn in any case, so that a fault does not shift the chance of what comes after it.
-        let draw = chance.random::<f64>();
+    /// A call arrives, with `work` in microseconds of the reference core.
+    pub fn submit(
+        &mut self,
+        now: Micros,
+        job: JobId,
+        work: f64,
+        random: &mut RandomStream,
+    ) -> Admission {
+        // Drawn in any case, so that a fault does not shift the draws that come after it.
+        let draw = random.random::<f64>();
         if self.down_until.is_some_and(|until| now < until) {
-            return Taken::Answered(Answer::Refused);
+            return Admission::Answered(Response::Refused);
         }
         self.down_until = None;
-        let fault = self
-            .fault
-            .filter(|(_, part)| draw < *part)
-            .map(|(fault, _)| fault);
-        if fault == Some(Fault::Early) {
-            return Taken::Answered(Answer::Unprocessed);
+        let injected = self.fault.filter(|injection| draw < injection.share);
+        let response = match injected.map(|injection| injection.fault) {
+            Some(Fault::Early) => return Admission::Answered(Response::Unprocessed),
+            Some(Fault::Late) => Response::Failed,
+            None => Response::Done,
+        };
+        if self.machine.submit(now, job, work) {
+            self.accepted.insert(job, response);
+            return Admission::Accepted;
         }
-        if self.machine.arrive(now, job, work) {
-            self.held.insert(job, fault == Some(Fault::Late));
-            return Taken::Held;
+        if self.rejection_is_fatal(now) {
+            return Admission::Collapsed(self.collapse(now));
         }
-        let relieved = |(_, last): &(Micros, Micros)| last + self.spec.relief < now;
+        Admission::Answered(Response::Unprocessed)
+    }
+
+    /// Records a rejection. Whether the origin has been saturated for too long.
+    fn rejection_is_fatal(&mut self, now: Micros) -> bool {
+        let relief = self.config.relief;
         let since = self
-            .full
-            .filter(|full| !relieved(full))
-            .map_or(now, |(since, _)| since);
-        self.full = Some((since, now));
-        if self.spec.fall_after == 0 || now < since + self.spec.fall_after {
-            return Taken::Answered(Answer::Unprocessed);
-        }
-        (self.full, self.down_until, self.falls) =
-            (None, Some(now + self.spec.back_after), self.falls + 1);
-        self.held.clear();
+            .saturation
+            .filter(|saturation| saturation.last_rejection + relief >= now)
+            .map_or(now, |saturation| saturation.since);
+        self.saturation = Some(Saturation {
+            since,
+            last_rejection: now,
+        });
+        self.config.collapse_after > 0 && now >= since + self.config.collapse_after
+    }
+
+    /// The process dies and restarts later. Returns the accepted calls, which are lost.
+    fn collapse(&mut self, now: Micros) -> Vec<JobId> {
+        self.saturation = None;
+        self.down_until = Some(now + self.config.recovery);
+        self.collapses += 1;
+        self.accepted.clear();
         let lost = self.machine.stop();
-        self.machine = Machine::new(self.spec.machine.clone(), 0, now);
-        Taken::FellOver(lost)
+        self.machine = Machine::new(self.config.machine.clone(), 0, now);
+        lost
     }
 
-    /// The calls that have their answer by now.
-    pub fn finish(&mut self, now: Micros) -> Vec<(JobId, Answer)> {
-        let finished = self.machine.finish(now).into_iter();
-        let answer = |job| {
-            Some((
-                job,
-                if self.held.remove(&job)? {
-                    Answer::Failed
-                } else {
-                    Answer::Done
-                },
-            ))
-        };
-        finished.filter_map(answer).collect()
+    /// The calls that are completed by now, with their responses.
+    pub fn take_completed(&mut self, now: Micros) -> Vec<(JobId, Response)> {
+        let completed = self.machine.take_completed(now).into_iter();
+        completed
+            .filter_map(|job| Some((job, self.accepted.remove(&job)?)))
+            .collect()
     }
 
-    /// When [`Origin::finish`] has something to tell, if nothing comes before.
-    pub fn due(&self) -> Option<Micros> {
-        self.machine.due()
+    /// When the next call will be completed if no other arrives before.
+    pub fn next_event_at(&self) -> Option<Micros> {
+        self.machine.next_event_at()
     }
 }
--- a/crates/cluster-model/src/server.rs
+++ b/crates/cluster-model/src/server.rs
@@ -1,140 +1,176 @@
-//! A cache server: a machine with a memory. It answers what it holds, tells what it lacks, turns away what finds no
-//! room, and falls over when it is cold and sent more than it can do for too long.
+//! A cache server: a machine with a memory. It answers with hits and misses, rejects attempts that exceed its queue, and
+//! collapses when it is sent more than it can do for too long while it warms up.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::Micros;
-use crate::machine::{JobId, Machine, Spec as MachineSpec};
+use crate::machine::{JobId, Machine, MachineConfig};
 use crate::memory::Memory;
 
-/// What a cache server is.
+/// Properties of a cache server. Times are in microseconds, work in microseconds of the reference core.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Spec {
-    /// Its machine.
-    pub machine: MachineSpec,
-    /// Bytes that it keeps.
-    pub memory: u64,
-    /// Its values are void after this time; 0 for never.
-    pub keeps: Micros,
-    /// Part of the work of an answer that a miss takes.
-    pub miss_work: f64,
-    /// Work of turning an attempt away, in microseconds of the reference core.
-    pub refusal_work: f64,
-    /// While it is cold it falls when sent more than this multiple of what it can do (0: it does not fall)
-    pub fall_multiple: f64,
+pub struct CacheServerConfig {
+    /// The machine that it runs on.
+    pub machine: MachineConfig,
+    /// Size of its memory in bytes.
+    pub memory_bytes: u64,
+    /// Values expire after this time; 0 for never.
+    pub time_to_live: Micros,
+    /// Work of a miss as a fraction of the work of a hit.
+    pub miss_work_share: f64,
+    /// Work of a rejection.
+    pub rejection_work: f64,
+    /// While warming up it collapses when sent more than this multiple of its capacity (0: never)
+    pub collapse_multiple: f64,
     /// within any window of this length,
-    pub fall_after: Micros,
-    /// and so much work over it, for chance.
-    pub fall_slack: f64,
+    pub collapse_window: Micros,
+    /// plus this much work, which allows for random clusters of arrivals.
+    pub collapse_slack: f64,
 }
 
-impl Default for Spec {
+impl Default for CacheServerConfig {
     fn default() -> Self {
-        Spec {
-            machine: MachineSpec::default(),
-            memory: 64 * 1024 * 1024,
-            keeps: 0,
-            miss_work: 0.3,
-            refusal_work: 0.0,
-            fall_multiple: 0.0,
-            fall_after: 2_000_000,
-            fall_slack: 0.0,
+        CacheServerConfig {
+            machine: MachineConfig::default(),
+            memory_bytes: 64 * 1024 * 1024,
+            time_to_live: 0,
+            miss_work_share: 0.3,
+            rejection_work: 0.0,
+            collapse_multiple: 0.0,
+            collapse_window: 2_000_000,
+            collapse_slack: 0.0,
         }
     }
 }
 
-/// What an attempt asks of it.
+/// What an attempt asks for.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ask {
+pub struct Lookup {
     /// The key.
     pub key: u64,
-    /// Work of an answer, in microseconds of the reference core.
+    /// Work of a hit, in microseconds of the reference core.
     pub work: f64,
-    /// Whether its sender knew when this server last started, or counts as knowing.
-    pub knew: bool,
+    /// Whether the sender knew, or should have known, when this server last started.
+    pub informed: bool,
 }
 
-/// What it answers.
+/// How a cache server answers an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Answer {
-    /// It holds the value.
+pub enum Response {
+    /// With the value.
     Hit,
-    /// It does not.
+    /// It does not have the value.
     Miss,
-    /// It turned the attempt away unseen.
+    /// It rejected the attempt unprocessed.
     Busy,
     /// No process is there: the connection is refused.
     Refused,
 }
 
-/// What becomes of an attempt that has just come.
+/// What becomes of an attempt on arrival.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Taken {
-    /// Its answer comes later, out of [`Cache::finish`].
-    Held,
-    /// It has its answer at once.
-    Answered(Answer),
-    /// It was the one too many: the server has fallen over, and these that it held are lost.
-    FellOver(Vec<JobId>),
+pub enum Admission {
+    /// It is worked on; its response comes later from [`CacheServer::take_completed`].
+    Accepted,
+    /// It has its response at once.
+    Answered(Response),
+    /// It made the server collapse; these accepted attempts are lost.
+    Collapsed(Vec<JobId>),
 }
 
-/// Why a cold server fell.
+/// How a server collapsed while it was warming up.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Fall {
-    /// When.
+pub struct Collapse {
+    /// When, in microseconds.
     pub at: Micros,
-    /// How long after its start.
+    /// Time since its start, in microseconds.
     pub age: Micros,
-    /// The load of the window as a multiple of what it could do.
+    /// Load of the window as a multiple of the capacity.
     pub multiple: f64,
-    /// Part of the load that came from those who knew of the start.
-    pub knew: f64,
+    /// Fraction of the load that came from senders who knew of the start.
+    pub informed_share: f64,
+}
+
+/// The work that one arriving attempt asked for.
+#[derive(Debug, Clone, Copy)]
+struct OfferedWork {
+    at: Micros,
+    work: f64,
+    informed: bool,
+}
+
+/// The work offered to a server within the window that decides about a collapse.
+#[derive(Debug, Default)]
+struct OfferedLoad {
+    arrivals: VecDeque<OfferedWork>,
+    /// Sum of the work of all arrivals.
+    work: f64,
+}
+
+impl OfferedLoad {
+    fn clear(&mut self) {
+        self.arrivals.clear();
+        self.work = 0.0;
+    }
+
+    /// Adds an arrival, and forgets those that have left the window.
+    fn add(&mut self, arrival: OfferedWork, window: Micros) {
+        self.arrivals.push_back(arrival);
+        self.work += arrival.work;
+        while let Some(oldest) = self.arrivals.front()
+            && oldest.at + window <= arrival.at
+        {
+            self.work -= oldest.work;
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Fraction of the work that came from senders who knew of the server's start.
+    fn informed_share(&self) -> f64 {
+        let informed = self.arrivals.iter().filter(|arrival| arrival.informed);
+        let informed: f64 = informed.map(|arrival| arrival.work).sum();
+        informed / self.work
+    }
 }
 
-/// A cache server. Times given to it never go back.
+/// A cache server. The times passed to it must never decrease.
 #[derive(Debug)]
-pub struct Cache {
-    spec: Spec,
+pub struct CacheServer {
+    config: CacheServerConfig,
     machine: Machine,
     memory: Memory,
     started: Micros,
-    up: bool,
+    running: bool,
     draining: bool,
-    held: BTreeMap<JobId, (Ask, bool)>,
-    /// Attempts of the last window: when, their work, and whether their sender knew.
-    offered: VecDeque<(Micros, f64, bool)>,
-    load: f64,
-    fall: Option<Fall>,
+    /// The response that each accepted attempt will get.
+    accepted: BTreeMap<JobId, Response>,
+    offered: OfferedLoad,
+    collapse: Option<Collapse>,
 }
 
-impl Cache {
-    /// One that is empty and started at a time (0: long ago, so that it is warm).
-    pub fn new(spec: Spec, started: Micros, now: Micros) -> Self {
-        // One that runs since long ago is warm, whatever the clock's beginning.
-        let cold = if started == 0 {
+impl CacheServer {
+    /// A server with an empty memory that started at `started` (0: long ago, so that it is warm).
+    pub fn new(config: CacheServerConfig, started: Micros, now: Micros) -> Self {
+        // One that started long ago is warm, wherever the clock begins.
+        let cold_share = if started == 0 {
             1.0
         } else {
-            spec.machine.cold_share
+            config.machine.cold_share
         };
-        let machine = Machine::new(
-            MachineSpec {
-                cold_share: cold,
-                ..spec.machine.clone()
-            },
-            started,
-            now,
-        );
-        Cache {
-            machine,
-            memory: Memory::new(spec.memory, spec.keeps),
+        let machine = MachineConfig {
+            cold_share,
+            ..config.machine.clone()
+        };
+        CacheServer {
+            machine: Machine::new(machine, started, now),
+            memory: Memory::new(config.memory_bytes, config.time_to_live),
             started,
-            up: true,
+            running: true,
             draining: false,
-            held: BTreeMap::new(),
-            offered: VecDeque::new(),
-            load: 0.0,
-            fall: None,
-            spec,
+            accepted: BTreeMap::new(),
+            offered: OfferedLoad::default(),
+            collapse: None,
+            config,
         }
     }
 
@@ -143,14 +179,14 @@
         self.started
     }
 
-    /// Whether a process is there.
-    pub fn up(&self) -> bool {
-        self.up
+    /// Whether its process runs.
+    pub fn is_running(&self) -> bool {
+        self.running
     }
 
-    /// Why it fell, if it did.
-    pub fn fall(&self) -> Option<Fall> {
-        self.fall
+    /// How it collapsed, if it did.
+    pub fn collapse(&self) -> Option<Collapse> {
+        self.collapse
     }
 
     /// Its machine.
@@ -158,25 +194,25 @@
         &self.machine
     }
 
-    /// What it keeps.
+    /// Its memory.
     pub fn memory(&mut self) -> &mut Memory {
         &mut self.memory
     }
 
-    /// A neighbour takes a part of its machine, 0 for none.
-    pub fn take(&mut self, now: Micros, part: f64) {
-        self.machine.take(now, part);
+    /// From now on a neighbour uses this fraction of the machine, 0 for none.
+    pub fn set_stolen_share(&mut self, now: Micros, share: f64) {
+        self.machine.set_stolen_share(now, share);
     }
 
-    /// It finishes what it has and turns all else away.
+    /// From now on it completes what it has accepted and rejects everything else.
     pub fn drain(&mut self) {
         self.draining = true;
     }
 
-    /// Its process ends. What it held has no answer; the jobs are returned.
+    /// Its process ends. Returns the accepted attempts, which get no response.
     pub fn stop(&mut self) -> Vec<JobId> {
-        self.up = false;
-        self.held.clear();
+        self.running = false;
+        self.accepted.clear();
         self.memory.clear();
         self.machine.stop()
     }
@@ -184,90 +220,82 @@
     /// A new process starts in its place, empty and cold.
     pub fn restart(&mut self, now: Micros) {
         self.stop();
-        *self = Cache::new(self.spec.clone(), now.max(1), now);
+        // A start at time 0 would mean "long ago".
+        *self = CacheServer::new(self.config.clone(), now.max(1), now);
     }
 
-    /// An attempt comes.
-    pub fn arrive(&mut self, now: Micros, job: JobId, ask: Ask) -> Taken {
-        if !self.up {
-            return Taken::Answered(Answer::Refused);
+    /// An attempt arrives.
+    pub fn submit(&mut self, now: Micros, job: JobId, lookup: Lookup) -> Admission {
+        if !self.running {
+            return Admission::Answered(Response::Refused);
         }
-        if self.weigh(now, &ask) {
-            return Taken::FellOver(self.stop());
+        if self.collapses_under(now, &lookup) {
+            return Admission::Collapsed(self.stop());
         }
-        // What it will answer is settled when it begins to look, so that a value stored meanwhile is not seen.
-        let hit = self.memory.get(now, ask.key);
-        let work = if hit {
-            ask.work
+        // The response is settled on arrival: a value that is stored before completion is not seen.
+        let hit = self.memory.get(now, lookup.key);
+        let (response, work) = if hit {
+            (Response::Hit, lookup.work)
         } else {
-            ask.work * self.spec.miss_work
+            (Response::Miss, lookup.work * self.config.miss_work_share)
         };
-        if self.draining || !self.machine.arrive(now, job, work) {
-            self.machine.distract(now, self.spec.refusal_work);
-            return Taken::Answered(Answer::Busy);
+        if self.draining || !self.machine.submit(now, job, work) {
+            self.machine
+                .charge_overhead(now, self.config.rejection_work);
+            return Admission::Answered(Response::Busy);
         }
-        self.held.insert(job, (ask, hit));
-        Taken::Held
+        self.accepted.insert(job, response);
+        Admission::Accepted
     }
 
-    /// Whether one more attempt is too many. Refused ones weigh as well; what it can do changes little within a window.
-    fn weigh(&mut self, now: Micros, ask: &Ask) -> bool {
-        let age = now.saturating_sub(self.started);
-        let cold = self.spec.fall_multiple > 0.0 && self.machine.warmth(now) < 1.0;
-        if !cold {
+    /// Whether one more attempt makes it collapse. Attempts that will be rejected count as well. The capacity at the end
+    /// of the window stands for the whole window, in which it changes little.
+    fn collapses_under(&mut self, now: Micros, lookup: &Lookup) -> bool {
+        let can_collapse =
+            self.config.collapse_multiple > 0.0 && self.machine.warm_fraction(now) < 1.0;
+        if !can_collapse {
             self.offered.clear();
-            self.load = 0.0;
             return false;
         }
-        self.offered.push_back((now, ask.work, ask.knew));
-        self.load += ask.work;
-        while let Some(&(at, work, _)) = self.offered.front()
-            && at + self.spec.fall_after <= now
-        {
-            self.offered.pop_front();
-            self.load -= work;
-        }
-        let can = self.machine.capacity(now) * self.spec.fall_after as f64;
-        if self.load <= self.spec.fall_multiple * can + self.spec.fall_slack {
+        let arrival = OfferedWork {
+            at: now,
+            work: lookup.work,
+            informed: lookup.informed,
+        };
+        self.offered.add(arrival, self.config.collapse_window);
+        let capacity = self.machine.capacity(now) * self.config.collapse_window as f64;
+        let limit = self.config.collapse_multiple * capacity + self.config.collapse_slack;
+        if self.offered.work <= limit {
             return false;
         }
-        let knew: f64 = self
-            .offered
-            .iter()
-            .filter(|(.., knew)| *knew)
-            .map(|(_, work, _)| work)
-            .sum();
-        self.fall = Some(Fall {
+        self.collapse = Some(Collapse {
             at: now,
-            age,
-            multiple: self.load / can,
-            knew: knew / self.load,
+            age: now.saturating_sub(self.started),
+            multiple: self.offered.work / capacity,
+            informed_share: self.offered.informed_share(),
         });
         true
     }
 
-    /// An attempt is called off. True where it is dropped; else it is worked on and has its answer.
+    /// Cancels an attempt. True if it is dropped; otherwise it is worked on and gets its response.
     pub fn cancel(&mut self, now: Micros, job: JobId) -> bool {
         let dropped = self.machine.cancel(now, job);
         if dropped {
-            self.held.remove(&job);
+            self.accepted.remove(&job);
         }
         dropped
     }
 
-    /// The attempts that have their answer by now.
-    pub fn finish(&mut self, now: Micros) -> Vec<(JobId, Answer)> {
-        let finished = self.machine.finish(now).into_iter();
-        finished
-            .filter_map(|job| {
-                let (_, hit) = self.held.remove(&job)?;
-                Some((job, if hit { Answer::Hit } else { Answer::Miss }))
-            })
+    /// The attempts that are completed by now, with their responses.
+    pub fn take_completed(&mut self, now: Micros) -> Vec<(JobId, Response)> {
+        let completed = self.machine.take_completed(now).into_iter();
+        completed
+            .filter_map(|job| Some((job, self.accepted.remove(&job)?)))
             .collect()
     }
 
-    /// When [`Cache::finish`] has something to tell, if nothing comes before.
-    pub fn due(&self) -> Option<Micros> {
-        self.machine.due().filter(|_| self.up)
+    /// When the next attempt will be completed if no other arrives before.
+    pub fn next_event_at(&self) -> Option<Micros> {
+        self.machine.next_event_at().filter(|_| self.running)
     }
 }
--- /dev/null
+++ b/crates/cluster-model/tests/endpoint_list.rs
@@ -0,0 +1,159 @@
+//! The endpoint list service: watches, history, limited capacity, outages.
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
+
+use cluster_model::Micros;
+use cluster_model::endpoint_list::{
+    Condition, EndpointList, EndpointListConfig, EndpointRecord, ListCall, ListResponse,
+};
+
+const MILLISECOND: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+/// An update without its records.
+#[derive(Debug, PartialEq)]
+struct Summary {
+    version: u64,
+    complete: bool,
+    records: usize,
+}
+
+fn complete(version: u64, records: usize) -> Summary {
+    Summary {
+        version,
+        complete: true,
+        records,
+    }
+}
+
+fn changes(version: u64, records: usize) -> Summary {
+    Summary {
+        version,
+        complete: false,
+        records,
+    }
+}
+
+fn summary(response: &ListResponse) -> Summary {
+    match response {
+        ListResponse::Update {
+            version,
+            complete,
+            records,
+        } => Summary {
+            version: *version,
+            complete: *complete,
+            records: records.len(),
+        },
+        ListResponse::Failed => panic!("failed"),
+    }
+}
+
+fn draining(server: u32) -> EndpointRecord {
+    EndpointRecord {
+        server,
+        condition: Condition::Draining,
+        started: 0,
+    }
+}
+
+/// Calls as node 9, and returns the first response.
+fn ask(list: &mut EndpointList, now: Micros, call: ListCall) -> Summary {
+    assert_eq!(list.call(now, 9, call), None);
+    let responses = list.process(now + 10 * MILLISECOND);
+    summary(&responses[0].1)
+}
+
+#[test]
+fn a_watch_resumes_from_its_version_or_gets_the_complete_list_if_that_is_forgotten() {
+    let config = EndpointListConfig {
+        history: 2,
+        ..EndpointListConfig::default()
+    };
+    let mut list = EndpointList::new(config, 1..=5);
+    let watch = |after| ListCall::Watch { after };
+    assert_eq!(ask(&mut list, 0, watch(0)), complete(1, 5));
+    let notifications = list.publish(SECOND, draining(3));
+    assert_eq!(notifications.len(), 1);
+    assert_eq!(notifications[0].node, 9);
+    assert_eq!(summary(&notifications[0].response), changes(2, 1));
+    list.disconnect(9);
+    let removed = EndpointRecord {
+        condition: Condition::Removed,
+        ..draining(3)
+    };
+    assert!(list.publish(2 * SECOND, removed).is_empty());
+    assert_eq!(
+        ask(&mut list, 3 * SECOND, watch(2)),
+        changes(3, 1),
+        "what changed since"
+    );
+    list.publish(4 * SECOND, draining(4));
+    assert_eq!(
+        ask(&mut list, 5 * SECOND, watch(1)),
+        complete(4, 4),
+        "forgotten"
+    );
+    assert_eq!(
+        ask(&mut list, 6 * SECOND, watch(4)),
+        changes(4, 0),
+        "nothing new"
+    );
+    assert_eq!(
+        ask(&mut list, 7 * SECOND, watch(99)),
+        complete(4, 4),
+        "from another incarnation of the service"
+    );
+    assert_eq!(
+        ask(&mut list, 8 * SECOND, ListCall::Complete),
+        complete(4, 4)
+    );
+}
+
+#[test]
+fn an_overloaded_service_answers_as_many_calls_as_it_can_in_time_and_fails_the_rest() {
+    let mut list = EndpointList::new(EndpointListConfig::default(), 1..=5);
+    for node in 0..300 {
+        assert_eq!(list.call(0, node, ListCall::Watch { after: 0 }), None);
+    }
+    let mut answered = 0;
+    let mut failed = 0;
+    let mut last = 0;
+    while let Some(at) = list.next_event_at() {
+        for (_, response) in list.process(at) {
+            if response == ListResponse::Failed {
+                failed += 1;
+            } else {
+                answered += 1;
+            }
+        }
+        last = at;
+    }
+    assert_eq!((answered, failed, last), (200, 100, 2 * SECOND));
+}
+
+#[test]
+fn an_outage_ends_watches_and_fails_calls_and_versions_continue_afterwards() {
+    let mut list = EndpointList::new(EndpointListConfig::default(), 1..=5);
+    list.call(0, 1, ListCall::Watch { after: 0 });
+    list.process(10 * MILLISECOND);
+    list.call(20 * MILLISECOND, 2, ListCall::Complete);
+    assert_eq!(
+        list.set_available(25 * MILLISECOND, false),
+        [(1, ListResponse::Failed), (2, ListResponse::Failed)]
+    );
+    assert_eq!(
+        list.call(30 * MILLISECOND, 1, ListCall::Complete),
+        Some(ListResponse::Failed)
+    );
+    assert!(list.publish(40 * MILLISECOND, draining(2)).is_empty());
+    assert!(list.set_available(SECOND, true).is_empty());
+    list.call(SECOND, 1, ListCall::Watch { after: 1 });
+    let responses = list.process(SECOND + 10 * MILLISECOND);
+    let (node, response) = &responses[0];
+    assert_eq!((*node, summary(response)), (1, changes(2, 1)));
+}
--- /dev/null
+++ b/crates/cluster-model/tests/invariants.rs
@@ -0,0 +1,215 @@
+//! Each invariant violated on purpose is reported, and what keeps it is not.
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
+
+use cluster_model::invariants::{
+    Idempotency, InvariantLimits, Invariants, RequestKey, ViolationKind,
+};
+use cluster_model::server::Collapse;
+
+const REQUEST: RequestKey = RequestKey { node: 3, id: 17 };
+const SECOND: u64 = 1_000_000;
+
+fn request(node: u32, id: u64) -> RequestKey {
+    RequestKey { node, id }
+}
+
+fn invariants() -> Invariants {
+    Invariants::new(InvariantLimits {
+        answer_grace: 20_000,
+        ..InvariantLimits::default()
+    })
+}
+
+fn violations(invariants: &Invariants) -> Vec<ViolationKind> {
+    invariants
+        .violations()
+        .iter()
+        .map(|violation| violation.kind.clone())
+        .collect()
+}
+
+#[test]
+fn a_request_answered_late_or_never_is_lost_and_one_in_time_or_without_its_client_is_not() {
+    let mut all = invariants();
+    for id in 0..4 {
+        all.accepted(request(3, id), SECOND, Idempotency::Idempotent);
+    }
+    all.answered(SECOND + 20_000, request(3, 0), false);
+    all.answered(SECOND + 20_001, request(3, 1), true);
+    all.client_gone(SECOND, request(3, 2));
+    all.finish(2 * SECOND);
+    assert_eq!(
+        violations(&all),
+        [
+            ViolationKind::Lost(request(3, 1)),
+            ViolationKind::Lost(request(3, 3))
+        ]
+    );
+    assert_eq!(
+        all.violations()[0].to_string(),
+        "1.020 s: lost: node 3 gave request 1 no final answer in time"
+    );
+    let mut killed = invariants();
+    killed.accepted(REQUEST, SECOND, Idempotency::Idempotent);
+    killed.killed(3);
+    killed.finish(2 * SECOND);
+    assert_eq!(violations(&killed), [], "its client asks again");
+}
+
+#[test]
+fn a_paused_node_learns_which_clients_left_when_it_resumes_and_not_before() {
+    let limits = InvariantLimits {
+        answer_grace: 20_000,
+        sent_grace: 50_000,
+        ..InvariantLimits::default()
+    };
+    for (sent, kept) in [(2 * SECOND + 49_999, true), (2 * SECOND + 50_000, false)] {
+        let mut all = Invariants::new(limits.clone());
+        all.accepted(REQUEST, SECOND, Idempotency::Idempotent);
+        all.paused(SECOND / 2, 3);
+        all.client_gone(SECOND, REQUEST);
+        all.resumed(2 * SECOND, 3);
+        all.sent(sent, REQUEST, 0, 7);
+        assert_eq!(violations(&all).is_empty(), kept, "sent at {sent}");
+    }
+    let mut all = Invariants::new(limits);
+    all.accepted(REQUEST, SECOND, Idempotency::Idempotent);
+    all.client_gone(SECOND, REQUEST);
+    all.paused(3 * SECOND / 2, 3);
+    all.resumed(2 * SECOND, 3);
+    all.sent(2 * SECOND, REQUEST, 0, 7);
+    assert_eq!(
+        violations(&all),
+        [ViolationKind::SentAfterEnd(REQUEST)],
+        "the client had left before"
+    );
+}
+
+#[test]
+fn a_request_that_its_node_aborts_is_lost_at_once_and_only_once() {
+    let mut all = invariants();
+    all.accepted(REQUEST, SECOND, Idempotency::Idempotent);
+    all.aborted(10, REQUEST);
+    all.aborted(20, REQUEST);
+    all.finish(2 * SECOND);
+    assert_eq!(violations(&all), [ViolationKind::Lost(REQUEST)]);
+    let mut answered = invariants();
+    answered.accepted(REQUEST, SECOND, Idempotency::Idempotent);
+    answered.answered(10, REQUEST, false);
+    answered.aborted(20, REQUEST);
+    assert_eq!(violations(&answered), [], "what it answered is not lost");
+}
+
+#[test]
+fn an_attempt_sent_after_the_end_is_reported() {
+    let mut all = invariants();
+    all.accepted(REQUEST, SECOND, Idempotency::Idempotent);
+    all.sent(10, REQUEST, 0, 1);
+    all.answered(20, REQUEST, false);
+    all.sent(30, REQUEST, 1, 2);
+    assert_eq!(violations(&all), [ViolationKind::SentAfterEnd(REQUEST)]);
+    // What was in flight is tolerated for the stated time, and still counts for what must not run twice.
+    let mut all = Invariants::new(InvariantLimits {
+        sent_grace: 50,
+        ..InvariantLimits::default()
+    });
+    all.accepted(REQUEST, SECOND, Idempotency::NotIdempotent);
+    all.sent(10, REQUEST, 0, 1);
+    all.answered(20, REQUEST, false);
+    all.sent(69, REQUEST, 1, 2);
+    assert_eq!(violations(&all), [ViolationKind::RanTwice(REQUEST)]);
+    all.never_ran(REQUEST, 0);
+    all.never_ran(REQUEST, 1);
+    all.sent(70, REQUEST, 2, 2);
+    assert_eq!(
+        violations(&all),
+        [
+            ViolationKind::RanTwice(REQUEST),
+            ViolationKind::SentAfterEnd(REQUEST)
+        ]
+    );
+}
+
+#[test]
+fn a_request_that_is_not_idempotent_is_retried_only_if_no_attempt_ran() {
+    let mut all = invariants();
+    all.accepted(REQUEST, SECOND, Idempotency::NotIdempotent);
+    all.sent(10, REQUEST, 0, 1);
+    all.never_ran(REQUEST, 0);
+    all.sent(20, REQUEST, 1, 1);
+    assert_eq!(violations(&all), []);
+    all.sent(30, REQUEST, 2, 1);
+    all.answered(40, REQUEST, true);
+    assert_eq!(
+        violations(&all),
+        [
+            ViolationKind::RanTwice(REQUEST),
+            ViolationKind::RejectedThoughRun(REQUEST)
+        ]
+    );
+}
+
+#[test]
+fn a_request_with_an_idempotency_key_is_retried_within_its_window_only_and_may_be_rejected() {
+    let mut all = invariants();
+    let window = 2 * SECOND;
+    all.accepted(REQUEST, 9 * SECOND, Idempotency::Deduplicated { window });
+    all.sent(0, REQUEST, 0, 1);
+    all.sent(2 * SECOND, REQUEST, 1, 1);
+    assert_eq!(violations(&all), []);
+    all.sent(2 * SECOND + 1, REQUEST, 2, 1);
+    all.answered(3 * SECOND, REQUEST, true);
+    assert_eq!(violations(&all), [ViolationKind::RanTwice(REQUEST)]);
+}
+
+#[test]
+fn attempts_at_a_draining_server_count_from_the_notice_or_six_seconds_after_it_was_known() {
+    let other = request(4, 1);
+    let mut all = invariants();
+    all.readiness_known(SECOND, 8, false);
+    all.notified(2 * SECOND, 3, 8, false);
+    all.sent(2 * SECOND + 550_000, REQUEST, 0, 8);
+    all.sent(7 * SECOND + 550_000, other, 0, 8);
+    assert_eq!(violations(&all), []);
+    all.sent(2 * SECOND + 550_001, REQUEST, 1, 8);
+    all.sent(7 * SECOND + 600_000, other, 1, 8);
+    let drained = |node, after| ViolationKind::SentToDrained {
+        node,
+        server: 8,
+        after,
+    };
+    assert_eq!(violations(&all), [drained(3, 550_001), drained(4, 600_000)]);
+    all.readiness_known(8 * SECOND, 8, true);
+    all.notified(8 * SECOND, 3, 8, true);
+    all.sent(9 * SECOND, REQUEST, 2, 8);
+    all.sent(20 * SECOND, other, 2, 8);
+    assert_eq!(all.violations().len(), 2, "it is back");
+}
+
+#[test]
+fn a_collapse_is_a_violation_if_two_thirds_of_the_load_came_from_senders_who_knew() {
+    let collapse = |informed_share| Collapse {
+        at: 5 * SECOND,
+        age: SECOND,
+        multiple: 2.6,
+        informed_share,
+    };
+    let mut all = invariants();
+    all.collapsed(8, collapse(0.66));
+    assert_eq!(violations(&all), []);
+    all.collapsed(8, collapse(0.67));
+    let overloaded = ViolationKind::Overloaded {
+        server: 8,
+        collapse: collapse(0.67),
+    };
+    assert_eq!(violations(&all), [overloaded]);
+    assert_eq!(
+        all.violations()[0].to_string(),
+        "5.000 s: failback: server 8 fell over 1.0 s after its start, sent 2.6 times what it could do"
+    );
+}
--- /dev/null
+++ b/crates/cluster-model/tests/server.rs
@@ -0,0 +1,139 @@
+//! The cache server: responses, draining, and the collapse under load while it warms up.
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
+
+use cluster_model::Micros;
+use cluster_model::machine::MachineConfig;
+use cluster_model::server::{Admission, CacheServer, CacheServerConfig, Lookup, Response};
+
+const SECOND: Micros = 1_000_000;
+
+fn lookup(key: u64, informed: bool) -> Lookup {
+    Lookup {
+        key,
+        work: 10_000.0,
+        informed,
+    }
+}
+
+#[test]
+fn a_server_answers_hits_and_misses_and_rejects_what_exceeds_its_queue_or_comes_while_it_drains() {
+    let machine = MachineConfig {
+        cores: 1.0,
+        slots: 1,
+        queue_capacity: 1,
+        ..MachineConfig::default()
+    };
+    let config = CacheServerConfig {
+        machine,
+        ..CacheServerConfig::default()
+    };
+    let mut server = CacheServer::new(config, 0, 0);
+    server.memory().store(0, 7, 100);
+    let busy = Admission::Answered(Response::Busy);
+    assert_eq!(server.submit(0, 1, lookup(7, true)), Admission::Accepted);
+    assert_eq!(server.submit(0, 2, lookup(8, true)), Admission::Accepted);
+    assert_eq!(server.submit(0, 3, lookup(7, true)), busy);
+    let mut responses = Vec::new();
+    while let Some(at) = server.next_event_at() {
+        let completed = server.take_completed(at).into_iter();
+        responses.extend(completed.map(|(job, response)| (job, response, at)));
+    }
+    assert_eq!(responses[0], (1, Response::Hit, 10_000));
+    let (_, response, at) = responses[1];
+    assert_eq!(response, Response::Miss, "{responses:?}");
+    assert!(at.abs_diff(13_000) <= 2, "{responses:?}");
+    server.drain();
+    assert_eq!(server.submit(SECOND, 4, lookup(7, true)), busy);
+    assert!(server.stop().is_empty() && !server.is_running());
+    assert_eq!(
+        server.submit(SECOND, 5, lookup(7, true)),
+        Admission::Answered(Response::Refused)
+    );
+    server.restart(2 * SECOND);
+    assert!(server.is_running());
+    assert_eq!(server.started(), 2 * SECOND);
+    assert!(server.memory().is_empty());
+}
+
+/// Sends attempts of 10 ms at a steady rate to a server with one core that is warm after 20 s, until it collapses or is
+/// warm. `informed` says which senders know of its start.
+fn load_cold_server(
+    per_second: u64,
+    collapse_slack: f64,
+    informed: impl Fn(u64) -> bool,
+) -> CacheServer {
+    let machine = MachineConfig {
+        cores: 1.0,
+        cold_share: 0.2,
+        warm_up: 20 * SECOND,
+        slots: 4,
+        queue_capacity: 4,
+        ..MachineConfig::default()
+    };
+    let config = CacheServerConfig {
+        machine,
+        collapse_multiple: 2.5,
+        collapse_slack,
+        miss_work_share: 1.0,
+        ..CacheServerConfig::default()
+    };
+    let mut server = CacheServer::new(config, SECOND, SECOND);
+    for job in 0..25 * per_second {
+        let now = SECOND + job * SECOND / per_second;
+        server.take_completed(now);
+        let admission = server.submit(now, job, lookup(job, informed(job)));
+        if matches!(admission, Admission::Collapsed(_)) {
+            break;
+        }
+    }
+    server
+}
+
+#[test]
+fn a_cold_server_collapses_above_its_multiple_over_the_window_and_tells_how_many_knew() {
+    // At its start it can do 20 attempts a second, so that it bears 100 in any two seconds.
+    assert_eq!(load_cold_server(49, 0.0, |_| true).collapse(), None);
+    let server = load_cold_server(80, 0.0, |job| job % 4 != 0);
+    let collapse = server.collapse().expect("collapses");
+    assert!(collapse.age < 3 * SECOND, "{collapse:?}");
+    assert!(
+        collapse.multiple > 2.5 && collapse.multiple < 2.6,
+        "{collapse:?}"
+    );
+    assert!(
+        (collapse.informed_share - 0.75).abs() < 0.02,
+        "{collapse:?}"
+    );
+    assert_eq!(
+        load_cold_server(52, 200_000.0, |_| true).collapse(),
+        None,
+        "the slack allows for some more"
+    );
+    let collapsed = load_cold_server(80, 0.0, |_| true);
+    assert!(!collapsed.is_running(), "down for good");
+    assert!(collapsed.next_event_at().is_none(), "down for good");
+}
+
+#[test]
+fn a_warm_server_never_collapses_and_neither_does_one_that_started_long_ago() {
+    let machine = MachineConfig {
+        cold_share: 0.1,
+        warm_up: SECOND,
+        ..MachineConfig::default()
+    };
+    let config = CacheServerConfig {
+        machine,
+        collapse_multiple: 2.0,
+        ..CacheServerConfig::default()
+    };
+    let mut server = CacheServer::new(config, 0, 5);
+    for job in 0..10_000 {
+        let admission = server.submit(5, job, lookup(job, true));
+        assert!(!matches!(admission, Admission::Collapsed(_)));
+    }
+}
--- a/crates/routerctl/src/commands/demo.rs
+++ b/crates/routerctl/src/commands/demo.rs
@@ -24,7 +24,7 @@
     println!(
         "The same in virtual time, or with one thing changed: `routerctl testbed run FILE` (docs/LAB.md)."
     );
-    Ok(Outcome::passed_if(report.kept()))
+    Ok(Outcome::passed_if(report.invariants_hold()))
 }
 
 /// The scenario is read from a file like any other, so that errors in it have their line.
@@ -36,7 +36,7 @@
 }
 
 fn print_introduction(scenario: &Scenario) {
-    let servers: u32 = scenario.kind.iter().map(|kind| kind.servers).sum();
+    let servers: u32 = scenario.kinds.iter().map(|kind| kind.servers).sum();
     println!(
         "{} cache-router nodes on loopback in front of {servers} emulated cache servers, an origin and a discovery \
          service; {} client requests a second, for {}.",
--- a/crates/routerctl/src/commands/testbed/experiment.rs
+++ b/crates/routerctl/src/commands/testbed/experiment.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use clap::Args;
-use testbed::experiment::{self, Experiment, Play, Step};
+use testbed::experiment::{self, CompletedRun, Experiment, Run};
 
 use super::report;
 use crate::outcome::CommandResult;
@@ -35,13 +35,13 @@
     report::print(&arguments.out)
 }
 
-fn print_step(step: &Step) {
-    let Play {
+fn print_step(step: &CompletedRun) {
+    let Run {
         scenario,
         seed,
         variant,
-    } = &step.play;
-    let (completed, all) = step.done;
+    } = &step.run;
+    let (completed, all) = (step.done, step.total);
     println!(
         "{completed:>4} of {all}  {scenario}, seed {seed}, {variant}: service {:.4}",
         step.service
--- a/crates/routerctl/src/commands/testbed/load.rs
+++ b/crates/routerctl/src/commands/testbed/load.rs
@@ -6,8 +6,8 @@
 
 use clap::Args;
 use tempfile::TempDir;
-use testbed::baseline::{self, Through};
-use testbed::load::{self, Instantly, Load, Outcome as LoadOutcome};
+use testbed::baseline::{self, NodeUnderTest};
+use testbed::load::{self, Load, Outcome as LoadOutcome, StubServer};
 use testbed::program;
 
 use crate::outcome::{CommandError, CommandResult, Outcome};
@@ -76,9 +76,10 @@
     fn load(&self) -> Load {
         Load {
             per_s: self.rate,
-            lasts: self.lasts,
+            duration: self.lasts,
             connections: self.connections.into(),
-            keys: (self.keys, self.zipf),
+            keys: self.keys,
+            zipf_exponent: self.zipf,
             class: self.class.clone(),
             deadline: REQUEST_DEADLINE,
             seed: self.seed,
@@ -95,7 +96,7 @@
         return measure(&servers, &targets, &load, &[load.per_s]);
     }
     let target = targets.last().ok_or(CommandError::NoTarget)?;
-    let highest = baseline::most(target.address, &load, |per_s, outcome| {
+    let highest = baseline::max_sustained_rate(target.address, &load, |per_s, outcome| {
         print_row(target, per_s, outcome, None);
     })?;
     if highest == 0.0 {
@@ -113,9 +114,9 @@
 /// What was started for the measurement. It runs until this is dropped.
 struct Servers {
     /// A server and a node before it.
-    through: Option<Through>,
+    through: Option<NodeUnderTest>,
     /// A server alone.
-    alone: Option<Instantly>,
+    alone: Option<StubServer>,
     /// The node's files.
     _folder: TempDir,
 }
@@ -128,9 +129,9 @@
         let mut alone = None;
         if arguments.through {
             let program = program::find(arguments.node.as_deref())?;
-            through = Some(Through::start(&program, folder.path(), value_bytes)?);
+            through = Some(NodeUnderTest::start(&program, folder.path(), value_bytes)?);
         } else if arguments.to.is_none() {
-            alone = Some(Instantly::start(value_bytes, Duration::ZERO)?);
+            alone = Some(StubServer::start(value_bytes, Duration::ZERO)?);
         }
         Ok(Servers {
             through,
@@ -204,7 +205,7 @@
                 .zip(cpu_before)
                 .map(|(after, before)| after.saturating_sub(before));
             print_row(target, per_s, &outcome, cpu_used);
-            all_sustained &= baseline::borne(&outcome);
+            all_sustained &= baseline::sustained(&outcome);
         }
     }
     Ok(Outcome::passed_if(all_sustained))
@@ -223,7 +224,7 @@
     let max_us = outcome.latency.max() / 1_000;
     let cpu_us = cpu_used.map(|used| used.as_secs_f64() * 1e6 / outcome.served.max(1) as f64);
     let cpu_us = cpu_us.map_or(String::new(), |us| format!("{us:.1}"));
-    let unserved = outcome.meant - outcome.served;
+    let unserved = outcome.intended - outcome.served;
     println!(
         "{:<7} {per_s:>8.0} {:>8.0} {unserved:>8} {:>7} {:>7} {:>7} {max_us:>7} {cpu_us:>9}",
         target.path,
--- a/crates/routerctl/src/commands/testbed/report.rs
+++ b/crates/routerctl/src/commands/testbed/report.rs
@@ -3,8 +3,8 @@
 use std::path::{Path, PathBuf};
 
 use clap::Args;
-use testbed::experiment::Play;
-use testbed::page::{self, Summary};
+use testbed::experiment::Run;
+use testbed::html_report::{self, Summary};
 
 use crate::outcome::{CommandResult, Outcome};
 
@@ -24,23 +24,23 @@
 
 /// Writes the page of an experiment's folder and prints the differences between its variants.
 pub fn print(folder: &Path) -> CommandResult {
-    let summary = page::write(folder)?;
+    let summary = html_report::write(folder)?;
     print_differences(&summary);
-    for Play {
+    for Run {
         scenario,
         seed,
         variant,
-    } in &summary.broken
+    } in &summary.violations
     {
         println!("RULES BROKEN: {scenario}, seed {seed}, {variant}");
     }
-    let (completed, all) = summary.plays;
+    let (completed, all) = (summary.done, summary.total);
     println!(
         "{completed} of {all} runs; {} and results.jsonl beside it",
         folder.join("report.html").display()
     );
     Ok(Outcome::passed_if(
-        summary.broken.is_empty() && completed == all,
+        summary.violations.is_empty() && completed == all,
     ))
 }
 
@@ -50,12 +50,12 @@
         "scenario", "variant", "pairs", "service", "diff."
     );
     let differences = summary.differences.iter();
-    for difference in differences.filter(|difference| difference.what == PRINTED_METRIC) {
-        let (low, high) = difference.interval;
-        let service = difference.base + difference.mean;
+    for difference in differences.filter(|difference| difference.metric == PRINTED_METRIC) {
+        let (low, high) = (difference.interval.low, difference.interval.high);
+        let service = difference.baseline_mean + difference.mean_difference;
         println!(
             "{:<16} {:<16} {:>5} {service:>8.4} {:>+8.4}   {low:+.4} to {high:+.4}",
-            difference.scenario, difference.variant, difference.pairs, difference.mean
+            difference.scenario, difference.variant, difference.pairs, difference.mean_difference
         );
     }
 }
--- a/crates/routerctl/src/commands/testbed/run.rs
+++ b/crates/routerctl/src/commands/testbed/run.rs
@@ -39,7 +39,7 @@
     let report = if arguments.sockets {
         socket_run::run(&scenario, seed, &arguments.socket_options)?
     } else {
-        virtual_time::play(&scenario, seed)
+        virtual_time::run(&scenario, seed)
     };
     print!("{report}");
     if let Some(path) = &arguments.json {
@@ -48,5 +48,5 @@
             source,
         })?;
     }
-    Ok(Outcome::passed_if(report.kept()))
+    Ok(Outcome::passed_if(report.invariants_hold()))
 }
--- a/crates/routerctl/src/progress.rs
+++ b/crates/routerctl/src/progress.rs
@@ -32,14 +32,14 @@
 
     /// Shows a step of the run.
     pub fn show(&self, progress: &Progress) {
-        let (elapsed_us, length_us) = progress.at;
+        let (elapsed_us, length_us) = (progress.elapsed, progress.length);
         let elapsed_us = elapsed_us.min(length_us);
         let seconds = elapsed_us as f64 / 1e6;
-        for message in &progress.news {
+        for message in &progress.messages {
             self.print(&format!("{seconds:>5.1} s  {message}"));
         }
-        let (nodes, servers) = progress.up;
-        let served_percent = 100.0 * progress.lately.service();
+        let (nodes, servers) = (progress.nodes_up, progress.servers_up);
+        let served_percent = 100.0 * progress.recent.service();
         let status = format!(
             "{served_percent:.1}% served in time, {nodes} nodes and {servers} cache servers up"
         );
--- a/crates/routerctl/src/socket_run.rs
+++ b/crates/routerctl/src/socket_run.rs
@@ -49,7 +49,7 @@
         .enable_all()
         .build()?;
     let interrupted = async { drop(tokio::signal::ctrl_c().await) };
-    let run = sockets::play(scenario, seed, &run_options, interrupted, |progress| {
+    let run = sockets::run(scenario, seed, &run_options, interrupted, |progress| {
         display.show(progress);
     });
     Ok(runtime.block_on(run)?)
--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -1,310 +1,381 @@
-//! Clients as both drivers have them: when each asks, for what, how often it comes again, and what became of it. They do
-//! not wait for each other (open loop): first tries come at their times whatever the answers, and a latency counts from
-//! the time that the first try was meant for, so that a driver that falls behind can't hide it.
+//! The clients, the same in both drivers: when each sends a request, for which key, how often it retries, and how its
+//! request ended. Clients do not wait for each other (open loop): requests arrive at their times whatever the answers,
+//! and a latency counts from the time at which the first attempt was intended, so that a driver that falls behind can't
+//! hide it.
 
 use std::collections::BTreeMap;
 
-use cluster_model::list::NodeId;
-use cluster_model::{Chance, Micros, chance};
+use cluster_model::endpoint_list::NodeId;
+use cluster_model::{Micros, RandomStream, random_stream};
 use hdrhistogram::Histogram;
 use rand::Rng;
 use rand_distr::{Distribution, Exp1, LogNormal, Zipf};
 
-use crate::report::{Counts, End, Latency, OfClass, WINDOW};
-use crate::scenario::{Effect, Scenario};
-use crate::us;
+use crate::micros;
+use crate::report::{ClassReport, Counts, LatencyPercentiles, RequestEnd, WINDOW};
+use crate::scenario::{Idempotency, RequestClass, Scenario};
 
-/// Parts of the world, each with chance of its own.
-pub(crate) enum Part {
+/// Largest latency that is recorded, in microseconds.
+const MAX_LATENCY: u64 = 600_000_000;
+/// Significant digits of recorded latencies.
+const LATENCY_DIGITS: u8 = 3;
+/// The backoff stops growing after this many doublings.
+const MAX_BACKOFF_DOUBLINGS: u32 = 10;
+
+/// Numbers of the random streams of a run: each part draws from its own.
+pub(crate) enum Stream {
     Arrivals = 1,
     Keys = 2,
     Work = 3,
     Network = 4,
-    Front = 5,
+    LoadBalancer = 5,
     Faults = 6,
     Nodes = 7,
 }
 
-/// How a node ended a try.
+/// How a node ended an attempt of a client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
     /// With the value.
     Served,
-    /// Refused: come again after so many microseconds, 0 where none were named.
-    Refused(Micros),
-    /// It failed.
+    /// With a rejection: retry after this many microseconds, 0 if it named no time.
+    Rejected(Micros),
+    /// With a failure.
     Failed,
 }
 
-/// A client with a request that has not ended.
+/// The request of a client's attempt at a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Assignment {
+    /// The node.
+    pub node: NodeId,
+    /// Id of the request there.
+    pub request: u64,
+}
+
+/// A client whose request has not ended.
 #[derive(Debug, Clone)]
 pub struct Client {
-    /// Its class, by the place in the scenario.
+    /// Its class, by the index in the scenario.
     pub class: usize,
     /// Its key.
     pub key: u64,
     /// Work of an answer, in microseconds of the reference core.
     pub work: f64,
-    /// When its first try was meant to come.
-    pub first: Micros,
-    /// It tells nodes that it waits until then, over all tries,
+    /// When its first attempt was intended.
+    pub intended_at: Micros,
+    /// The deadline that it states to nodes, over all attempts.
     pub deadline: Micros,
-    /// and goes away at this time, which may be earlier.
-    pub leaves: Micros,
-    /// Tries so far.
-    pub tries: u32,
-    /// The node that has its present try, and the try's number there.
-    pub at: Option<(NodeId, u64)>,
+    /// When it goes away, which may be before the deadline.
+    pub leaves_at: Micros,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Where its current attempt is.
+    pub assignment: Option<Assignment>,
+}
+
+/// The results of all clients of a run, as a report has them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClientResults {
+    /// The service level, as in [`Counts::service`].
+    pub service: f64,
+    /// Results by the name of the class.
+    pub classes: BTreeMap<String, ClassReport>,
+    /// Counts by [`WINDOW`].
+    pub windows: Vec<Counts>,
+}
+
+/// Counts and latencies of a class.
+struct ClassTotals {
+    counts: Counts,
+    latencies: Histogram<u64>,
 }
 
-/// All clients of a play, and what became of those that have ended.
+/// All clients of a run, and how the requests that have ended did so.
 pub struct Clients<'a> {
     scenario: &'a Scenario,
     begin: Micros,
     open: BTreeMap<u64, Client>,
-    next: u64,
+    next_id: u64,
+    /// Arrivals per second.
     rate: f64,
-    zipf: Zipf<f64>,
-    /// Parts of the first tries that ask for one key, and that go through all keys, and how far they are.
-    hot: f64,
-    scan: (f64, u64),
-    arrivals: Chance,
-    keys: Chance,
-    work: Chance,
+    popularity: Zipf<f64>,
+    /// Fraction of the requests that asks for the hot key.
+    hot_share: f64,
+    /// Fraction of the requests that scans all keys.
+    scan_share: f64,
+    /// Requests of the scan so far.
+    scanned: u64,
+    arrivals: RandomStream,
+    keys: RandomStream,
+    work: RandomStream,
     windows: Vec<Counts>,
-    classes: Vec<(Counts, Histogram<u64>)>,
+    classes: Vec<ClassTotals>,
 }
 
 impl<'a> Clients<'a> {
-    /// Clients of a scenario whose first tries come from a time on.
+    /// The clients of a scenario, who send requests from `begin` on.
+    #[expect(
+        clippy::expect_used,
+        reason = "the bounds of the histogram are constants, and a scenario has at least one key and an exponent that \
+                  is not negative"
+    )]
+    #[expect(clippy::missing_panics_doc, reason = "it can't fail, see above")]
     pub fn new(scenario: &'a Scenario, seed: u64, begin: Micros) -> Self {
-        let part = |part: Part| chance(seed, part as u64);
-        let histogram =
-            || Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are sound");
-        let zipf = Zipf::new(scenario.load.keys as f64, scenario.load.zipf.max(0.0));
+        let stream = |stream: Stream| random_stream(seed, stream as u64);
+        let totals = |_: &RequestClass| ClassTotals {
+            counts: Counts::default(),
+            latencies: Histogram::new_with_bounds(1, MAX_LATENCY, LATENCY_DIGITS)
+                .expect("the bounds are valid"),
+        };
+        let workload = &scenario.load;
+        let popularity = Zipf::new(workload.keys as f64, workload.zipf_exponent.max(0.0));
         Clients {
             begin,
             open: BTreeMap::new(),
-            next: 1,
-            rate: scenario.load.per_s,
-            hot: 0.0,
-            scan: (0.0, 0),
-            zipf: zipf.expect("keys and exponent are sound"),
-            arrivals: part(Part::Arrivals),
-            keys: part(Part::Keys),
-            work: part(Part::Work),
+            next_id: 1,
+            rate: workload.per_s,
+            popularity: popularity.expect("keys and exponent are valid"),
+            hot_share: 0.0,
+            scan_share: 0.0,
+            scanned: 0,
+            arrivals: stream(Stream::Arrivals),
+            keys: stream(Stream::Keys),
+            work: stream(Stream::Work),
             windows: Vec::new(),
-            classes: scenario
-                .class
-                .iter()
-                .map(|_| (Counts::default(), histogram()))
-                .collect(),
+            classes: scenario.classes.iter().map(totals).collect(),
             scenario,
         }
     }
 
-    /// First tries come from a time on, before any was asked for.
-    pub fn begin_at(&mut self, begin: Micros) {
+    /// Requests arrive from this time on. Must be called before the first arrival.
+    pub fn set_begin(&mut self, begin: Micros) {
         self.begin = begin;
     }
 
-    /// When the next first try comes after one at a time, `None` after the end.
-    pub fn next_first(&mut self, now: Micros) -> Option<Micros> {
+    /// When the next request arrives after one at `now`; `None` after the end.
+    pub fn next_arrival(&mut self, now: Micros) -> Option<Micros> {
         let gap: f64 = Exp1.sample(&mut self.arrivals);
         let at = now + (gap / self.rate * 1e6).ceil() as Micros;
-        (at < self.begin + us(self.scenario.length)).then_some(at)
+        (at < self.begin + micros(self.scenario.length)).then_some(at)
     }
 
-    /// First tries come so many times as often from now on.
-    pub fn quicken(&mut self, factor: f64) {
+    /// From now on requests arrive this many times as often.
+    pub fn scale_rate(&mut self, factor: f64) {
         self.rate *= factor;
     }
 
-    /// A new client, its first try meant for a time.
-    pub fn ask(&mut self, now: Micros) -> u64 {
-        let id = self.next;
-        self.next += 1;
-        let total: f64 = self.scenario.class.iter().map(|class| class.share).sum();
+    /// A new client, whose first attempt is intended for `now`. Returns its id.
+    pub fn new_client(&mut self, now: Micros) -> u64 {
+        let id = self.next_id;
+        self.next_id += 1;
+        let class = self.draw_class();
+        let key = self.draw_key(now);
+        let spec = &self.scenario.classes[class];
+        let work =
+            micros(spec.work) as f64 * log_normal_factor(spec.work_deviation, &mut self.work);
+        let deadline = now + micros(spec.deadline);
+        let client = Client {
+            class,
+            key,
+            work,
+            intended_at: now,
+            deadline,
+            leaves_at: self.draw_leaving_time(now, deadline),
+            attempts: 0,
+            assignment: None,
+        };
+        self.open.insert(id, client);
+        id
+    }
+
+    fn draw_class(&mut self) -> usize {
+        let classes = &self.scenario.classes;
+        let total: f64 = classes.iter().map(|class| class.share).sum();
         let mut draw = self.arrivals.random::<f64>() * total;
-        let class = self.scenario.class.iter().position(|class| {
+        let drawn = classes.iter().position(|class| {
             draw -= class.share;
             draw < 0.0
         });
-        let class = class.unwrap_or(0);
-        let key = self.key(now);
-        let spec = &self.scenario.class[class];
-        let work = us(spec.work) as f64 * spread(spec.spread, &mut self.work);
-        let deadline = now + us(spec.deadline);
-        let load = &self.scenario.load;
-        let gives_up = load.give_up > 0.0 && self.arrivals.random::<f64>() < load.give_up;
-        let leaves = if gives_up {
-            deadline.min(now + us(load.give_up_after))
+        drawn.unwrap_or(0)
+    }
+
+    fn draw_leaving_time(&mut self, now: Micros, deadline: Micros) -> Micros {
+        let workload = &self.scenario.load;
+        let abandons =
+            workload.abandon_share > 0.0 && self.arrivals.random::<f64>() < workload.abandon_share;
+        if abandons {
+            deadline.min(now + micros(workload.abandon_after))
         } else {
             deadline
-        };
-        self.open.insert(
-            id,
-            Client {
-                class,
-                key,
-                work,
-                first: now,
-                deadline,
-                leaves,
-                tries: 0,
-                at: None,
-            },
-        );
-        id
+        }
     }
 
-    /// This part more of the first tries asks for one key from now on.
-    pub fn heat(&mut self, part: f64) {
-        self.hot += part;
+    fn draw_key(&mut self, now: Micros) -> u64 {
+        let workload = &self.scenario.load;
+        // Both are drawn in any case, so that a hot key or a scan does not shift the draws that come after it.
+        let rank = self.popularity.sample(&mut self.keys) as u64;
+        let draw = self.keys.random::<f64>();
+        if draw < self.hot_share {
+            // A key in the middle of the ranks, which was not popular before.
+            return workload.keys.div_ceil(2);
+        }
+        if draw < self.hot_share + self.scan_share {
+            self.scanned += 1;
+            return workload.keys - (self.scanned - 1) % workload.keys;
+        }
+        let shift = (workload.drift_per_s * now.saturating_sub(self.begin) as f64 / 1e6) as u64;
+        (rank.max(1) - 1 + shift) % workload.keys + 1
     }
 
-    /// This part more of them goes through all keys from now on.
-    pub fn scan(&mut self, part: f64) {
-        self.scan.0 += part;
+    /// From now on this fraction more of the requests asks for one key; less, if it is negative.
+    pub fn adjust_hot_share(&mut self, difference: f64) {
+        self.hot_share += difference;
     }
 
-    fn key(&mut self, now: Micros) -> u64 {
-        let load = &self.scenario.load;
-        // Drawn in any case, so that what is hot or scanned does not shift the chance of what comes after it.
-        let (rank, draw) = (
-            self.zipf.sample(&mut self.keys) as u64,
-            self.keys.random::<f64>(),
-        );
-        if draw < self.hot {
-            // None of the popular ones, so that its fame is new.
-            return load.keys.div_ceil(2);
-        }
-        if draw < self.hot + self.scan.0 {
-            self.scan.1 += 1;
-            return load.keys - (self.scan.1 - 1) % load.keys;
-        }
-        let shift = (load.drift_per_s * now.saturating_sub(self.begin) as f64 / 1e6) as u64;
-        (rank.max(1) - 1 + shift) % load.keys + 1
+    /// From now on this fraction more of the requests scans all keys; less, if it is negative.
+    pub fn adjust_scan_share(&mut self, difference: f64) {
+        self.scan_share += difference;
     }
 
-    /// A client that has not ended.
+    /// A client whose request has not ended.
     pub fn get(&self, id: u64) -> Option<&Client> {
         self.open.get(&id)
     }
 
-    /// A client begins a try; `None` where it has ended.
-    pub fn begin_try(&mut self, id: u64) -> Option<Client> {
+    /// A client begins an attempt; `None` if its request has ended.
+    pub fn begin_attempt(&mut self, id: u64) -> Option<Client> {
         let client = self.open.get_mut(&id)?;
-        client.tries += 1;
+        client.attempts += 1;
         let client = client.clone();
-        self.count(client.first, |counts| counts.tries += 1);
+        self.count(client.intended_at, |counts| counts.client_attempts += 1);
         Some(client)
     }
 
-    /// Its try is with a node.
-    pub fn with_node(&mut self, id: u64, node: NodeId, number: u64) {
-        self.open
-            .entry(id)
-            .and_modify(|client| client.at = Some((node, number)));
+    /// A client's attempt has been given to a node, which knows it by the id `request`.
+    pub fn assign(&mut self, id: u64, node: NodeId, request: u64) {
+        if let Some(client) = self.open.get_mut(&id) {
+            client.assignment = Some(Assignment { node, request });
+        }
     }
 
-    /// A client has an answer: when it comes again, or `None` where its request has ended.
-    pub fn told(&mut self, now: Micros, id: u64, reply: Reply) -> Option<Micros> {
+    /// A client is notified of a reply. Returns when it retries, or `None` if its request has ended.
+    pub fn notified(&mut self, now: Micros, id: u64, reply: Reply) -> Option<Micros> {
         let client = self.open.get_mut(&id)?;
-        client.at = None;
-        let spec = &self.scenario.class[client.class];
-        let took = now - client.first;
+        client.assignment = None;
+        let class = client.class;
+        let latency = now - client.intended_at;
+        let objective = micros(self.scenario.classes[class].latency_objective);
+        let retry_at = self.retry_time(now, id, reply);
+        if retry_at.is_some() {
+            return retry_at;
+        }
         let end = match reply {
-            Reply::Served if took <= us(spec.aim) => End::InTime,
-            Reply::Served => End::Late,
-            // What may have run is repeated only where that does no harm.
-            Reply::Refused(_) | Reply::Failed => {
-                let harmless = matches!(reply, Reply::Refused(_)) || spec.effect != Effect::Once;
-                let pause = match reply {
-                    Reply::Refused(pause) if pause > 0 => pause,
-                    _ => us(self.scenario.load.backoff) << (client.tries - 1).min(10),
-                };
-                let more = client.tries <= self.scenario.load.retries;
-                if harmless && more && now + pause < client.leaves {
-                    return Some(now + pause);
-                }
-                if matches!(reply, Reply::Failed) {
-                    End::Failed
-                } else {
-                    End::Refused
-                }
-            }
+            Reply::Served if latency <= objective => RequestEnd::InTime,
+            Reply::Served => RequestEnd::Late,
+            Reply::Rejected(_) => RequestEnd::Rejected,
+            Reply::Failed => RequestEnd::Failed,
         };
-        if matches!(reply, Reply::Served) {
-            let class = client.class;
-            self.classes[class].1.saturating_record(took);
+        if reply == Reply::Served {
+            self.classes[class].latencies.saturating_record(latency);
         }
         self.end(id, end);
         None
     }
 
-    /// A client's time is up, or it gives up. The node that has its try, if one has, and the try's number there.
-    pub fn time_up(&mut self, id: u64) -> Option<(NodeId, u64)> {
+    /// When a client retries after a reply; `None` if it does not.
+    fn retry_time(&self, now: Micros, id: u64, reply: Reply) -> Option<Micros> {
         let client = self.open.get(&id)?;
-        let (at, gave_up) = (client.at, client.leaves < client.deadline);
-        self.end(id, if gave_up { End::GaveUp } else { End::TimedOut });
-        at
+        let workload = &self.scenario.load;
+        let backoff = micros(workload.backoff) << (client.attempts - 1).min(MAX_BACKOFF_DOUBLINGS);
+        let idempotency = self.scenario.classes[client.class].idempotency;
+        let pause = match reply {
+            Reply::Served => return None,
+            Reply::Rejected(pause) if pause > 0 => pause,
+            Reply::Rejected(_) => backoff,
+            // It may have run.
+            Reply::Failed if idempotency == Idempotency::NotIdempotent => return None,
+            Reply::Failed => backoff,
+        };
+        let retry_at = now + pause;
+        (client.attempts <= workload.retries && retry_at < client.leaves_at).then_some(retry_at)
+    }
+
+    /// A client goes away, at its deadline or before. Returns where its current attempt is.
+    pub fn leave(&mut self, id: u64) -> Option<Assignment> {
+        let client = self.open.get(&id)?;
+        let assignment = client.assignment;
+        let end = if client.leaves_at < client.deadline {
+            RequestEnd::Abandoned
+        } else {
+            RequestEnd::TimedOut
+        };
+        self.end(id, end);
+        assignment
     }
 
-    fn end(&mut self, id: u64, end: End) {
+    fn end(&mut self, id: u64, end: RequestEnd) {
         let Some(client) = self.open.remove(&id) else {
             return;
         };
-        let worth = self.scenario.class[client.class].worth;
-        self.classes[client.class].0.end(end, worth);
-        self.count(client.first, |counts| counts.end(end, worth));
+        let weight = self.scenario.classes[client.class].priority_weight;
+        self.classes[client.class].counts.record(end, weight);
+        self.count(client.intended_at, |counts| counts.record(end, weight));
     }
 
-    /// Counts something for what was first tried at a time.
-    pub fn count(&mut self, first: Micros, add: impl FnOnce(&mut Counts)) {
-        let window = (first.saturating_sub(self.begin) / WINDOW) as usize;
+    /// Counts something for a request whose first attempt was intended at a time.
+    pub fn count(&mut self, intended_at: Micros, add: impl FnOnce(&mut Counts)) {
+        let window = (intended_at.saturating_sub(self.begin) / WINDOW) as usize;
         if self.windows.len() <= window {
             self.windows.resize(window + 1, Counts::default());
         }
         add(&mut self.windows[window]);
     }
 
-    /// Clients whose requests have not ended.
-    pub fn left(&self) -> usize {
+    /// Number of clients whose requests have not ended.
+    pub fn open_count(&self) -> usize {
         self.open.len()
     }
 
-    /// Counts of all so far.
-    pub fn sum(&self) -> Counts {
+    /// Counts of all requests so far.
+    pub fn totals(&self) -> Counts {
         self.windows
             .iter()
-            .fold(Counts::default(), |sum, window| sum.and(window))
+            .fold(Counts::default(), |sum, window| sum.plus(window))
     }
 
-    /// What came of all so far: part of the worth served, by class, by five seconds.
-    pub fn result(&self) -> (f64, BTreeMap<String, OfClass>, Vec<Counts>) {
-        let mut all = Counts::default();
+    /// The results so far.
+    pub fn results(&self) -> ClientResults {
+        let mut total = Counts::default();
         let mut classes = BTreeMap::new();
-        for (spec, (counts, histogram)) in self.scenario.class.iter().zip(&self.classes) {
-            all.worth += counts.worth;
-            all.served += counts.served;
-            let of = OfClass {
-                counts: counts.clone(),
-                latency: Latency::of(histogram),
+        for (spec, totals) in self.scenario.classes.iter().zip(&self.classes) {
+            total.priority_weight += totals.counts.priority_weight;
+            total.served_weight += totals.counts.served_weight;
+            let report = ClassReport {
+                counts: totals.counts.clone(),
+                latency: LatencyPercentiles::of(&totals.latencies),
             };
-            classes.insert(spec.name.clone(), of);
+            classes.insert(spec.name.clone(), report);
+        }
+        ClientResults {
+            service: total.service(),
+            classes,
+            windows: self.windows.clone(),
         }
-        (all.service(), classes, self.windows.clone())
     }
 }
 
-/// A factor of mean 1 with a standard deviation.
-pub(crate) fn spread(deviation: f64, chance: &mut Chance) -> f64 {
+/// Draws a log-normal factor with mean 1 and the given standard deviation.
+#[expect(
+    clippy::expect_used,
+    reason = "it fails only for nan or infinity, which the validation of scenarios does not catch yet"
+)]
+pub(crate) fn log_normal_factor(deviation: f64, random: &mut RandomStream) -> f64 {
     if deviation <= 0.0 {
         return 1.0;
     }
     let variance = (1.0 + deviation * deviation).ln();
-    let normal =
-        LogNormal::new(-variance / 2.0, variance.sqrt()).expect("the deviation is a number");
-    normal.sample(chance)
+    LogNormal::new(-variance / 2.0, variance.sqrt())
+        .expect("the deviation is finite")
+        .sample(random)
 }
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -1,156 +1,221 @@
-//! What an experiment's plays say: differences between variants, paired by scenario and seed, with intervals. Pairs share
-//! their clients, keys and faults, so that what the seeds have in common falls out.
+//! Evaluates the runs of an experiment: differences between variants, paired by scenario and seed, with intervals. Paired
+//! runs share their clients, keys and faults, so that what the runs of a seed have in common cancels out.
 
 use std::collections::BTreeMap;
 
-use cluster_model::chance;
+use cluster_model::random_stream;
 use rand::Rng;
 use serde::Serialize;
 
-use crate::experiment::{Experiment, Play};
+use crate::experiment::{Experiment, Run};
 use crate::report::{Report, WINDOW};
 
-/// Resamples of a bootstrap.
+/// Number of resamples of a bootstrap.
 const RESAMPLES: usize = 2_000;
-/// Part of the resamples' means that lies in the interval.
-const WITHIN: f64 = 0.95;
+/// Fraction of the resamples' means that lies in the interval.
+const CONFIDENCE: f64 = 0.95;
+
+/// An interval of a mean.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[serde(into = "(f64, f64)")]
+pub struct Interval {
+    /// Its lower end.
+    pub low: f64,
+    /// Its upper end.
+    pub high: f64,
+}
+
+impl From<Interval> for (f64, f64) {
+    /// The form in result files.
+    fn from(interval: Interval) -> Self {
+        (interval.low, interval.high)
+    }
+}
 
 /// A difference between two variants.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Difference {
-    /// The scenario.
+    /// Name of the scenario.
     pub scenario: String,
-    /// The variant.
+    /// Name of the variant.
     pub variant: String,
-    /// What it is compared with: the first variant.
+    /// Name of the variant that it is compared with: the first one.
     pub against: String,
-    /// What is compared: `service`, `class NAME`, or the seconds from which a window runs, as `5s`.
-    pub what: String,
-    /// Pairs of plays that are there.
+    /// What is compared: `service`, `class NAME`, or the second at which a window begins, as `5s`.
+    #[serde(rename = "what")]
+    pub metric: String,
+    /// Number of pairs of runs.
     pub pairs: usize,
     /// Mean of the first variant.
-    pub base: f64,
+    #[serde(rename = "base")]
+    pub baseline_mean: f64,
     /// Mean difference.
-    pub mean: f64,
-    /// The least and the most of 95 of 100 means of pairs drawn anew (percentile bootstrap).
-    pub interval: (f64, f64),
+    #[serde(rename = "mean")]
+    pub mean_difference: f64,
+    /// The 95% interval of the mean difference (percentile bootstrap over the pairs).
+    pub interval: Interval,
+}
+
+/// The reports of two variants with the same scenario and seed.
+struct Pair<'a> {
+    baseline: &'a Report,
+    other: &'a Report,
 }
 
-/// All differences of an experiment: per scenario and variant the service, per class, and per five seconds.
-pub fn differences(experiment: &Experiment, reports: &BTreeMap<Play, Report>) -> Vec<Difference> {
-    let Some((first, others)) = experiment.variant.split_first() else {
+/// All differences of an experiment: for each scenario and variant the service level, in all, by class and by window.
+pub fn differences(experiment: &Experiment, reports: &BTreeMap<Run, Report>) -> Vec<Difference> {
+    let Some((first, others)) = experiment.variants.split_first() else {
         return Vec::new();
     };
-    let mut found = Vec::new();
-    let mut scenarios: Vec<&str> = reports.keys().map(|play| play.scenario.as_str()).collect();
+    let mut differences = Vec::new();
+    let mut scenarios: Vec<&str> = reports.keys().map(|run| run.scenario.as_str()).collect();
     scenarios.dedup();
     for scenario in scenarios {
         for variant in others {
-            let of = |seed: u64, variant: &str| {
-                let (scenario, variant) = (scenario.to_string(), variant.to_string());
-                reports.get(&Play {
-                    scenario,
+            let report = |seed: u64, variant: &str| {
+                reports.get(&Run {
+                    scenario: scenario.to_string(),
                     seed,
-                    variant,
+                    variant: variant.to_string(),
                 })
             };
-            let pairs: Vec<(&Report, &Report)> = experiment
-                .seeds
-                .iter()
-                .filter_map(|seed| of(*seed, &first.name).zip(of(*seed, &variant.name)))
-                .collect();
-            let mut add = |what: String, value: &dyn Fn(&Report) -> Option<f64>| {
-                let values = pairs
-                    .iter()
-                    .filter_map(|(base, other)| value(base).zip(value(other)));
-                let values: Vec<(f64, f64)> = values.collect();
-                if values.is_empty() {
-                    return;
-                }
-                let differences: Vec<f64> =
-                    values.iter().map(|(base, other)| other - base).collect();
-                found.push(Difference {
-                    scenario: scenario.into(),
-                    variant: variant.name.clone(),
-                    against: first.name.clone(),
-                    what,
-                    pairs: values.len(),
-                    base: mean(values.iter().map(|(base, _)| *base)),
-                    mean: mean(differences.iter().copied()),
-                    interval: bootstrap(&differences),
-                });
+            let pair = |seed: &u64| {
+                let baseline = report(*seed, &first.name)?;
+                let other = report(*seed, &variant.name)?;
+                Some(Pair { baseline, other })
             };
-            add("service".into(), &|report| Some(report.service));
-            let classes = pairs
-                .first()
-                .map(|(base, _)| base.classes.keys().cloned().collect::<Vec<_>>());
-            for class in classes.unwrap_or_default() {
-                let service = |report: &Report| Some(report.classes.get(&class)?.counts.service());
-                add(format!("class {class}"), &service);
-            }
-            let windows = pairs
-                .iter()
-                .map(|(base, _)| base.windows.len())
-                .max()
-                .unwrap_or(0);
-            for window in 0..windows {
-                let from = window as u64 * WINDOW / 1_000_000;
-                add(format!("{from}s"), &|report| {
-                    Some(report.windows.get(window)?.service())
-                });
+            let comparison = Comparison {
+                scenario,
+                variant: &variant.name,
+                against: &first.name,
+                pairs: experiment.seeds.iter().filter_map(pair).collect(),
+            };
+            differences.extend(comparison.differences());
+        }
+    }
+    differences
+}
+
+/// Two variants under one scenario.
+struct Comparison<'a> {
+    scenario: &'a str,
+    variant: &'a str,
+    against: &'a str,
+    pairs: Vec<Pair<'a>>,
+}
+
+impl Comparison<'_> {
+    fn differences(&self) -> Vec<Difference> {
+        let mut differences = Vec::new();
+        differences.extend(self.difference("service".into(), |report| Some(report.service)));
+        let first = self.pairs.first();
+        for class in first.map_or_else(Vec::new, |pair| class_names(pair.baseline)) {
+            let service = |report: &Report| Some(report.classes.get(&class)?.counts.service());
+            differences.extend(self.difference(format!("class {class}"), service));
+        }
+        let windows = self.pairs.iter().map(|pair| pair.baseline.windows.len());
+        for window in 0..windows.max().unwrap_or(0) {
+            let begins_at = window as u64 * WINDOW / 1_000_000;
+            let service = |report: &Report| Some(report.windows.get(window)?.service());
+            differences.extend(self.difference(format!("{begins_at}s"), service));
+        }
+        differences
+    }
+
+    /// The difference of a metric; `None` if no pair has it.
+    fn difference(
+        &self,
+        metric: String,
+        value: impl Fn(&Report) -> Option<f64>,
+    ) -> Option<Difference> {
+        let mut baselines = Vec::new();
+        let mut differences = Vec::new();
+        for pair in &self.pairs {
+            if let (Some(baseline), Some(other)) = (value(pair.baseline), value(pair.other)) {
+                baselines.push(baseline);
+                differences.push(other - baseline);
             }
         }
+        if differences.is_empty() {
+            return None;
+        }
+        Some(Difference {
+            scenario: self.scenario.into(),
+            variant: self.variant.into(),
+            against: self.against.into(),
+            metric,
+            pairs: differences.len(),
+            baseline_mean: mean(baselines.iter().copied()),
+            mean_difference: mean(differences.iter().copied()),
+            interval: bootstrap(&differences),
+        })
     }
-    found
+}
+
+fn class_names(report: &Report) -> Vec<String> {
+    report.classes.keys().cloned().collect()
 }
 
 fn mean(values: impl Iterator<Item = f64>) -> f64 {
-    let (sum, count) = values.fold((0.0, 0), |(sum, count), value| (sum + value, count + 1));
+    let mut sum = 0.0;
+    let mut count = 0;
+    for value in values {
+        sum += value;
+        count += 1;
+    }
     if count == 0 {
-        0.0
-    } else {
-        sum / f64::from(count)
+        return 0.0;
     }
+    sum / f64::from(count)
 }
 
-/// The interval of a mean by drawing as many values anew, with the same draws each time.
-pub fn bootstrap(values: &[f64]) -> (f64, f64) {
+/// The interval of the mean of values, by a bootstrap with the same random draws each time.
+pub fn bootstrap(values: &[f64]) -> Interval {
     if values.is_empty() {
-        return (0.0, 0.0);
+        return Interval {
+            low: 0.0,
+            high: 0.0,
+        };
     }
-    let mut draws = chance(1, 1);
-    let mut means: Vec<f64> = (0..RESAMPLES)
-        .map(|_| mean((0..values.len()).map(|_| values[draws.random_range(0..values.len())])))
-        .collect();
+    let mut random = random_stream(1, 1);
+    let mut resample_mean = |_| {
+        let resample = 0..values.len();
+        mean(resample.map(|_| values[random.random_range(0..values.len())]))
+    };
+    let mut means: Vec<f64> = (0..RESAMPLES).map(&mut resample_mean).collect();
     means.sort_unstable_by(f64::total_cmp);
-    let at = |part: f64| means[((means.len() - 1) as f64 * part).round() as usize];
-    (at((1.0 - WITHIN) / 2.0), at((1.0 + WITHIN) / 2.0))
+    let quantile = |part: f64| means[((means.len() - 1) as f64 * part).round() as usize];
+    Interval {
+        low: quantile((1.0 - CONFIDENCE) / 2.0),
+        high: quantile((1.0 + CONFIDENCE) / 2.0),
+    }
 }
 
-/// Rank correlation of two orders of the same things (Spearman), equal values sharing their rank; `None` where one of
-/// them does not differ at all.
-pub fn rank_correlation(a: &[f64], b: &[f64]) -> Option<f64> {
-    let ranks = |values: &[f64]| -> Vec<f64> {
-        let below = |value: &f64| values.iter().filter(|other| *other < value).count() as f64;
-        let alike = |value: &f64| values.iter().filter(|other| *other == value).count() as f64;
-        values
-            .iter()
-            .map(|value| below(value) + (alike(value) + 1.0) / 2.0)
-            .collect()
+/// The ranks of values, from 1. Equal values share the mean of their ranks.
+fn ranks(values: &[f64]) -> Vec<f64> {
+    let rank = |value: &f64| {
+        let below = values.iter().filter(|other| *other < value).count() as f64;
+        let equal = values.iter().filter(|other| *other == value).count() as f64;
+        below + (equal + 1.0) / 2.0
     };
-    let (a, b) = (ranks(a), ranks(b));
-    let (mean_a, mean_b) = (mean(a.iter().copied()), mean(b.iter().copied()));
-    let both: f64 = a
+    values.iter().map(rank).collect()
+}
+
+/// Spearman's rank correlation of two series; `None` if one of them does not vary or their lengths differ.
+pub fn rank_correlation(a: &[f64], b: &[f64]) -> Option<f64> {
+    let ranks_a = ranks(a);
+    let ranks_b = ranks(b);
+    let mean_a = mean(ranks_a.iter().copied());
+    let mean_b = mean(ranks_b.iter().copied());
+    let covariance: f64 = ranks_a
         .iter()
-        .zip(&b)
+        .zip(&ranks_b)
         .map(|(a, b)| (a - mean_a) * (b - mean_b))
         .sum();
-    let of = |values: &[f64], mean: f64| {
-        values
-            .iter()
-            .map(|value| (value - mean).powi(2))
-            .sum::<f64>()
+    let variance = |ranks: &[f64], mean: f64| {
+        let squares = ranks.iter().map(|rank| (rank - mean).powi(2));
+        squares.sum::<f64>()
     };
-    let spread = (of(&a, mean_a) * of(&b, mean_b)).sqrt();
-    (spread > 0.0 && a.len() == b.len()).then(|| both / spread)
+    let deviation = (variance(&ranks_a, mean_a) * variance(&ranks_b, mean_b)).sqrt();
+    (deviation > 0.0 && a.len() == b.len()).then(|| covariance / deviation)
 }
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -1,246 +1,288 @@
-//! What a scenario comes to for a node and for the world's parts, the same in both drivers: the settings text of the
-//! deployment, machines, list, network, rules, and what the servers hold at the beginning.
+//! What a scenario means for a node and for each part of the cluster model, the same in both drivers: the settings text
+//! of the deployment, the configuration of servers, origin, endpoint list and network, the limits of the invariants, and
+//! the initial contents of the caches.
 
 use cluster_model::Micros;
-use cluster_model::list::{NodeId, Spec as ListSpec};
-use cluster_model::machine::Spec as MachineSpec;
-use cluster_model::network::{Network, Spec as NetworkSpec, Zone};
-use cluster_model::origin::{Fault, Origin, Spec as OriginSpec};
-use cluster_model::rules::{Effect as RuleEffect, Figures, Rules};
-use cluster_model::server::Spec as CacheSpec;
+use cluster_model::endpoint_list::{EndpointListConfig, NodeId};
+use cluster_model::invariants::{Idempotency as ModelIdempotency, InvariantLimits, Invariants};
+use cluster_model::machine::MachineConfig;
+use cluster_model::network::{Network, NetworkConfig, Zone};
+use cluster_model::origin::{Fault, FaultInjection, Origin, OriginConfig};
+use cluster_model::server::CacheServerConfig;
 use routing_policy::{
-    Action, AttemptOutcome, AttemptStatus, CacheLookup, Endpoint, Event as ModuleEvent, ListUpdate,
-    Policy, Request, RequestId, ServerId, Settings,
+    Action, AttemptOutcome, AttemptStatus, CacheLookup, Endpoint, Event as PolicyEvent, ListUpdate,
+    LoadReport, Policy, Request, RequestId, ServerId, Settings,
 };
 use serde_json::{Value, json};
 
-use crate::scenario::{Effect, Failure, Kind, Scenario};
-use crate::us;
+use crate::micros;
+use crate::scenario::{Idempotency, OriginFailure, RequestClass, Scenario, ServerKind};
 
-/// Servers drop a repeat of a keyed request for this long.
-pub const KEYED: Micros = 2_000_000;
-/// Attempts of a request at most.
+/// Servers drop duplicates of a request with an idempotency key for this long, in microseconds.
+pub const DEDUPLICATION_WINDOW: Micros = 2_000_000;
+/// Largest number of attempts of a request.
 pub const MAX_ATTEMPTS: u32 = 4;
-/// An origin that turned nothing away for so long counts as relieved.
-const RELIEF: Micros = 500_000;
-/// Spread of the origin's work.
-pub const ORIGIN_SPREAD: f64 = 0.3;
-/// Keys that servers hold at the beginning at most, the most popular first.
-const HELD_AT_FIRST: u64 = 200_000;
-
-/// The zone of a node or server, which are dealt out in turn.
+/// An origin that rejected nothing for this long, in microseconds, counts as relieved.
+const ORIGIN_RELIEF: Micros = 500_000;
+/// Standard deviation of the origin's work over its mean.
+pub const ORIGIN_WORK_DEVIATION: f64 = 0.3;
+/// Largest number of keys that are cached at the beginning, the most popular first.
+const MAX_INITIAL_KEYS: u64 = 200_000;
+/// Deadline of the requests that find the initial place of a key, in microseconds.
+const PLACEMENT_DEADLINE: Micros = 1_000_000;
+
+/// The zone of a node or server. They are assigned to the zones in turn.
 pub fn zone(scenario: &Scenario, number: u32) -> Zone {
     (number % u32::from(scenario.zones)) as Zone
 }
 
-/// The settings text of a node, as a deployment has it (`crates/routing-policy/src/settings.rs`).
-pub fn settings_text(scenario: &Scenario, me: NodeId) -> Value {
+/// The settings text of a node, as a deployment writes it (`crates/routing-policy/src/settings.rs`).
+pub fn settings_text(scenario: &Scenario, node: NodeId) -> Value {
     let Scenario {
-        class, kind, rules, ..
+        classes,
+        kinds,
+        invariants,
+        ..
     } = scenario;
-    let classes = class.iter().map(|class| {
-        let (effect, window) = match class.effect {
-            Effect::Pure => ("pure", 0),
-            Effect::Keyed => ("token", KEYED),
-            Effect::Once => ("side_effect", 0),
-        };
-        json!({
-            "name": class.name, "goalTimeUs": us(class.aim), "deadlineUs": us(class.deadline), "gain": class.worth,
-            "lateValue": 0.0, "effect": effect, "dedupScope": "all", "dedupWindowUs": window,
-        })
-    });
-    let kinds = kind.iter().map(|kind| kind.name.as_str()).chain(["origin"]);
+    let class_settings: Vec<Value> = classes.iter().map(class_settings).collect();
+    let kind_names = kinds.iter().map(|kind| kind.name.as_str());
+    let zones = 0..scenario.zones;
     json!({
-        "balancers": scenario.nodes, "me": me, "zone": zone(scenario, me),
-        "zones": (0..scenario.zones).map(|zone| format!("z{zone}")).collect::<Vec<_>>(),
-        "machineTypes": kinds.collect::<Vec<_>>(),
-        "discovery": "ask", "classes": classes.collect::<Vec<_>>(),
-        "specifics": {"mode": "aside", "originKind": kind.len()},
+        "balancers": scenario.nodes, "me": node, "zone": zone(scenario, node),
+        "zones": zones.map(|zone| format!("z{zone}")).collect::<Vec<_>>(),
+        "machineTypes": kind_names.chain(["origin"]).collect::<Vec<_>>(),
+        "discovery": "ask", "classes": class_settings,
+        "specifics": {"mode": "aside", "originKind": kinds.len()},
         "limits": {"maxAttempts": MAX_ATTEMPTS, "mayCancel": true, "mayDuplicate": false},
         "guarantees": {
-            "coldShare": kind.iter().map(|kind| kind.cold_share).fold(1.0, f64::min),
-            "coldUs": kind.iter().map(|kind| us(kind.warm_up)).max().unwrap_or(0),
-            "fallMultiple": rules.fall_multiple, "tipAfterUs": us(rules.fall_after),
-            "drainGraceUs": us(rules.drain_grace),
+            "coldShare": kinds.iter().map(|kind| kind.cold_share).fold(1.0, f64::min),
+            "coldUs": kinds.iter().map(|kind| micros(kind.warm_up)).max().unwrap_or(0),
+            "fallMultiple": invariants.collapse_multiple, "tipAfterUs": micros(invariants.collapse_window),
+            "drainGraceUs": micros(invariants.drain_grace),
         },
     })
 }
 
-/// The same as the decision module has it.
-pub fn settings(scenario: &Scenario, me: NodeId) -> Settings {
-    let text = settings_text(scenario, me).to_string();
+fn class_settings(class: &RequestClass) -> Value {
+    let (effect, window) = match class.idempotency {
+        Idempotency::Idempotent => ("pure", 0),
+        Idempotency::Deduplicated => ("token", DEDUPLICATION_WINDOW),
+        Idempotency::NotIdempotent => ("side_effect", 0),
+    };
+    json!({
+        "name": class.name, "goalTimeUs": micros(class.latency_objective),
+        "deadlineUs": micros(class.deadline), "gain": class.priority_weight,
+        "lateValue": 0.0, "effect": effect, "dedupScope": "all", "dedupWindowUs": window,
+    })
+}
+
+/// The settings of a node as the policy reads them.
+///
+/// # Panics
+/// If a number of the scenario is nan or infinite, which has no form in the settings text and is not caught by the
+/// validation of scenarios yet.
+#[expect(
+    clippy::expect_used,
+    reason = "the text is written by settings_text and holds every key that the policy requires"
+)]
+pub fn settings(scenario: &Scenario, node: NodeId) -> Settings {
+    let text = settings_text(scenario, node).to_string();
     routing_policy::settings::read(text.as_bytes())
-        .expect("the text is made above")
+        .expect("the policy reads the settings of a scenario")
         .settings
 }
 
-/// A cache server of a kind.
-pub fn cache(scenario: &Scenario, kind: &Kind) -> CacheSpec {
-    let reads = scenario.class.iter().filter(|class| !class.write);
-    let mean = reads.map(|class| us(class.work) as f64).fold(0.0, f64::max);
-    CacheSpec {
-        machine: MachineSpec {
+/// The configuration of a cache server of a kind.
+pub fn cache_server(scenario: &Scenario, kind: &ServerKind) -> CacheServerConfig {
+    let reads = scenario.classes.iter().filter(|class| !class.write);
+    let read_work = reads.map(|class| micros(class.work) as f64);
+    let largest_read_work = read_work.fold(0.0, f64::max);
+    CacheServerConfig {
+        machine: MachineConfig {
             cores: kind.cores,
             speed: kind.speed,
             slots: kind.slots,
-            waiting: kind.waiting,
+            queue_capacity: kind.queue_capacity,
             cold_share: kind.cold_share,
-            warm_up: us(kind.warm_up),
+            warm_up: micros(kind.warm_up),
             warm_by_work: kind.warm_by_work,
-            ..MachineSpec::default()
+            ..MachineConfig::default()
         },
-        memory: kind.memory_bytes,
-        fall_multiple: scenario.rules.fall_multiple,
-        fall_after: us(scenario.rules.fall_after),
-        fall_slack: scenario.rules.fall_slack * mean,
-        ..CacheSpec::default()
+        memory_bytes: kind.memory_bytes,
+        collapse_multiple: scenario.invariants.collapse_multiple,
+        collapse_window: micros(scenario.invariants.collapse_window),
+        collapse_slack: scenario.invariants.collapse_slack * largest_read_work,
+        ..CacheServerConfig::default()
     }
 }
 
-/// The origin, warm at a time.
+/// The origin, warm and idle.
 pub fn origin(scenario: &Scenario, now: Micros) -> Origin {
     let origin = &scenario.origin;
-    let (cores, slots, waiting) = (origin.cores, origin.slots, origin.waiting);
-    let machine = MachineSpec {
-        cores,
-        slots,
-        waiting,
-        ..MachineSpec::default()
-    };
-    let (fall_after, back_after) = (us(origin.fall_after), us(origin.back_after));
-    Origin::new(
-        OriginSpec {
-            machine,
-            fall_after,
-            relief: RELIEF,
-            back_after,
+    let config = OriginConfig {
+        machine: MachineConfig {
+            cores: origin.cores,
+            slots: origin.slots,
+            queue_capacity: origin.queue_capacity,
+            ..MachineConfig::default()
         },
-        now,
-    )
+        collapse_after: micros(origin.collapse_after),
+        relief: ORIGIN_RELIEF,
+        recovery: micros(origin.recovery),
+    };
+    Origin::new(config, now)
 }
 
-/// How calls to the origin fail in a scenario's words.
-pub fn fault(how: Failure) -> Fault {
-    match how {
-        Failure::Late => Fault::Late,
-        Failure::Early => Fault::Early,
-    }
+/// The model's fault for a failure of a fraction of the calls to the origin.
+pub fn fault(how: OriginFailure, share: f64) -> FaultInjection {
+    let fault = match how {
+        OriginFailure::Late => Fault::Late,
+        OriginFailure::Early => Fault::Early,
+    };
+    FaultInjection { fault, share }
 }
 
-/// The list service.
-pub fn list(scenario: &Scenario) -> ListSpec {
-    let list = &scenario.list;
-    ListSpec {
-        call: us(list.call),
-        timeout: us(list.timeout),
-        ..ListSpec::default()
+/// The configuration of the endpoint list service.
+pub fn endpoint_list(scenario: &Scenario) -> EndpointListConfig {
+    EndpointListConfig {
+        call_time: micros(scenario.endpoint_list.call_time),
+        timeout: micros(scenario.endpoint_list.timeout),
+        ..EndpointListConfig::default()
     }
 }
 
 /// The network.
 pub fn network(scenario: &Scenario) -> Network {
     let network = &scenario.network;
-    let (same, cross) = (us(network.same), us(network.cross));
-    Network::new(NetworkSpec {
-        same,
-        cross,
+    Network::new(NetworkConfig {
+        same_zone: micros(network.same_zone),
+        cross_zone: micros(network.cross_zone),
         jitter: network.jitter,
-        lost: network.lost,
+        loss: network.loss,
     })
 }
 
-/// The rules, with what a driver forgives of sends that come after a request's end.
-pub fn rules(scenario: &Scenario, sent_grace: Micros) -> Rules {
-    let drain_grace = us(scenario.rules.drain_grace);
-    Rules::new(Figures {
-        drain_grace,
+/// The invariants. An attempt that was in flight when its request ended may still arrive for `sent_grace` microseconds.
+pub fn invariants(scenario: &Scenario, sent_grace: Micros) -> Invariants {
+    Invariants::new(InvariantLimits {
+        drain_grace: micros(scenario.invariants.drain_grace),
         sent_grace,
-        ..Figures::default()
+        ..InvariantLimits::default()
     })
 }
 
-/// What running twice does to requests of a class.
-pub fn effect(scenario: &Scenario, class: usize) -> RuleEffect {
-    match scenario.class[class].effect {
-        Effect::Pure => RuleEffect::Pure,
-        Effect::Keyed => RuleEffect::Keyed(KEYED),
-        Effect::Once => RuleEffect::Once,
+/// Whether requests of a class, by its index, may run more than once.
+pub fn idempotency(scenario: &Scenario, class: usize) -> ModelIdempotency {
+    match scenario.classes[class].idempotency {
+        Idempotency::Idempotent => ModelIdempotency::Idempotent,
+        Idempotency::Deduplicated => ModelIdempotency::Deduplicated {
+            window: DEDUPLICATION_WINDOW,
+        },
+        Idempotency::NotIdempotent => ModelIdempotency::NotIdempotent,
     }
 }
 
-/// Keys and the servers that hold them at the beginning, the most popular last: servers that run since long ago hold
-/// what they were asked for lately, and a module sends a key there while all is well.
-pub fn held_at_first(
+/// Keys and the servers that cache them at the beginning, the most popular last. Servers that started long ago hold what
+/// they were recently asked for, and the policy sends each key to its server while there are no faults.
+pub fn initial_cache_contents(
     scenario: &Scenario,
     now: Micros,
-    servers: Vec<Endpoint>,
+    endpoints: Vec<Endpoint>,
 ) -> Vec<(u64, ServerId)> {
-    let Some(read) = scenario.class.iter().position(|class| !class.write) else {
+    let Some(read_class) = scenario.classes.iter().position(|class| !class.write) else {
         return Vec::new();
     };
-    let mut policy = Policy::new(
-        Settings {
+    let mut placement = Placement::new(scenario, now, endpoints, read_class);
+    let value_bytes = scenario.load.value_bytes.max(1);
+    let capacity: u64 = scenario
+        .kinds
+        .iter()
+        .map(|kind| kind.memory_bytes / value_bytes * u64::from(kind.servers))
+        .sum();
+    let keys = scenario.load.keys.min(MAX_INITIAL_KEYS).min(capacity);
+    let mut contents = Vec::new();
+    for key in (1..=keys).rev() {
+        if let Some(server) = placement.server_of(key) {
+            contents.push((key, server));
+        }
+    }
+    contents
+}
+
+/// Finds the server of each key by asking a policy of its own.
+struct Placement {
+    policy: Policy,
+    now: Micros,
+    read_class: usize,
+    actions: Vec<Action>,
+}
+
+impl Placement {
+    fn new(
+        scenario: &Scenario,
+        now: Micros,
+        endpoints: Vec<Endpoint>,
+        read_class: usize,
+    ) -> Placement {
+        let settings = Settings {
             poll_discovery: false,
             ..settings(scenario, 0)
-        },
-        0,
-    );
-    let mut actions = Vec::new();
-    policy.handle(
-        now,
-        ModuleEvent::EndpointList {
+        };
+        let mut placement = Placement {
+            policy: Policy::new(settings, 0),
+            now,
+            read_class,
+            actions: Vec::new(),
+        };
+        placement.handle(PolicyEvent::EndpointList {
             update: ListUpdate::Full,
-            endpoints: servers,
-        },
-        &mut actions,
-    );
-    let bytes = scenario.load.value_bytes.max(1);
-    let room: u64 = scenario
-        .kind
-        .iter()
-        .map(|kind| kind.memory_bytes / bytes * u64::from(kind.servers))
-        .sum();
-    let mut held = Vec::new();
-    for key in (1..=scenario.load.keys.min(HELD_AT_FIRST).min(room)).rev() {
-        actions.clear();
-        let request = Request {
+            endpoints,
+        });
+        placement
+    }
+
+    fn handle(&mut self, event: PolicyEvent) {
+        self.policy.handle(self.now, event, &mut self.actions);
+    }
+
+    /// Where the policy sends a read of a key, which is then reported as served.
+    fn server_of(&mut self, key: u64) -> Option<ServerId> {
+        self.actions.clear();
+        self.handle(PolicyEvent::Request(Request {
             id: key,
             key,
-            class: read,
-            remaining_deadline: 1_000_000,
+            class: self.read_class,
+            remaining_deadline: PLACEMENT_DEADLINE,
             ..Request::default()
-        };
-        policy.handle(now, ModuleEvent::Request(request), &mut actions);
-        let sent = actions.iter().find_map(|action| match action {
+        }));
+        let sent = self.actions.iter().find_map(|action| match action {
             Action::Send { server, .. } => Some(*server),
             _ => None,
         });
-        policy.handle(now, ModuleEvent::ClientGone(key), &mut actions);
-        let Some(server) = sent else { continue };
-        let outcome = outcome(key, 0, server, AttemptStatus::Served, true);
-        policy.handle(now, ModuleEvent::AttemptOutcome(outcome), &mut actions);
-        held.push((key, server));
+        self.handle(PolicyEvent::ClientGone(key));
+        let server = sent?;
+        let outcome = attempt_outcome(key, 0, server, AttemptStatus::Served, true);
+        self.handle(PolicyEvent::AttemptOutcome(outcome));
+        Some(server)
     }
-    held
 }
 
-/// An attempt's outcome with nothing told beside it.
-pub fn outcome(
+/// An attempt's outcome without further information from the server.
+pub fn attempt_outcome(
     request: RequestId,
     attempt: u16,
     server: ServerId,
     status: AttemptStatus,
-    over: bool,
+    request_complete: bool,
 ) -> AttemptOutcome {
-    let (note, load) = (CacheLookup::Unknown, routing_policy::LoadReport::default());
     AttemptOutcome {
         request,
         attempt,
         server,
         status,
-        request_complete: over,
-        cache_lookup: note,
+        request_complete,
+        cache_lookup: CacheLookup::Unknown,
         elapsed: 0,
-        load,
+        load: LoadReport::default(),
     }
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,17 +1,21 @@
-//! Plays a [`Scenario`]: nodes that run the decision module against the world's model. [`virtual_time::play`] is the
-//! driver in virtual time, in which one seed gives the same [`Report`] on each run; [`sockets::play`] is the one on
-//! sockets, with real `cache-router` processes. Clients ([`clients`]) and what a scenario comes to ([`deployment`]) are
-//! the same in both.
+//! Runs a [`Scenario`]: nodes that run the routing policy against the model of a cluster. [`virtual_time::run`] is the
+//! driver in virtual time, in which one seed gives the same [`Report`] on every run; [`sockets`] is the driver in real
+//! time, with real `cache-router` processes. Clients ([`clients`]) and what a scenario means for each part of the model
+//! ([`deployment`]) are the same in both.
+//!
+//! On top of the drivers: [`experiment`] runs scenarios, seeds and variants against each other, [`compare`] and
+//! [`html_report`] evaluate them; [`load`] generates load in real time, and [`baseline`] measures one node with it.
 
+mod atomic_file;
 pub mod baseline;
 pub mod clients;
 pub mod compare;
 pub mod deployment;
+mod event_queue;
 pub mod experiment;
+pub mod html_report;
 pub mod load;
-pub mod page;
 pub mod program;
-mod queue;
 pub mod report;
 pub mod scenario;
 pub mod sockets;
@@ -20,7 +24,7 @@
 pub use report::Report;
 pub use scenario::Scenario;
 
-/// A time of a scenario in the world's unit.
-fn us(span: router_config::Span) -> cluster_model::Micros {
+/// A time span of a scenario in the unit of the model.
+fn micros(span: router_config::Span) -> cluster_model::Micros {
     span.0.as_micros() as cluster_model::Micros
 }
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -1,182 +1,182 @@
-//! What came of a play: served, refused and late by class and by five seconds, latencies, attempts, calls to the origin
-//! and broken rules. The same play gives the same bytes.
+//! The result of a run: requests served, rejected and late by class and by window, latencies, attempts, calls to the
+//! origin, and violated invariants. The same run gives the same bytes.
 
 use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
-use std::io::Write;
 use std::path::Path;
 
 use cluster_model::Micros;
-use cluster_model::rules::{Break, Rules};
+use cluster_model::invariants::{Invariants, Violation};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
+use crate::atomic_file::write_atomically;
+
 /// Length of a window, in microseconds.
 pub const WINDOW: Micros = 5_000_000;
 
-/// Broken rules that a report spells out.
-const SPELLED_OUT: usize = 20;
+/// Violations that a report spells out; further ones are only counted.
+const MAX_VIOLATIONS_SHOWN: usize = 20;
 
-/// The first broken rules, their times counted from a beginning, and how many there are.
-pub(crate) fn breaks(rules: &Rules, begin: Micros) -> (Vec<String>, usize) {
-    let relative = |broken: &Break| {
-        Break {
-            at: broken.at.saturating_sub(begin),
-            ..broken.clone()
-        }
-        .to_string()
-    };
-    let breaks = rules.breaks();
-    (
-        breaks.iter().take(SPELLED_OUT).map(relative).collect(),
-        breaks.len(),
-    )
+/// The violations of a run, as a report has them.
+pub(crate) struct Violations {
+    /// The first ones, in words.
+    pub(crate) shown: Vec<String>,
+    /// Number of all.
+    pub(crate) count: usize,
 }
 
-/// Writes a file as a whole: where that fails, what stood in its place is left as it was.
-pub(crate) fn write_whole(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
-    if path.exists() && !path.is_file() {
-        // A pipe or a device has no place that could be taken.
-        let mut file = std::fs::File::options().write(true).open(path)?;
-        file.write_all(bytes)?;
-        return file.flush();
+/// The violations so far, their times counted from `begin`.
+pub(crate) fn violations(invariants: &Invariants, begin: Micros) -> Violations {
+    let violations = invariants.violations();
+    let in_words = |violation: &Violation| {
+        let relative = Violation {
+            at: violation.at.saturating_sub(begin),
+            kind: violation.kind.clone(),
+        };
+        relative.to_string()
+    };
+    let first = violations.iter().take(MAX_VIOLATIONS_SHOWN);
+    Violations {
+        shown: first.map(in_words).collect(),
+        count: violations.len(),
     }
-    let folder = path
-        .parent()
-        .filter(|folder| !folder.as_os_str().is_empty())
-        .unwrap_or(Path::new("."));
-    let mut file = tempfile::NamedTempFile::new_in(folder)?;
-    file.write_all(bytes)?;
-    file.as_file().sync_all()?;
-    file.persist(path)?;
-    Ok(())
 }
 
-/// What became of a client's request, over all its tries.
+/// How a client's request ended, over all its attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
-    /// It had its answer within the aim.
+pub enum RequestEnd {
+    /// It was answered within the latency objective.
     InTime,
-    /// It had it later.
+    /// It was answered later.
     Late,
-    /// Its last try was refused.
-    Refused,
-    /// Its last try failed.
+    /// Its last attempt was rejected.
+    Rejected,
+    /// Its last attempt failed.
     Failed,
     /// Its client waited until the deadline.
     TimedOut,
-    /// Its client went away before.
-    GaveUp,
+    /// Its client went away before the deadline.
+    Abandoned,
 }
 
-/// Counts of ends, and what they were worth.
+/// Counts of requests, attempts and priority weight.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
-    /// Requests, a client's retries not counted.
-    pub asked: u64,
-    /// Those answered within the aim.
+    /// Requests that have ended; a client's retries are not counted.
+    #[serde(rename = "asked")]
+    pub requests: u64,
+    /// Requests answered within the latency objective.
     pub in_time: u64,
-    /// Those answered later.
+    /// Requests answered later.
     pub late: u64,
-    /// Those whose last try was refused.
-    pub refused: u64,
-    /// Those whose last try failed.
+    /// Requests whose last attempt was rejected.
+    #[serde(rename = "refused")]
+    pub rejected: u64,
+    /// Requests whose last attempt failed.
     pub failed: u64,
-    /// Those whose client waited until the deadline.
+    /// Requests whose client waited until the deadline.
     pub timed_out: u64,
-    /// Those whose client went away before.
-    pub gave_up: u64,
-    /// Tries, the first ones included.
-    pub tries: u64,
-    /// Attempts at cache servers.
+    /// Requests whose client went away before the deadline.
+    #[serde(rename = "gave_up")]
+    pub abandoned: u64,
+    /// Attempts of clients at nodes, the first ones included.
+    #[serde(rename = "tries")]
+    pub client_attempts: u64,
+    /// Attempts of nodes at cache servers.
     pub attempts: u64,
-    /// Attempts that cache servers turned away.
-    pub turned_away: u64,
-    /// Calls to the origin.
-    pub origin: u64,
-    /// Worth asked for.
-    pub worth: f64,
-    /// Worth served in time.
-    pub served: f64,
+    /// Attempts that cache servers rejected.
+    #[serde(rename = "turned_away")]
+    pub rejected_attempts: u64,
+    /// Calls of nodes to the origin.
+    #[serde(rename = "origin")]
+    pub origin_calls: u64,
+    /// Sum of the priority weights of all requests.
+    #[serde(rename = "worth")]
+    pub priority_weight: f64,
+    /// Sum of the priority weights of the requests answered within the latency objective.
+    #[serde(rename = "served")]
+    pub served_weight: f64,
 }
 
 impl Counts {
-    /// Counts an end.
-    pub fn end(&mut self, end: End, worth: f64) {
-        self.asked += 1;
-        self.worth += worth;
+    /// Counts a request that ended, with its priority weight.
+    pub fn record(&mut self, end: RequestEnd, weight: f64) {
+        self.requests += 1;
+        self.priority_weight += weight;
         match end {
-            End::InTime => {
+            RequestEnd::InTime => {
                 self.in_time += 1;
-                self.served += worth;
+                self.served_weight += weight;
             }
-            End::Late => self.late += 1,
-            End::Refused => self.refused += 1,
-            End::Failed => self.failed += 1,
-            End::TimedOut => self.timed_out += 1,
-            End::GaveUp => self.gave_up += 1,
+            RequestEnd::Late => self.late += 1,
+            RequestEnd::Rejected => self.rejected += 1,
+            RequestEnd::Failed => self.failed += 1,
+            RequestEnd::TimedOut => self.timed_out += 1,
+            RequestEnd::Abandoned => self.abandoned += 1,
         }
     }
 
-    fn with(
+    /// Combines each pair of counts.
+    fn combine(
         &self,
         other: &Counts,
         count: fn(u64, u64) -> u64,
-        worth: fn(f64, f64) -> f64,
+        weight: fn(f64, f64) -> f64,
     ) -> Counts {
         Counts {
-            asked: count(self.asked, other.asked),
+            requests: count(self.requests, other.requests),
             in_time: count(self.in_time, other.in_time),
             late: count(self.late, other.late),
-            refused: count(self.refused, other.refused),
+            rejected: count(self.rejected, other.rejected),
             failed: count(self.failed, other.failed),
             timed_out: count(self.timed_out, other.timed_out),
-            gave_up: count(self.gave_up, other.gave_up),
-            tries: count(self.tries, other.tries),
+            abandoned: count(self.abandoned, other.abandoned),
+            client_attempts: count(self.client_attempts, other.client_attempts),
             attempts: count(self.attempts, other.attempts),
-            turned_away: count(self.turned_away, other.turned_away),
-            origin: count(self.origin, other.origin),
-            worth: worth(self.worth, other.worth),
-            served: worth(self.served, other.served),
+            rejected_attempts: count(self.rejected_attempts, other.rejected_attempts),
+            origin_calls: count(self.origin_calls, other.origin_calls),
+            priority_weight: weight(self.priority_weight, other.priority_weight),
+            served_weight: weight(self.served_weight, other.served_weight),
         }
     }
 
-    /// Both together.
-    pub fn and(&self, other: &Counts) -> Counts {
-        self.with(other, |a, b| a + b, |a, b| a + b)
+    /// The sum of both.
+    pub fn plus(&self, other: &Counts) -> Counts {
+        self.combine(other, |a, b| a + b, |a, b| a + b)
     }
 
-    /// What has come since an earlier count.
+    /// What was counted since an earlier count.
     pub fn since(&self, earlier: &Counts) -> Counts {
-        self.with(earlier, u64::saturating_sub, |a, b| a - b)
+        self.combine(earlier, u64::saturating_sub, |a, b| a - b)
     }
 
-    /// Part of the worth asked for that was served in time.
+    /// The service level: fraction of the priority weight that was answered within the latency objective.
     pub fn service(&self) -> f64 {
-        if self.worth > 0.0 {
-            self.served / self.worth
+        if self.priority_weight > 0.0 {
+            self.served_weight / self.priority_weight
         } else {
             1.0
         }
     }
 }
 
-/// Latencies of answers in microseconds, from the first try on.
+/// Percentiles of the latency of answers in microseconds, counted from the first attempt.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Latency {
-    /// Half are quicker.
+pub struct LatencyPercentiles {
+    /// The median.
     pub p50_us: u64,
-    /// 99 of 100 are quicker.
+    /// The 99th percentile.
     pub p99_us: u64,
-    /// 999 of 1,000 are quicker.
+    /// The 99.9th percentile.
     pub p999_us: u64,
 }
 
-impl Latency {
-    /// Out of a histogram.
-    pub fn of(histogram: &Histogram<u64>) -> Latency {
-        let at = |part| histogram.value_at_quantile(part);
-        Latency {
+impl LatencyPercentiles {
+    /// The percentiles of a histogram in microseconds.
+    pub fn of(histogram: &Histogram<u64>) -> LatencyPercentiles {
+        let at = |quantile| histogram.value_at_quantile(quantile);
+        LatencyPercentiles {
             p50_us: at(0.5),
             p99_us: at(0.99),
             p999_us: at(0.999),
@@ -184,119 +184,132 @@
     }
 }
 
-/// A class's counts and latencies.
+/// Counts and latencies of a class of requests.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct OfClass {
+pub struct ClassReport {
     /// Its counts.
     pub counts: Counts,
-    /// Latencies of what was answered.
-    pub latency: Latency,
+    /// Latencies of the requests that were answered.
+    pub latency: LatencyPercentiles,
 }
 
-/// What came of a play.
+/// The result of a run.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The seed.
     pub seed: u64,
-    /// Nodes.
+    /// Number of nodes.
     pub nodes: u32,
-    /// Cache servers at the beginning.
+    /// Number of cache servers at the beginning.
     pub servers: u32,
-    /// Part of the worth served in time.
+    /// The service level, as in [`Counts::service`].
     pub service: f64,
-    /// By class.
-    pub classes: BTreeMap<String, OfClass>,
-    /// By five seconds, from the first try's time.
+    /// Results by the name of the class.
+    pub classes: BTreeMap<String, ClassReport>,
+    /// Counts by [`WINDOW`], from the time of the first attempt.
     pub windows: Vec<Counts>,
     /// Attempts at each cache server.
-    pub load: BTreeMap<u32, u64>,
-    /// Events that the play took.
+    #[serde(rename = "load")]
+    pub attempts_by_server: BTreeMap<u32, u64>,
+    /// Number of events of the run.
     pub events: u64,
-    /// The first broken rules, and how many there are.
-    pub broken: Vec<String>,
-    /// How many there are.
-    pub broken_in_all: usize,
+    /// The first violations of invariants, in words.
+    #[serde(rename = "broken")]
+    pub violations: Vec<String>,
+    /// Number of all violations.
+    #[serde(rename = "broken_in_all")]
+    pub violation_count: usize,
 }
 
 impl Report {
-    /// Writes it as a line of JSON: whole in the file's place, or, where that fails, not
-    /// at all.
+    /// Writes it as a line of JSON. The file is replaced as a whole.
     ///
     /// # Errors
-    /// Where a file can't be made beside it or there is no room; what stood there before is left as it was.
+    /// If no file can be made beside it or there is no space; the old file is left as it was.
     pub fn save(&self, path: &Path) -> std::io::Result<()> {
-        write_whole(path, (serde_json::to_string(self)? + "\n").as_bytes())
+        write_atomically(path, (serde_json::to_string(self)? + "\n").as_bytes())
     }
 
-    /// Whether every rule was kept.
-    pub fn kept(&self) -> bool {
-        self.broken_in_all == 0
+    /// Whether all invariants held.
+    pub fn invariants_hold(&self) -> bool {
+        self.violation_count == 0
     }
-}
 
-impl Display for Report {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let Report {
-            seed,
-            nodes,
-            servers,
-            service,
-            events,
-            ..
-        } = self;
-        writeln!(
-            f,
-            "seed {seed}: {nodes} nodes, {servers} cache servers, {events} events"
-        )?;
-        writeln!(f, "served in time, by worth: {service:.4}")?;
+    fn write_windows(&self, f: &mut Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
             "   from   asked  in time%   late%  refused%  failed%  t/o%  left%  tries/r  att/r  away%  origin/s"
         )?;
-        for (i, w) in self.windows.iter().enumerate() {
-            let of = |part: u64| 100.0 * part as f64 / w.asked.max(1) as f64;
-            let per = |part: u64| part as f64 / w.asked.max(1) as f64;
-            let away = 100.0 * w.turned_away as f64 / w.attempts.max(1) as f64;
-            let origin = w.origin as f64 * 1e6 / WINDOW as f64;
+        for (index, window) in self.windows.iter().enumerate() {
+            let requests = window.requests.max(1) as f64;
+            let percent = |count: u64| 100.0 * count as f64 / requests;
+            let per_request = |count: u64| count as f64 / requests;
+            let rejected_attempts =
+                100.0 * window.rejected_attempts as f64 / window.attempts.max(1) as f64;
+            let origin_per_s = window.origin_calls as f64 * 1e6 / WINDOW as f64;
             writeln!(
                 f,
-                "{:>6}s {:>7}  {:>8.1} {:>7.1} {:>9.1} {:>8.1} {:>5.1} {:>6.1} {:>8.2} {:>6.2} {away:>6.1} {origin:>9.0}",
-                i as u64 * WINDOW / 1_000_000,
-                w.asked,
-                of(w.in_time),
-                of(w.late),
-                of(w.refused),
-                of(w.failed),
-                of(w.timed_out),
-                of(w.gave_up),
-                per(w.tries),
-                per(w.attempts)
+                "{:>6}s {:>7}  {:>8.1} {:>7.1} {:>9.1} {:>8.1} {:>5.1} {:>6.1} {:>8.2} {:>6.2} {:>6.1} {:>9.0}",
+                index as u64 * WINDOW / 1_000_000,
+                window.requests,
+                percent(window.in_time),
+                percent(window.late),
+                percent(window.rejected),
+                percent(window.failed),
+                percent(window.timed_out),
+                percent(window.abandoned),
+                per_request(window.client_attempts),
+                per_request(window.attempts),
+                rejected_attempts,
+                origin_per_s
             )?;
         }
+        Ok(())
+    }
+
+    fn write_classes(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let milliseconds = |micros: u64| micros as f64 / 1e3;
         for (name, class) in &self.classes {
-            let Latency {
-                p50_us,
-                p99_us,
-                p999_us,
-            } = class.latency;
-            let ms = |us: u64| us as f64 / 1e3;
             writeln!(
                 f,
                 "class {name}: served {:.4}, latency ms p50 {:.1} p99 {:.1} p99.9 {:.1}",
                 class.counts.service(),
-                ms(p50_us),
-                ms(p99_us),
-                ms(p999_us)
+                milliseconds(class.latency.p50_us),
+                milliseconds(class.latency.p99_us),
+                milliseconds(class.latency.p999_us)
             )?;
         }
-        match self.broken_in_all {
-            0 => writeln!(f, "rules kept"),
-            count => {
-                writeln!(f, "RULES BROKEN, {count} times:")?;
-                self.broken
-                    .iter()
-                    .try_for_each(|line| writeln!(f, "  {line}"))
-            }
+        Ok(())
+    }
+
+    fn write_violations(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        if self.invariants_hold() {
+            return writeln!(f, "rules kept");
         }
+        writeln!(f, "RULES BROKEN, {} times:", self.violation_count)?;
+        self.violations
+            .iter()
+            .try_for_each(|violation| writeln!(f, "  {violation}"))
+    }
+}
+
+impl Display for Report {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Report {
+            seed,
+            nodes,
+            servers,
+            service,
+            events,
+            ..
+        } = self;
+        writeln!(
+            f,
+            "seed {seed}: {nodes} nodes, {servers} cache servers, {events} events"
+        )?;
+        writeln!(f, "served in time, by worth: {service:.4}")?;
+        self.write_windows(f)?;
+        self.write_classes(f)?;
+        self.write_violations(f)
     }
 }
--- /dev/null
+++ b/crates/testbed/src/scenario/mod.rs
@@ -0,0 +1,343 @@
+//! A scenario: the cluster, its load and the faults that are injected, read from a TOML file. `docs/LAB.md` has every
+//! key. This module holds the schema and its defaults; [`FaultEvent`] lists the faults, and a file is checked as a whole
+//! before it is run.
+
+mod fault_event;
+mod validation;
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use router_config::{ConfigError, Span};
+use serde::{Deserialize, Serialize};
+
+pub use fault_event::{FaultEvent, OriginFailure};
+
+/// After a node was told to end, the load balancer still sends it new requests for this long.
+pub(crate) const DEREGISTRATION_DELAY: Duration = Duration::from_millis(300);
+
+/// A scenario.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// The file that this one is based on: keys that it does not set are as they are there.
+    #[serde(default, skip_serializing)]
+    pub base: Option<PathBuf>,
+    /// Seed of all random draws.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// How long clients send requests.
+    pub length: Span,
+    /// Number of nodes.
+    pub nodes: u32,
+    /// Number of zones. Nodes and servers are assigned to them in turn.
+    #[serde(default = "one")]
+    pub zones: u8,
+    /// The workload of the clients.
+    pub load: Workload,
+    /// Classes of requests.
+    #[serde(rename = "class")]
+    pub classes: Vec<RequestClass>,
+    /// Kinds of cache servers.
+    #[serde(rename = "kind")]
+    pub kinds: Vec<ServerKind>,
+    /// The origin.
+    pub origin: Origin,
+    /// The network.
+    #[serde(default)]
+    pub network: Network,
+    /// The load balancer before the nodes.
+    #[serde(default, rename = "front")]
+    pub load_balancer: LoadBalancer,
+    /// The endpoint list service.
+    #[serde(default, rename = "list")]
+    pub endpoint_list: EndpointList,
+    /// Limits of the invariants.
+    #[serde(default, rename = "rules")]
+    pub invariants: Invariants,
+    /// The faults that are injected.
+    #[serde(default, rename = "event")]
+    pub faults: Vec<FaultEvent>,
+}
+
+fn one<T: From<u8>>() -> T {
+    T::from(1)
+}
+
+const fn span_us(microseconds: u64) -> Span {
+    Span(Duration::from_micros(microseconds))
+}
+
+const fn span_ms(milliseconds: u64) -> Span {
+    Span(Duration::from_millis(milliseconds))
+}
+
+/// The workload of the clients. Clients do not wait for each other: requests arrive at their times whatever the answers
+/// (open loop).
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workload {
+    /// Requests per second over all nodes, retries not counted.
+    pub per_s: f64,
+    /// Number of keys.
+    pub keys: u64,
+    /// Exponent of the Zipf distribution of their popularity; 0 if all are equally popular.
+    #[serde(rename = "zipf")]
+    pub zipf_exponent: f64,
+    /// Size of a value in bytes.
+    pub value_bytes: u64,
+    /// Attempts of a client after its first one.
+    #[serde(default)]
+    pub retries: u32,
+    /// Pause before the first retry, doubled for each further one, unless the rejection names a time (Retry-After).
+    #[serde(default = "default_backoff")]
+    pub backoff: Span,
+    /// Popularity moves from key to key by this many ranks per second.
+    #[serde(default)]
+    pub drift_per_s: f64,
+    /// This fraction of the clients goes away
+    #[serde(default, rename = "give_up")]
+    pub abandon_share: f64,
+    /// after this time, even if the deadline is later.
+    #[serde(default = "default_backoff", rename = "give_up_after")]
+    pub abandon_after: Span,
+}
+
+fn default_backoff() -> Span {
+    span_ms(50)
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestClass {
+    /// Its name.
+    pub name: String,
+    /// Fraction of the requests that it makes up.
+    pub share: f64,
+    /// Mean work of an answer on a reference core.
+    pub work: Span,
+    /// Standard deviation of that work over its mean; the work is log-normal.
+    #[serde(default, rename = "spread")]
+    pub work_deviation: f64,
+    /// Latency objective: a later answer counts for nothing.
+    #[serde(rename = "aim")]
+    pub latency_objective: Span,
+    /// Its clients wait this long over all attempts.
+    pub deadline: Span,
+    /// Priority weight of an answer in time.
+    #[serde(rename = "worth")]
+    pub priority_weight: f64,
+    /// Whether it may run more than once.
+    #[serde(default, rename = "effect")]
+    pub idempotency: Idempotency,
+    /// Whether it writes.
+    #[serde(default)]
+    pub write: bool,
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Idempotency {
+    /// It may.
+    #[default]
+    #[serde(rename = "pure")]
+    Idempotent,
+    /// It carries an idempotency key: servers drop a duplicate within 2 s.
+    #[serde(rename = "keyed")]
+    Deduplicated,
+    /// It must not.
+    #[serde(rename = "once")]
+    NotIdempotent,
+}
+
+/// A kind of cache servers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServerKind {
+    /// Its name.
+    pub name: String,
+    /// Number of servers.
+    pub servers: u32,
+    /// Number of cores.
+    pub cores: f64,
+    /// Speed of a core as a multiple of the reference core.
+    pub speed: f64,
+    /// Requests that are worked on at once.
+    pub slots: usize,
+    /// Requests that may wait for a slot.
+    #[serde(rename = "waiting")]
+    pub queue_capacity: usize,
+    /// Size of the memory in bytes.
+    pub memory_bytes: u64,
+    /// Fraction of the full capacity right after a start.
+    #[serde(default = "default_cold_share")]
+    pub cold_share: f64,
+    /// It is warm after this time at the latest.
+    #[serde(default = "default_warm_up")]
+    pub warm_up: Span,
+    /// Fraction of the work possible in `warm_up` that alone would make it warm; 0: it warms up by time alone.
+    #[serde(default)]
+    pub warm_by_work: f64,
+}
+
+fn default_cold_share() -> f64 {
+    0.2
+}
+
+fn default_warm_up() -> Span {
+    span_ms(20_000)
+}
+
+/// The origin.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Origin {
+    /// Calls that are worked on at once.
+    pub slots: usize,
+    /// Calls that may wait for a slot.
+    #[serde(rename = "waiting")]
+    pub queue_capacity: usize,
+    /// Time that a call takes while no other is in flight.
+    pub work: Span,
+    /// Calls that it works on at full speed.
+    pub cores: f64,
+    /// It collapses after rejecting calls for this long without a pause of half a second; 0s: never.
+    #[serde(default = "zero", rename = "fall_after")]
+    pub collapse_after: Span,
+    /// After a collapse it is back after this time.
+    #[serde(default = "default_recovery", rename = "back_after")]
+    pub recovery: Span,
+}
+
+fn zero() -> Span {
+    span_ms(0)
+}
+
+fn default_recovery() -> Span {
+    span_ms(5_000)
+}
+
+/// The load balancer that distributes the clients' requests over the nodes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LoadBalancer {
+    /// It notices after this time that a node has died; what it sends there until then fails.
+    #[serde(rename = "notice")]
+    pub detection_delay: Span,
+}
+
+impl Default for LoadBalancer {
+    fn default() -> Self {
+        LoadBalancer {
+            detection_delay: zero(),
+        }
+    }
+}
+
+/// The network. Delays are one way.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// Delay within a zone.
+    #[serde(rename = "same")]
+    pub same_zone: Span,
+    /// Delay between zones.
+    #[serde(rename = "cross")]
+    pub cross_zone: Span,
+    /// Each message takes up to this fraction longer, at random.
+    pub jitter: f64,
+    /// Fraction of the messages from and to servers that is lost.
+    #[serde(rename = "lost")]
+    pub loss: f64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network {
+            same_zone: span_us(200),
+            cross_zone: span_us(4_000),
+            jitter: 0.2,
+            loss: 0.0,
+        }
+    }
+}
+
+/// The endpoint list service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EndpointList {
+    /// Time to handle one call.
+    #[serde(rename = "call")]
+    pub call_time: Span,
+    /// A change is known after this time.
+    #[serde(rename = "notice")]
+    pub detection_delay: Span,
+    /// A call that waits longer fails.
+    pub timeout: Span,
+}
+
+impl Default for EndpointList {
+    fn default() -> Self {
+        EndpointList {
+            call_time: span_ms(10),
+            detection_delay: span_ms(1_500),
+            timeout: span_ms(2_000),
+        }
+    }
+}
+
+/// Limits of the invariants.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Invariants {
+    /// A server that warms up collapses when sent more than this multiple of its capacity
+    #[serde(rename = "fall_multiple")]
+    pub collapse_multiple: f64,
+    /// in any window of this length,
+    #[serde(rename = "fall_after")]
+    pub collapse_window: Span,
+    /// plus this many attempts of mean work, which allows for random clusters of arrivals.
+    #[serde(rename = "fall_slack")]
+    pub collapse_slack: f64,
+    /// Attempts at a drained server must end within this time.
+    pub drain_grace: Span,
+}
+
+impl Default for Invariants {
+    fn default() -> Self {
+        Invariants {
+            collapse_multiple: 2.5,
+            collapse_window: span_ms(2_000),
+            collapse_slack: 10.0,
+            drain_grace: span_ms(500),
+        }
+    }
+}
+
+impl Scenario {
+    /// The scenario of `routerctl demo`, as TOML.
+    pub const DEMO: &str = include_str!("../../scenarios/demo.toml");
+
+    /// Reads a scenario file.
+    ///
+    /// # Errors
+    /// If it can't be read or holds a value that is not possible. The error names file, line, and what to write.
+    pub fn read(path: &Path) -> Result<Scenario, ConfigError> {
+        Scenario::read_with(path, &[])
+    }
+
+    /// Reads a scenario file, and sets some keys in place of the file's: dotted keys, with values as they would stand in
+    /// the file.
+    ///
+    /// # Errors
+    /// The same as for [`Scenario::read`].
+    pub fn read_with(path: &Path, set: &[(String, String)]) -> Result<Scenario, ConfigError> {
+        router_config::read_toml(path, set, Scenario::impossible_value)
+    }
+
+    /// Number of cache servers at the beginning.
+    pub fn server_count(&self) -> u32 {
+        self.kinds.iter().map(|kind| kind.servers).sum()
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/cluster/mod.rs
@@ -0,0 +1,220 @@
+//! The state of the emulated cluster: cache servers, origin, discovery and the protocol's invariants, with the attempts
+//! that wait for a reply. It knows no sockets; the emulated services report to it what they receive.
+//!
+//! Times are Unix microseconds. One lock guards the whole state (`SharedCluster`), so nothing here waits.
+
+mod attempts;
+mod cuts;
+mod discovery;
+mod faults;
+mod requests;
+mod warm_up;
+
+use std::collections::BTreeMap;
+
+use cluster_model::endpoint_list::NodeId;
+use cluster_model::invariants::Invariants;
+use cluster_model::machine::JobId;
+use cluster_model::network::{Network, Zone};
+use cluster_model::origin::Origin;
+use cluster_model::server::CacheServer;
+use cluster_model::{Micros, RandomStream, random_stream};
+
+pub use attempts::{AttemptReply, PendingAttempt};
+
+use crate::clients::Stream;
+use crate::deployment;
+use crate::scenario::Scenario;
+use attempts::Job;
+use cuts::ZoneCuts;
+use discovery::Discovery;
+use requests::OpenRequest;
+
+/// The number of a cache server; they count from 1.
+pub type ServerNumber = u32;
+/// The number of a request, which is one attempt of a client at one node.
+pub type RequestId = u64;
+
+/// How long, in microseconds, an attempt may arrive after the end of its request: it was under way on a socket.
+const SENT_GRACE: Micros = 50_000;
+/// Offset of random streams that must differ from those of the driver in virtual time.
+pub const SOCKETS_STREAM_OFFSET: u64 = 100;
+
+/// A cache server.
+struct Server {
+    cache: CacheServer,
+    site: ServerSite,
+}
+
+/// What a cache server is and where it stands.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerSite {
+    /// Its kind, by the place in the scenario.
+    pub kind: usize,
+    /// Its zone.
+    pub zone: Zone,
+}
+
+/// Something that clients' reports count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CountedKind {
+    /// An attempt at a cache server.
+    Attempt,
+    /// An attempt that a cache server rejected.
+    Rejected,
+    /// A call to the origin.
+    OriginCall,
+}
+
+/// Something counted for a client's request.
+#[derive(Debug, Clone, Copy)]
+pub struct CountedEvent {
+    /// When the client was meant to arrive.
+    pub intended_at: Micros,
+    /// What is counted.
+    pub kind: CountedKind,
+}
+
+/// What has happened in the cluster since the driver last asked.
+#[derive(Debug, Default)]
+pub struct ClusterEvents {
+    /// What clients' reports count.
+    pub counted: Vec<CountedEvent>,
+    /// Cache servers whose processes have died of overload.
+    pub collapsed: Vec<ServerNumber>,
+}
+
+/// The emulated cluster.
+pub struct ClusterState {
+    scenario: Scenario,
+    servers: BTreeMap<ServerNumber, Server>,
+    origin: Origin,
+    /// Decides which replies break; delays and cuts are the links' part.
+    network: Network,
+    discovery: Discovery,
+    invariants: Invariants,
+    requests: BTreeMap<RequestId, OpenRequest>,
+    jobs: BTreeMap<JobId, Job>,
+    last_job: JobId,
+    cuts: ZoneCuts,
+    work_random: RandomStream,
+    fault_random: RandomStream,
+    events: ClusterEvents,
+    attempts_by_server: BTreeMap<ServerNumber, u64>,
+}
+
+impl ClusterState {
+    /// The cluster of a scenario, running since long ago.
+    pub fn new(scenario: &Scenario, seed: u64, now: Micros) -> ClusterState {
+        let servers = initial_servers(scenario, now);
+        ClusterState {
+            network: deployment::network(scenario),
+            discovery: Discovery::new(deployment::endpoint_list(scenario), servers.keys().copied()),
+            servers,
+            origin: deployment::origin(scenario, now),
+            invariants: deployment::invariants(scenario, SENT_GRACE),
+            requests: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            last_job: 0,
+            cuts: ZoneCuts::default(),
+            work_random: random_stream(seed, Stream::Work as u64 + SOCKETS_STREAM_OFFSET),
+            fault_random: random_stream(seed, Stream::Faults as u64),
+            events: ClusterEvents::default(),
+            attempts_by_server: BTreeMap::new(),
+            scenario: scenario.clone(),
+        }
+    }
+
+    /// The numbers of all cache servers, in order.
+    pub fn server_numbers(&self) -> Vec<ServerNumber> {
+        self.servers.keys().copied().collect()
+    }
+
+    /// What a cache server is and where it stands.
+    pub fn server_site(&self, number: ServerNumber) -> Option<ServerSite> {
+        self.servers.get(&number).map(|server| server.site)
+    }
+
+    /// Whether a cache server's process runs.
+    pub fn is_server_up(&self, number: ServerNumber) -> bool {
+        self.servers
+            .get(&number)
+            .is_some_and(|server| server.cache.is_running())
+    }
+
+    /// How many cache servers run.
+    pub fn servers_up(&self) -> usize {
+        self.servers
+            .values()
+            .filter(|server| server.cache.is_running())
+            .count()
+    }
+
+    /// What has happened since the last call.
+    pub fn take_events(&mut self) -> ClusterEvents {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Attempts at each cache server so far, which are reset.
+    pub fn take_attempts_by_server(&mut self) -> BTreeMap<ServerNumber, u64> {
+        std::mem::take(&mut self.attempts_by_server)
+    }
+
+    /// The run ends: checks what is still owed, and returns the invariants with their violations.
+    pub fn end(&mut self, now: Micros) -> &Invariants {
+        self.invariants.finish(now);
+        &self.invariants
+    }
+
+    /// A node's process was paused.
+    pub fn node_paused(&mut self, now: Micros, node: NodeId) {
+        self.invariants.paused(now, node);
+    }
+
+    /// A node's process goes on after a pause.
+    pub fn node_resumed(&mut self, now: Micros, node: NodeId) {
+        self.invariants.resumed(now, node);
+    }
+
+    /// When something is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        let servers = self
+            .servers
+            .values()
+            .filter_map(|server| server.cache.next_event_at());
+        servers
+            .chain(self.origin.next_event_at())
+            .chain(self.discovery.next_due())
+            .min()
+    }
+
+    /// Makes all happen that is due by now.
+    pub fn run_due(&mut self, now: Micros) {
+        for number in self.server_numbers() {
+            self.run_due_at_server(now, number);
+        }
+        self.run_due_at_origin(now);
+        self.discovery.run_due(now);
+    }
+}
+
+fn initial_servers(scenario: &Scenario, now: Micros) -> BTreeMap<ServerNumber, Server> {
+    let mut servers = BTreeMap::new();
+    for (kind, spec) in scenario.kinds.iter().enumerate() {
+        for _ in 0..spec.servers {
+            let number = servers.len() as ServerNumber + 1;
+            let zone = deployment::zone(scenario, number);
+            let server = Server {
+                cache: CacheServer::new(deployment::cache_server(scenario, spec), 0, now),
+                site: ServerSite { kind, zone },
+            };
+            servers.insert(number, server);
+        }
+    }
+    servers
+}
+
+/// A cache server's name in the endpoint list.
+pub fn server_name(number: ServerNumber) -> String {
+    format!("s-{number}")
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/cluster/requests.rs
@@ -0,0 +1,133 @@
+//! Requests that clients have open at nodes. A request is kept a little longer than its end, as attempts that were under
+//! way may still arrive.
+
+use cluster_model::Micros;
+use cluster_model::endpoint_list::NodeId;
+
+use super::{ClusterState, RequestId, SENT_GRACE, ServerNumber};
+use crate::clients::Client;
+use crate::deployment;
+
+/// A request as the cluster knows it.
+pub(super) struct OpenRequest {
+    pub(super) node: NodeId,
+    /// Its class, by the place in the scenario.
+    pub(super) class: usize,
+    pub(super) key: u64,
+    /// Work of an answer, in microseconds of the reference core.
+    pub(super) work: f64,
+    /// When the client was meant to arrive.
+    pub(super) intended_at: Micros,
+    pub(super) begun_at: Micros,
+    /// Attempts that the node has sent so far.
+    pub(super) attempts: u16,
+    /// Attempts that have no reply yet.
+    pub(super) attempts_in_flight: u16,
+    /// Cache servers that lacked the key.
+    pub(super) missed_at: Vec<ServerNumber>,
+    pub(super) ended_at: Option<Micros>,
+}
+
+impl OpenRequest {
+    fn can_be_forgotten(&self, now: Micros) -> bool {
+        self.attempts_in_flight == 0
+            && self
+                .ended_at
+                .is_some_and(|ended_at| ended_at + 2 * SENT_GRACE < now)
+    }
+}
+
+impl ClusterState {
+    /// A client sends a request to a node, which owes it an answer until its deadline.
+    pub fn begin_request(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        node: NodeId,
+        client: &Client,
+    ) {
+        let idempotency = deployment::idempotency(&self.scenario, client.class);
+        self.invariants
+            .accepted((node, request), client.deadline, idempotency);
+        let open = OpenRequest {
+            node,
+            class: client.class,
+            key: client.key,
+            work: client.work,
+            intended_at: client.intended_at,
+            begun_at: now,
+            attempts: 0,
+            attempts_in_flight: 0,
+            missed_at: Vec::new(),
+            ended_at: None,
+        };
+        self.requests.insert(request, open);
+    }
+
+    /// A request has its answer, which may be a rejection.
+    pub fn request_answered(&mut self, now: Micros, request: RequestId, rejected: bool) {
+        let Some(node) = self.end_request(now, request) else {
+            return;
+        };
+        self.invariants.answered(now, (node, request), rejected);
+        self.forget_if_over(now, request);
+    }
+
+    /// No answer is owed any more: the client has gone, or its node was killed.
+    pub fn request_abandoned(&mut self, now: Micros, request: RequestId) {
+        let Some(node) = self.end_request(now, request) else {
+            return;
+        };
+        self.invariants.client_gone(now, (node, request));
+        self.forget_if_over(now, request);
+    }
+
+    /// The node closed the request's connection without an answer.
+    pub fn request_broken_off(&mut self, now: Micros, request: RequestId) {
+        let Some(node) = self.end_request(now, request) else {
+            return;
+        };
+        self.invariants.aborted(now, (node, request));
+        self.forget_if_over(now, request);
+    }
+
+    /// Forgets all requests that are over.
+    pub fn forget_requests_over(&mut self, now: Micros) {
+        let requests: Vec<RequestId> = self.requests.keys().copied().collect();
+        for request in requests {
+            self.forget_if_over(now, request);
+        }
+    }
+
+    /// A node was killed: its clients ask again for what it had open.
+    pub fn node_killed(&mut self, now: Micros, node: NodeId) {
+        self.invariants.killed(node);
+        self.node_exited(now, node);
+    }
+
+    /// A node's process has ended by itself: what it owes stays owed.
+    pub fn node_exited(&mut self, now: Micros, node: NodeId) {
+        self.discovery.disconnect(node);
+        let of_node = |request: &&mut OpenRequest| request.node == node;
+        for request in self.requests.values_mut().filter(of_node) {
+            request.ended_at.get_or_insert(now);
+        }
+    }
+
+    fn end_request(&mut self, now: Micros, request: RequestId) -> Option<NodeId> {
+        let open = self.requests.get_mut(&request)?;
+        open.ended_at.get_or_insert(now);
+        Some(open.node)
+    }
+
+    /// Forgets a request that ended some time ago and has no attempt in flight.
+    pub(super) fn forget_if_over(&mut self, now: Micros, request: RequestId) {
+        let over = self
+            .requests
+            .get(&request)
+            .is_some_and(|open| open.can_be_forgotten(now));
+        if over && let Some(open) = self.requests.remove(&request) {
+            self.invariants.forget((open.node, request));
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/driver/clients.rs
@@ -0,0 +1,171 @@
+//! Clients of a run: their requests to nodes, and peers that are no clients and send malformed bytes.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use cluster_model::Micros;
+use rand::Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::schedule::{MalformedTraffic, Scheduled};
+use super::{ClientId, Driver, Message, RequestResult};
+use crate::clients::{Client, Reply};
+use crate::scenario::Idempotency;
+use crate::sockets::client_connections::{RequestError, encode_command};
+use crate::sockets::cluster::RequestId;
+
+/// What peers send that are no clients: nothing, another protocol, half a command, an impossible length, TLS.
+const MALFORMED: [&[u8]; 5] = [
+    b"",
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"*4\r\n$7\r\nOBJ.GET\r\n$16\r\n00000",
+    b"*2\r\n$999999999\r\n",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+];
+/// A peer that sends malformed bytes stays this long, unless the node closes the connection earlier.
+const MALFORMED_PEER_STAYS: Duration = Duration::from_secs(5);
+
+impl Driver<'_> {
+    /// A client arrives, and the arrival of the next one is drawn.
+    pub(super) fn client_arrives(&mut self, at: Micros) {
+        if let Some(next) = self.clients.next_arrival(at) {
+            self.schedule_at(next, Scheduled::NextArrival);
+        }
+        let client = self.clients.new_client(at);
+        self.begin_request(client);
+    }
+
+    /// A client sends a request to a node in rotation, unless it has ended.
+    pub(super) fn begin_request(&mut self, client_id: ClientId) {
+        let Some(client) = self.clients.begin_attempt(client_id) else {
+            return;
+        };
+        self.last_request += 1;
+        let request = self.last_request;
+        let Some(node) = self.load_balancer.choose() else {
+            return self.fail_request(client_id, request);
+        };
+        self.clients.assign(client_id, node, request);
+        let now = self.shared.now();
+        self.shared
+            .state()
+            .begin_request(now, request, node, &client);
+        let command = self.request_command(now, request, client_id, &client);
+        let gives_up_at = self.shared.instant(client.leaves_at);
+        let connections = self.nodes[node as usize].connections().clone();
+        let shared = self.shared.clone();
+        let messages = self.message_sender.clone();
+        self.tasks.spawn(async move {
+            let reply = connections.request(&command, shared.value());
+            let result = match tokio::time::timeout_at(gives_up_at, reply).await {
+                Ok(result) => RequestResult::Ended(result),
+                Err(_) => RequestResult::ClientGone,
+            };
+            let message = Message::RequestEnded {
+                client: client_id,
+                request,
+                result,
+            };
+            // Without a driver nobody waits for it any more.
+            let _ = messages.send(message).await;
+        });
+    }
+
+    /// A request finds no node in rotation.
+    fn fail_request(&mut self, client: ClientId, request: RequestId) {
+        let messages = self.message_sender.clone();
+        let message = Message::RequestEnded {
+            client,
+            request,
+            result: RequestResult::Ended(Err(RequestError::NotConnected)),
+        };
+        self.tasks.spawn(async move {
+            let _ = messages.send(message).await;
+        });
+    }
+
+    /// `OBJ.GET key request fields` or `OBJ.SET key request fields value`; the fields are class, remaining deadline in
+    /// milliseconds, and the idempotency key, which is the same for all attempts of a client.
+    fn request_command(
+        &self,
+        now: Micros,
+        request: RequestId,
+        client_id: ClientId,
+        client: &Client,
+    ) -> BytesMut {
+        let remaining_ms = client.deadline.saturating_sub(now).div_ceil(1_000);
+        let class = &self.scenario.classes[client.class];
+        let mut fields = format!("c={},d={remaining_ms}", class.name);
+        if matches!(class.idempotency, Idempotency::Deduplicated) {
+            fields.push_str(&format!(",k={client_id:016x}"));
+        }
+        let key = format!("{:016x}", client.key);
+        let request = format!("{request:016x}");
+        let (key, request, fields) = (key.as_bytes(), request.as_bytes(), fields.as_bytes());
+        if class.write {
+            let value = self.shared.value();
+            encode_command(&[b"OBJ.SET", key, request, fields, value])
+        } else {
+            encode_command(&[b"OBJ.GET", key, request, fields])
+        }
+    }
+
+    /// A request has ended: the client is told, and may come again later.
+    pub(super) fn request_ended(
+        &mut self,
+        client: ClientId,
+        request: RequestId,
+        result: RequestResult,
+    ) {
+        let now = self.shared.now();
+        let RequestResult::Ended(result) = result else {
+            self.shared.state().request_abandoned(now, request);
+            self.clients.leave(client);
+            return;
+        };
+        self.record_end(now, request, &result);
+        let reply = result.unwrap_or(Reply::Failed);
+        if let Some(retry_at) = self.clients.notified(now, client, reply) {
+            self.schedule_at(retry_at, Scheduled::Retry(client));
+        }
+    }
+
+    fn record_end(&self, now: Micros, request: RequestId, result: &Result<Reply, RequestError>) {
+        let mut state = self.shared.state();
+        match result {
+            Ok(reply) => {
+                let rejected = matches!(reply, Reply::Rejected(_));
+                state.request_answered(now, request, rejected);
+            }
+            Err(RequestError::NotConnected) => state.request_abandoned(now, request),
+            Err(RequestError::ConnectionLost) => state.request_broken_off(now, request),
+        }
+    }
+
+    /// A peer sends malformed bytes to a node in rotation, and the next peer is scheduled.
+    pub(super) fn send_malformed(&mut self, at: Micros, traffic: MalformedTraffic) {
+        let next = at + (1e6 / traffic.per_second) as Micros;
+        if next < traffic.until {
+            self.schedule_at(next, Scheduled::SendMalformed(traffic));
+        }
+        let random = &mut self.random.malformed_traffic;
+        let Some(node) = self.load_balancer.choose_with(random) else {
+            return;
+        };
+        let bytes = MALFORMED[random.random_range(0..MALFORMED.len())];
+        let address = self.nodes[node as usize].address();
+        self.tasks.spawn(async move {
+            let peer = async {
+                let mut stream = TcpStream::connect(address).await?;
+                stream.write_all(bytes).await?;
+                // Until the node closes the connection.
+                let mut answer = [0; 256];
+                while stream.read(&mut answer).await? > 0 {}
+                Ok::<_, std::io::Error>(())
+            };
+            // How it ends does not matter: the node must survive it.
+            let _ = tokio::time::timeout(MALFORMED_PEER_STAYS, peer).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/driver/faults.rs
@@ -0,0 +1,217 @@
+//! Faults of a scenario: each event is injected when it is due, and its end is scheduled.
+
+use cluster_model::Micros;
+use cluster_model::network::{AnswerFaults, Zone};
+use nix::sys::signal::Signal;
+use router_config::Span;
+
+use super::Driver;
+use super::schedule::{MalformedTraffic, Scheduled};
+use crate::scenario::{FaultEvent, OriginFailure};
+use crate::sockets::cluster::{ServerNumber, server_name};
+use crate::{deployment, micros};
+
+/// When the action of the `index`-th of `count` parties is due, where the actions are spread evenly over a time.
+fn staggered(now: Micros, over: Span, index: usize, count: usize) -> Micros {
+    now + micros(over) * index as Micros / count.max(1) as Micros
+}
+
+impl Driver<'_> {
+    /// Injects an event of the scenario, by its place there.
+    pub(super) async fn inject(&mut self, index: usize, now: Micros) {
+        let event = self.scenario.faults[index].clone();
+        self.progress_messages.push(event.to_string());
+        match event {
+            FaultEvent::KillNodes { part, back, .. } => self.kill_nodes(now, part, back).await,
+            FaultEvent::PauseNodes { part, lasts, .. } => self.pause_nodes(now, part, lasts),
+            FaultEvent::RestartNodes { part, over, .. } => self.restart_nodes(now, part, over),
+            FaultEvent::ReplaceServers {
+                part, over, drain, ..
+            } => self.replace_servers(now, part, over, drain),
+            FaultEvent::CrashServers { part, back, .. } => self.crash_servers(now, part, back),
+            FaultEvent::NoisyNeighbour {
+                part, taken, lasts, ..
+            } => self.take_server_capacity(now, part, taken, lasts),
+            FaultEvent::RelocateList { .. } => self.move_discovery(),
+            FaultEvent::ListDown { lasts, .. } => self.stop_discovery(now, lasts),
+            FaultEvent::IsolateZone { zone, lasts, .. } => self.cut_zone(now, zone, lasts),
+            FaultEvent::Burst { factor, lasts, .. } => self.begin_burst(now, factor, lasts),
+            FaultEvent::HotKey { part, lasts, .. } => self.begin_hot_key(now, part, lasts),
+            FaultEvent::Scan { part, lasts, .. } => self.begin_scan(now, part, lasts),
+            FaultEvent::OriginFails {
+                part, how, lasts, ..
+            } => self.fail_origin(now, how, part, lasts),
+            FaultEvent::OriginSlow { taken, lasts, .. } => self.slow_origin(now, taken, lasts),
+            FaultEvent::DamageAnswers {
+                lost,
+                spoilt,
+                reset,
+                lasts,
+                ..
+            } => {
+                let faults = AnswerFaults {
+                    lost,
+                    corrupted: spoilt,
+                    reset,
+                };
+                self.damage_answers(now, faults, lasts);
+            }
+            FaultEvent::MalformedTraffic { per_s, lasts, .. } => {
+                self.begin_malformed_traffic(now, per_s, lasts)
+            }
+        }
+    }
+
+    // Nodes.
+
+    fn choose_nodes(&self, fraction: f64) -> Vec<u32> {
+        let nodes = (0..self.nodes.len() as u32).collect();
+        self.shared.state().choose(nodes, fraction)
+    }
+
+    async fn kill_nodes(&mut self, now: Micros, fraction: f64, back: Span) {
+        for node in self.choose_nodes(fraction) {
+            self.nodes[node as usize].kill().await;
+            let killed_at = self.shared.now();
+            self.shared.state().node_killed(killed_at, node);
+            let noticed_at = now + micros(self.scenario.load_balancer.detection_delay);
+            let killed = self.present_incarnation(node);
+            self.schedule_at(noticed_at, Scheduled::NodeDeathNoticed(killed));
+            self.schedule_at(now + micros(back), Scheduled::StartNode(node));
+        }
+    }
+
+    fn pause_nodes(&mut self, now: Micros, fraction: f64, duration: Span) {
+        for node in self.choose_nodes(fraction) {
+            self.nodes[node as usize].signal(Signal::SIGSTOP);
+            self.shared.state().node_paused(now, node);
+            self.schedule_at(now + micros(duration), Scheduled::ResumeNode(node));
+        }
+    }
+
+    fn restart_nodes(&mut self, now: Micros, fraction: f64, over: Span) {
+        let nodes = self.choose_nodes(fraction);
+        let count = nodes.len();
+        for (index, node) in nodes.into_iter().enumerate() {
+            let at = staggered(now, over, index, count);
+            self.schedule_at(at, Scheduled::TerminateNode(node));
+        }
+    }
+
+    // Cache servers.
+
+    fn replace_servers(&mut self, now: Micros, fraction: f64, over: Span, drain: Span) {
+        let servers = self.shared.state().choose_servers(fraction);
+        let count = servers.len();
+        for (index, server) in servers.into_iter().enumerate() {
+            let at = staggered(now, over, index, count);
+            self.replace_server(now, server, at, drain);
+        }
+    }
+
+    /// Opens a new server, which takes the place of another one at a time.
+    fn replace_server(&mut self, now: Micros, old: ServerNumber, at: Micros, drain: Span) {
+        let new = self.shared.state().add_server_like(now, old);
+        if let Err(error) = self.open_server(new) {
+            self.failures
+                .push(format!("no port for {}: {error}", server_name(new)));
+            return;
+        }
+        self.schedule_at(at, Scheduled::DrainServer(old));
+        self.schedule_at(at + micros(drain), Scheduled::StopServer(old));
+        // The new server runs before the old one ends.
+        self.schedule_at(at, Scheduled::StartServer(new));
+    }
+
+    fn crash_servers(&mut self, now: Micros, fraction: f64, back: Span) {
+        let servers = self.shared.state().choose_servers(fraction);
+        for server in servers {
+            self.stop_server(now, server);
+            self.schedule_at(now + micros(back), Scheduled::StartServer(server));
+        }
+    }
+
+    fn take_server_capacity(&mut self, now: Micros, fraction: f64, taken: f64, duration: Span) {
+        let servers = self.shared.state().choose_servers(fraction);
+        for server in servers {
+            self.shared.state().take_server_capacity(now, server, taken);
+            self.schedule_at(
+                now + micros(duration),
+                Scheduled::RestoreServerCapacity(server),
+            );
+        }
+    }
+
+    // Discovery and network.
+
+    /// Moves the discovery service. All its new listeners are there before a node is told; the old ones accept nothing.
+    fn move_discovery(&mut self) {
+        let old_listeners = std::mem::take(&mut self.discovery_listeners);
+        for node in 0..self.nodes.len() as u32 {
+            let moved = self
+                .open_discovery_listener(node)
+                .and_then(|address| self.nodes[node as usize].move_discovery(address));
+            if let Err(error) = moved {
+                self.failures.push(format!(
+                    "the list of node {node} could not be moved: {error}"
+                ));
+            }
+        }
+        for listener in old_listeners {
+            listener.abort();
+        }
+        self.shared.state().move_discovery();
+    }
+
+    fn stop_discovery(&mut self, now: Micros, duration: Span) {
+        self.shared.state().set_discovery_up(now, false);
+        self.schedule_at(now + micros(duration), Scheduled::RestoreDiscovery);
+    }
+
+    fn cut_zone(&mut self, now: Micros, zone: Zone, duration: Span) {
+        self.shared.state().cut_zone(now, zone);
+        self.stall_links_across(zone, true);
+        self.schedule_at(now + micros(duration), Scheduled::HealZone(zone));
+    }
+
+    // Clients.
+
+    fn begin_burst(&mut self, now: Micros, factor: f64, duration: Span) {
+        self.clients.scale_rate(factor);
+        self.schedule_at(now + micros(duration), Scheduled::EndBurst { factor });
+    }
+
+    fn begin_hot_key(&mut self, now: Micros, fraction: f64, duration: Span) {
+        self.clients.adjust_hot_share(fraction);
+        self.schedule_at(now + micros(duration), Scheduled::EndHotKey { fraction });
+    }
+
+    fn begin_scan(&mut self, now: Micros, fraction: f64, duration: Span) {
+        self.clients.adjust_scan_share(fraction);
+        self.schedule_at(now + micros(duration), Scheduled::EndScan { fraction });
+    }
+
+    fn begin_malformed_traffic(&mut self, now: Micros, per_second: f64, duration: Span) {
+        let until = now + micros(duration);
+        let traffic = MalformedTraffic { per_second, until };
+        self.schedule_at(now, Scheduled::SendMalformed(traffic));
+    }
+
+    // Origin and answers.
+
+    fn fail_origin(&mut self, now: Micros, how: OriginFailure, fraction: f64, duration: Span) {
+        let fault = deployment::fault(how, fraction);
+        self.shared.state().fail_origin(fault);
+        self.schedule_at(now + micros(duration), Scheduled::HealOrigin);
+    }
+
+    fn slow_origin(&mut self, now: Micros, taken: f64, duration: Span) {
+        self.shared.state().take_origin_capacity(now, taken);
+        self.schedule_at(now + micros(duration), Scheduled::RestoreOriginCapacity);
+    }
+
+    fn damage_answers(&mut self, now: Micros, faults: AnswerFaults, duration: Span) {
+        self.shared.state().set_answer_faults(faults);
+        self.schedule_at(now + micros(duration), Scheduled::RepairAnswers);
+    }
+}
