--- /dev/null
+++ b/crates/testbed/src/sockets/driver/mod.rs
@@ -0,0 +1,248 @@
+//! The driver of a run on sockets: one task that owns the schedule, the clients and the nodes, and that reacts to what
+//! is due and to what its other tasks report.
+//!
+//! Tasks: the driver owns the services (`services`), the clients' requests and the waits for nodes to start (`tasks`),
+//! the links and the node processes. All end when it is dropped.
+
+mod clients;
+mod faults;
+mod load_balancer;
+mod nodes;
+mod schedule;
+mod servers;
+mod setup;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cluster_model::{Micros, RandomStream, random_stream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+
+use super::client_connections::RequestError;
+use super::cluster::{ClusterEvents, CountedKind, RequestId, SOCKETS_STREAM_OFFSET, server_name};
+use super::link::Link;
+use super::router_process::RouterProcess;
+use super::shared::SharedCluster;
+use super::{Options, Progress};
+use crate::clients::{Clients, Reply, Stream};
+use crate::event_queue::EventQueue;
+use crate::micros;
+use crate::report::{self, Counts, Report};
+use crate::scenario::Scenario;
+use load_balancer::LoadBalancer;
+use schedule::Scheduled;
+
+/// After the last client's arrival the run goes on until all are answered, for this long at most, in microseconds.
+const MAX_TAIL: Micros = 10_000_000;
+/// Progress is reported, exits of nodes are noticed, and old requests are forgotten this often.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The number of a client.
+type ClientId = u64;
+
+/// One process of a node. What was meant for an earlier incarnation is void.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct NodeIncarnation {
+    node: u32,
+    incarnation: u32,
+}
+
+/// What a task reports to the driver.
+#[derive(Debug, Clone, Copy)]
+enum Message {
+    /// A client's request has ended.
+    RequestEnded {
+        client: ClientId,
+        request: RequestId,
+        result: RequestResult,
+    },
+    /// A node that was started answers, or did not in time.
+    NodeReady {
+        started: NodeIncarnation,
+        ready: bool,
+    },
+}
+
+/// How a client's request has ended.
+#[derive(Debug, Clone, Copy)]
+enum RequestResult {
+    /// With a reply or without, before the client went away.
+    Ended(Result<Reply, RequestError>),
+    /// The client did not wait any longer.
+    ClientGone,
+}
+
+/// Random streams of the driver. Each has a seed of its own, so that one does not shift the draws of another.
+struct RandomStreams {
+    malformed_traffic: RandomStream,
+    node_seeds: RandomStream,
+}
+
+impl RandomStreams {
+    fn new(seed: u64) -> RandomStreams {
+        // The cluster draws its faults from the stream without the offset.
+        let malformed_traffic = Stream::Faults as u64 + SOCKETS_STREAM_OFFSET;
+        RandomStreams {
+            malformed_traffic: random_stream(seed, malformed_traffic),
+            node_seeds: random_stream(seed, Stream::Nodes as u64),
+        }
+    }
+}
+
+/// A run in progress.
+pub(super) struct Driver<'a> {
+    scenario: &'a Scenario,
+    options: &'a Options<'a>,
+    shared: Arc<SharedCluster>,
+    /// When the first client may arrive.
+    begin: Micros,
+    schedule: EventQueue<Scheduled>,
+    clients: Clients<'a>,
+    nodes: Vec<RouterProcess>,
+    load_balancer: LoadBalancer,
+    /// Links to the cache servers, by the zone that they come from and by server.
+    links: Vec<Vec<Link>>,
+    /// The cluster's ticker and the listeners of its services.
+    services: JoinSet<()>,
+    /// The listeners of the discovery service among them.
+    discovery_listeners: Vec<AbortHandle>,
+    /// Requests, waits for nodes to start, and peers that send malformed bytes.
+    tasks: JoinSet<()>,
+    last_request: RequestId,
+    message_sender: mpsc::Sender<Message>,
+    messages: mpsc::Receiver<Message>,
+    random: RandomStreams,
+    /// Faults and recoveries for the next progress, in words.
+    progress_messages: Vec<String>,
+    /// What went wrong beside the protocol's invariants, in words.
+    failures: Vec<String>,
+}
+
+impl Driver<'_> {
+    /// Runs until all clients have ended.
+    pub(super) async fn run(&mut self, progress: &mut impl FnMut(&Progress)) {
+        let mut progress_timer = tokio::time::interval(PROGRESS_INTERVAL);
+        let mut reported = Counts::default();
+        while !self.is_over() {
+            let due = self
+                .schedule
+                .next_event_at()
+                .unwrap_or_else(|| self.latest_end());
+            let due = self.shared.instant(due);
+            tokio::select! {
+                () = tokio::time::sleep_until(due) => self.run_due().await,
+                Some(message) = self.messages.recv() => self.handle_message(message),
+                _ = progress_timer.tick() => self.report_progress(&mut reported, progress),
+                Some(_) = self.tasks.join_next() => {}
+            }
+            self.handle_cluster_events();
+        }
+    }
+
+    /// When the last client may arrive.
+    fn last_arrival(&self) -> Micros {
+        self.begin + micros(self.scenario.length)
+    }
+
+    fn latest_end(&self) -> Micros {
+        self.last_arrival() + MAX_TAIL
+    }
+
+    fn is_over(&self) -> bool {
+        let now = self.shared.now();
+        if now > self.latest_end() {
+            return true;
+        }
+        let arrivals_to_come = self
+            .schedule
+            .contains(|scheduled| matches!(scheduled, Scheduled::NextArrival));
+        !arrivals_to_come && now > self.last_arrival() && self.clients.open_count() == 0
+    }
+
+    fn schedule_at(&mut self, at: Micros, scheduled: Scheduled) {
+        self.schedule.schedule(at, scheduled);
+    }
+
+    async fn run_due(&mut self) {
+        let now = self.shared.now();
+        while self.schedule.next_event_at().is_some_and(|due| due <= now) {
+            if let Some((at, scheduled)) = self.schedule.pop() {
+                self.perform(at, scheduled).await;
+            }
+        }
+    }
+
+    fn handle_message(&mut self, message: Message) {
+        match message {
+            Message::RequestEnded {
+                client,
+                request,
+                result,
+            } => self.request_ended(client, request, result),
+            Message::NodeReady { started, ready } => self.node_ready(started, ready),
+        }
+    }
+
+    /// Takes over what the cluster has counted, and the servers that have died of overload.
+    fn handle_cluster_events(&mut self) {
+        let now = self.shared.now();
+        let ClusterEvents { counted, collapsed } = self.shared.state().take_events();
+        for event in counted {
+            self.clients
+                .count(event.intended_at, |counts| match event.kind {
+                    CountedKind::Attempt => counts.attempts += 1,
+                    CountedKind::Rejected => counts.rejected_attempts += 1,
+                    CountedKind::OriginCall => counts.origin_calls += 1,
+                });
+        }
+        for server in collapsed {
+            self.progress_messages
+                .push(format!("{} fell over", server_name(server)));
+            self.server_ended(now, server);
+        }
+    }
+
+    fn report_progress(&mut self, reported: &mut Counts, progress: &mut impl FnMut(&Progress)) {
+        let now = self.shared.now();
+        let servers_up = {
+            let mut state = self.shared.state();
+            state.forget_requests_over(now);
+            state.servers_up()
+        };
+        self.handle_node_exits(now);
+        let counts = self.clients.totals();
+        let recent = counts.since(reported);
+        *reported = counts;
+        progress(&Progress {
+            elapsed: now.saturating_sub(self.begin),
+            length: micros(self.scenario.length),
+            recent,
+            nodes_up: self.load_balancer.node_count(),
+            servers_up,
+            messages: std::mem::take(&mut self.progress_messages),
+        });
+    }
+
+    /// The report of a run that has ended.
+    pub(super) fn into_report(mut self, seed: u64) -> Report {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        let mut violations = report::violations(state.end(now), self.begin);
+        let violation_count = violations.count + self.failures.len();
+        violations.shown.append(&mut self.failures);
+        let results = self.clients.results();
+        Report {
+            seed,
+            nodes: self.scenario.nodes,
+            servers: self.scenario.kinds.iter().map(|kind| kind.servers).sum(),
+            service: results.service,
+            classes: results.classes,
+            windows: results.windows,
+            attempts_by_server: state.take_attempts_by_server(),
+            events: self.schedule.scheduled_count(),
+            violations: violations.shown,
+            violation_count,
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/driver/nodes.rs
@@ -0,0 +1,137 @@
+//! Nodes of a run: starts, exits and shutdowns of their processes, and which of them are in rotation.
+
+use std::time::Duration;
+
+use cluster_model::Micros;
+use nix::sys::signal::Signal;
+use rand::Rng;
+
+use super::schedule::Scheduled;
+use super::{Driver, Message, NodeIncarnation};
+use crate::deployment;
+use crate::scenario::DEREGISTRATION_DELAY;
+
+/// Nodes that were asked to end at the end of a run are killed after this time.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(12);
+
+impl Driver<'_> {
+    /// Starts a node's process, and a task that reports when it answers.
+    pub(super) fn start_node(&mut self, node: u32) -> std::io::Result<()> {
+        let zone = deployment::zone(self.scenario, node);
+        let known_endpoints = self.shared.begin_node(node, zone);
+        let seed = self.random.node_seeds.random();
+        let process = &mut self.nodes[node as usize];
+        process.start(self.options.program, self.scenario, &known_endpoints, seed)?;
+        let ready = process.ready();
+        let started = self.present_incarnation(node);
+        let messages = self.message_sender.clone();
+        self.tasks.spawn(async move {
+            let ready = ready.await;
+            // Without a driver nobody waits for it any more.
+            let _ = messages.send(Message::NodeReady { started, ready }).await;
+        });
+        Ok(())
+    }
+
+    /// Starts a node's process again, unless it runs: two faults may each bring it back.
+    pub(super) fn start_node_again(&mut self, node: u32) {
+        if self.nodes[node as usize].has_process() {
+            return;
+        }
+        if let Err(error) = self.start_node(node) {
+            self.failures
+                .push(format!("node {node} could not be started again: {error}"));
+        }
+    }
+
+    pub(super) fn present_incarnation(&self, node: u32) -> NodeIncarnation {
+        NodeIncarnation {
+            node,
+            incarnation: self.nodes[node as usize].incarnation(),
+        }
+    }
+
+    fn is_present(&self, node: NodeIncarnation) -> bool {
+        self.present_incarnation(node.node) == node
+    }
+
+    /// A node that was started answers, or did not in time.
+    pub(super) fn node_ready(&mut self, started: NodeIncarnation, ready: bool) {
+        let node = started.node;
+        let process = &self.nodes[node as usize];
+        if !self.is_present(started) || !process.has_process() {
+            return;
+        }
+        if !ready {
+            self.failures.push(process.startup_error().to_string());
+            return;
+        }
+        self.load_balancer.add(node);
+        self.progress_messages.push(format!("node {node} is back"));
+    }
+
+    /// Asks a node to shut down. It gets new requests for a while yet, until it leaves the rotation.
+    pub(super) fn terminate_node(&mut self, now: Micros, node: u32) {
+        let process = &mut self.nodes[node as usize];
+        if !process.has_process() {
+            return;
+        }
+        process.terminate();
+        let leaves_at = now + DEREGISTRATION_DELAY.as_micros() as Micros;
+        let leaving = self.present_incarnation(node);
+        self.schedule_at(leaves_at, Scheduled::RemoveFromRotation(leaving));
+    }
+
+    pub(super) fn remove_from_rotation(&mut self, leaving: NodeIncarnation) {
+        if self.is_present(leaving) {
+            self.load_balancer.remove(leaving.node);
+        }
+    }
+
+    /// A node that was killed leaves the rotation, unless it was started again meanwhile.
+    pub(super) fn notice_node_death(&mut self, killed: NodeIncarnation) {
+        if !self.nodes[killed.node as usize].has_process() {
+            self.remove_from_rotation(killed);
+        }
+    }
+
+    /// Takes nodes whose processes have ended out of rotation, and has them started again.
+    pub(super) fn handle_node_exits(&mut self, now: Micros) {
+        for node in 0..self.nodes.len() as u32 {
+            let process = &mut self.nodes[node as usize];
+            let Some(status) = process.take_exit_status() else {
+                continue;
+            };
+            process.connections().close_idle();
+            self.load_balancer.remove(node);
+            if !process.is_terminating() || !status.success() {
+                self.failures
+                    .push(format!("crash: node {node} ended by itself with {status}"));
+            }
+            self.shared.state().node_exited(now, node);
+            self.schedule_at(now, Scheduled::StartNode(node));
+        }
+    }
+
+    /// Shuts all nodes down as a platform does: they are asked first, and killed if they do not end.
+    pub(in crate::sockets) async fn stop_nodes(&mut self) {
+        for process in &mut self.nodes {
+            process.connections().close_idle();
+            // One that is paused could not react.
+            process.signal(Signal::SIGCONT);
+            process.terminate();
+        }
+        let deadline = tokio::time::Instant::now() + SHUTDOWN_TIMEOUT;
+        for process in &mut self.nodes {
+            match tokio::time::timeout_at(deadline, process.wait()).await {
+                Ok(None) => {}
+                Ok(Some(Ok(status))) if status.success() => {}
+                Ok(Some(status)) => self.failures.push(format!(
+                    "crash: a node ended with {status:?} when told to end"
+                )),
+                Err(_) => self.failures.push("a node did not end when told to".into()),
+            }
+            process.kill().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/driver/servers.rs
@@ -0,0 +1,118 @@
+//! Emulated cache servers of a run: their listeners, the links to them, and their processes' starts and ends.
+
+use std::time::Duration;
+
+use cluster_model::Micros;
+use cluster_model::endpoint_list::{Condition, EndpointRecord};
+use cluster_model::network::Zone;
+
+use super::Driver;
+use super::schedule::Scheduled;
+use crate::micros;
+use crate::sockets::cluster::ServerNumber;
+use crate::sockets::link::{DirectionState, Link, LinkState};
+use crate::sockets::loopback::{LoopbackBlock, listen, loopback_address};
+use crate::sockets::services::cache_server;
+
+impl Driver<'_> {
+    /// Opens the listener of the next cache server, by number, and a link to it from each zone.
+    pub(super) fn open_server(&mut self, server: ServerNumber) -> std::io::Result<()> {
+        let listener = listen(loopback_address(LoopbackBlock::CacheServer, server))?;
+        let address = listener.local_addr()?;
+        let serve = cache_server::serve(self.shared.clone(), listener, server);
+        self.services.spawn(serve);
+        let (site, up) = {
+            let state = self.shared.state();
+            (state.server_site(server), state.is_server_up(server))
+        };
+        for zone in 0..self.scenario.zones {
+            let same_zone = site.is_some_and(|site| site.zone == zone);
+            let direction = DirectionState {
+                delay: self.delay(same_zone),
+                stalled: false,
+            };
+            let state = LinkState {
+                listens: up,
+                forward: direction,
+                backward: direction,
+                resets: 0,
+            };
+            let entrance = loopback_address(LoopbackBlock::LinkFrom(zone), server);
+            let link = Link::open(entrance, address, state)?;
+            self.shared.add_server_address(zone, link.address());
+            self.links[usize::from(zone)].push(link);
+        }
+        Ok(())
+    }
+
+    /// Time that bytes take one way.
+    fn delay(&self, same_zone: bool) -> Duration {
+        let network = &self.scenario.network;
+        if same_zone {
+            network.same_zone.0
+        } else {
+            network.cross_zone.0
+        }
+    }
+
+    /// The links to a server, one from each zone.
+    fn links_to(&self, server: ServerNumber) -> impl Iterator<Item = &Link> {
+        let index = server as usize - 1;
+        self.links.iter().filter_map(move |links| links.get(index))
+    }
+
+    pub(super) fn start_server(&mut self, now: Micros, server: ServerNumber) {
+        self.shared.state().restart_server(now, server);
+        for link in self.links_to(server) {
+            link.update(|state| state.listens = true);
+        }
+        self.announce(now, server, Condition::Ready, now);
+    }
+
+    pub(super) fn stop_server(&mut self, now: Micros, server: ServerNumber) {
+        self.shared.state().stop_server(now, server);
+        self.server_ended(now, server);
+    }
+
+    /// A server's process has ended: its links refuse connections, and the discovery service will learn it.
+    pub(super) fn server_ended(&mut self, now: Micros, server: ServerNumber) {
+        for link in self.links_to(server) {
+            link.fail();
+        }
+        self.announce(now, server, Condition::Removed, 0);
+    }
+
+    /// The discovery service learns the condition of a server, and when it started, some time from now.
+    pub(super) fn announce(
+        &mut self,
+        now: Micros,
+        server: ServerNumber,
+        condition: Condition,
+        started: Micros,
+    ) {
+        let known_at = now + micros(self.scenario.endpoint_list.detection_delay);
+        let record = EndpointRecord {
+            server,
+            condition,
+            started,
+        };
+        self.schedule_at(known_at, Scheduled::EndpointChange(record));
+    }
+
+    /// Stalls the links that cross a zone's border, or lets them carry again. A new connection into a cut comes up and
+    /// stays silent, as no program can keep the system from accepting it.
+    pub(super) fn stall_links_across(&self, zone: Zone, stalled: bool) {
+        for (from, links) in (0..).zip(&self.links) {
+            for (server, link) in (1..).zip(links) {
+                let site = self.shared.state().server_site(server);
+                let crosses_border = site.is_some_and(|site| (from == zone) != (site.zone == zone));
+                if crosses_border {
+                    link.update(|state| {
+                        state.forward.stalled = stalled;
+                        state.backward.stalled = stalled;
+                    });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/router_process.rs
@@ -0,0 +1,221 @@
+//! Real `cache-router` processes: each with a configuration and a log of its own in the run's folder. The process is
+//! killed when its owner is dropped.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+
+use super::SocketError;
+use super::client_connections::ConnectionPool;
+use super::loopback::{LoopbackBlock, listen, loopback_address};
+use crate::deployment;
+use crate::scenario::Scenario;
+
+/// A node that has not answered a PING within this time counts as not started.
+const START_TIMEOUT: Duration = Duration::from_secs(15);
+/// Pause between two PINGs to a node that is starting.
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Open sockets that a node is allowed.
+const MAX_SOCKETS: usize = 1024;
+
+/// One node over all incarnations of its process.
+pub struct RouterProcess {
+    node: u32,
+    connections: Arc<ConnectionPool>,
+    address: SocketAddr,
+    discovery: SocketAddr,
+    config_path: PathBuf,
+    log_path: PathBuf,
+    child: Option<Child>,
+    incarnation: u32,
+    terminating: bool,
+}
+
+impl RouterProcess {
+    /// A node that does not run yet, with its files in `folder` and its discovery service at `discovery`.
+    ///
+    /// # Errors
+    /// Where the system gives no port.
+    pub fn new(node: u32, discovery: SocketAddr, folder: &Path) -> std::io::Result<RouterProcess> {
+        // Closed at once: no other party binds to this address.
+        let address = listen(loopback_address(LoopbackBlock::Node, node))?.local_addr()?;
+        Ok(RouterProcess {
+            node,
+            connections: Arc::new(ConnectionPool::new(address)),
+            address,
+            discovery,
+            config_path: folder.join(format!("n{node}.json")),
+            log_path: folder.join(format!("n{node}.log")),
+            child: None,
+            incarnation: 0,
+            terminating: false,
+        })
+    }
+
+    /// Starts a process that holds `known_endpoints` from the beginning.
+    ///
+    /// # Errors
+    /// Where its configuration can't be written or the program can't be started.
+    pub fn start(
+        &mut self,
+        program: &Path,
+        scenario: &Scenario,
+        known_endpoints: &Value,
+        seed: u64,
+    ) -> std::io::Result<()> {
+        let seed = seed.wrapping_add(u64::from(self.incarnation) << 32);
+        let config = json!({
+            "name": format!("n{}", self.node),
+            "listen": self.address,
+            "discovery": self.discovery,
+            "seed": format!("{seed:016x}"),
+            "limits": {"sockets": MAX_SOCKETS},
+            "known": known_endpoints,
+            "settings": deployment::settings_text(scenario, self.node),
+        });
+        std::fs::write(&self.config_path, config.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log_path)?;
+        let child = Command::new(program)
+            .env("ROUTER_CONFIG", &self.config_path)
+            .env_remove("ROUTER_LISTEN")
+            .env_remove("ROUTER_DISCOVERY")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        self.incarnation += 1;
+        self.terminating = false;
+        Ok(())
+    }
+
+    /// Where its clients reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its clients' connections.
+    pub fn connections(&self) -> &Arc<ConnectionPool> {
+        &self.connections
+    }
+
+    /// Counts the starts of its process.
+    pub fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
+    /// Whether it has a process that was not seen to end.
+    pub fn has_process(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// The id of its process, if it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
+    /// Whether its present process was asked to end.
+    pub fn is_terminating(&self) -> bool {
+        self.terminating
+    }
+
+    /// Waits until it answers PING; false where it does not in time.
+    pub fn ready(&self) -> impl Future<Output = bool> + Send + 'static {
+        let address = self.address;
+        async move {
+            let answers = async {
+                while !answers_ping(address).await {
+                    tokio::time::sleep(READY_POLL_INTERVAL).await;
+                }
+            };
+            tokio::time::timeout(START_TIMEOUT, answers).await.is_ok()
+        }
+    }
+
+    /// Writes another address of the discovery service into its configuration, and makes its process read it again.
+    ///
+    /// # Errors
+    /// Where the configuration can't be read or written.
+    pub fn move_discovery(&mut self, discovery: SocketAddr) -> std::io::Result<()> {
+        self.discovery = discovery;
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&self.config_path)?)?;
+        config["discovery"] = json!(discovery);
+        // Replaced atomically: the process may read it at any time.
+        crate::atomic_file::write_atomically(&self.config_path, config.to_string().as_bytes())?;
+        self.signal(Signal::SIGHUP);
+        Ok(())
+    }
+
+    /// Sends its process a signal, if it has one.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid() {
+            // A process that has just ended needs no signal.
+            let _ = kill(Pid::from_raw(pid as i32), signal);
+        }
+    }
+
+    /// Asks its process to shut down gracefully.
+    pub fn terminate(&mut self) {
+        self.terminating = true;
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// The exit status of its process, once, if it has ended since the last call.
+    pub fn take_exit_status(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Waits until its process has ended; `None` where it has no process. Cancel-safe.
+    pub async fn wait(&mut self) -> Option<std::io::Result<ExitStatus>> {
+        match &mut self.child {
+            Some(child) => Some(child.wait().await),
+            None => None,
+        }
+    }
+
+    /// Kills its process, waits for its end, and closes its clients' idle connections.
+    pub async fn kill(&mut self) {
+        self.connections.close_idle();
+        if let Some(mut child) = self.child.take() {
+            // The only failure is a process that has ended by itself.
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Why it does not start, by the last line of its log.
+    pub fn startup_error(&self) -> SocketError {
+        let log = std::fs::read_to_string(&self.log_path).unwrap_or_default();
+        let last_log_line = log.lines().last().unwrap_or("its log is empty").to_string();
+        SocketError::NotReady {
+            node: self.node,
+            last_log_line,
+        }
+    }
+}
+
+async fn answers_ping(address: SocketAddr) -> bool {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(b"*1\r\n$4\r\nPING\r\n").await?;
+        let mut answer = [0; 7];
+        stream.read_exact(&mut answer).await?;
+        Ok::<_, std::io::Error>(&answer == b"+PONG\r\n")
+    };
+    exchange.await.unwrap_or(false)
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/services/discovery.rs
@@ -0,0 +1,155 @@
+//! The emulated discovery service, in HTTP: polls and watches of the endpoint list.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Query, State};
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use bytes::Bytes;
+use cluster_model::endpoint_list::{ListCall, ListResponse, NodeId};
+use cluster_model::network::Zone;
+use serde::Deserialize;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::sockets::shared::{EndpointListMessage, SharedCluster};
+
+/// A watch brings an empty line this often while nothing changes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The node that a listener serves. Each node has a listener of its own, by which it is known.
+#[derive(Clone)]
+struct ServedNode {
+    shared: Arc<SharedCluster>,
+    node: NodeId,
+    zone: Zone,
+}
+
+/// The query of a call.
+#[derive(Deserialize)]
+struct ListQuery {
+    /// 0 to poll once, otherwise to watch.
+    #[serde(default)]
+    watch: u8,
+    /// The version that the node holds.
+    #[serde(default)]
+    after: u64,
+}
+
+impl ListQuery {
+    fn is_poll(&self) -> bool {
+        self.watch == 0
+    }
+
+    fn call(&self) -> ListCall {
+        if self.is_poll() {
+            ListCall::Complete
+        } else {
+            ListCall::Watch { after: self.after }
+        }
+    }
+}
+
+/// Serves the endpoint list to one node, for ever. Its calls and watches end with this task.
+///
+/// # Errors
+/// Where the listener fails.
+pub async fn serve(
+    shared: Arc<SharedCluster>,
+    listener: TcpListener,
+    node: NodeId,
+    zone: Zone,
+) -> std::io::Result<()> {
+    let served = ServedNode { shared, node, zone };
+    let routes = Router::new()
+        .route("/v1/servers", get(list_endpoints))
+        .with_state(served);
+    axum::serve(listener, routes).await
+}
+
+/// A call or watch that is open. When it is dropped, the service learns that nobody listens any more.
+struct OpenCall {
+    served: ServedNode,
+    messages: mpsc::Receiver<ListResponse>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.messages.close();
+        let ServedNode { shared, node, .. } = &self.served;
+        shared.state().hang_up_discovery(*node);
+    }
+}
+
+impl OpenCall {
+    /// The next list or change as a line of JSON; `None` when the call failed or the watch has ended.
+    async fn next_line(&mut self) -> Option<Bytes> {
+        let message = self.messages.recv().await?;
+        let ListResponse::Update {
+            version,
+            complete,
+            records,
+        } = &message
+        else {
+            return None;
+        };
+        let ServedNode { shared, node, zone } = &self.served;
+        let list = EndpointListMessage {
+            version: *version,
+            complete: *complete,
+            records,
+        };
+        let line = format!("{}\n", shared.endpoint_list_json(*zone, list));
+        let now = shared.now();
+        shared.state().discovery_written(now, *node, &message);
+        Some(line.into())
+    }
+
+    /// The next line of a watch, or an empty line where nothing changes for a while.
+    async fn next_line_or_keep_alive(&mut self) -> Option<Bytes> {
+        let next = tokio::time::timeout(KEEP_ALIVE_INTERVAL, self.next_line()).await;
+        next.unwrap_or(Some(Bytes::from_static(b"\n")))
+    }
+}
+
+async fn list_endpoints(
+    State(served): State<ServedNode>,
+    Query(query): Query<ListQuery>,
+) -> Response {
+    let shared = &served.shared;
+    let now = shared.now();
+    let messages = shared
+        .state()
+        .call_discovery(now, served.node, query.call());
+    shared.notify_due_changed();
+    let Some(messages) = messages else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let mut call = OpenCall { served, messages };
+    let Some(first_line) = call.next_line().await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let content_type = [(header::CONTENT_TYPE, "application/json")];
+    if query.is_poll() {
+        return (content_type, first_line).into_response();
+    }
+    (content_type, watch_body(call, first_line)).into_response()
+}
+
+/// The body of a watch's response: one line after another until the watch ends.
+fn watch_body(call: OpenCall, first_line: Bytes) -> Body {
+    let state = (call, Some(first_line));
+    let lines = futures_util::stream::unfold(state, |(mut call, first_line)| async move {
+        let line = match first_line {
+            Some(first_line) => first_line,
+            None => call.next_line_or_keep_alive().await?,
+        };
+        Some((Ok::<_, Infallible>(line), (call, None)))
+    });
+    Body::from_stream(lines)
+}
--- /dev/null
+++ b/crates/testbed/src/sockets/services/origin.rs
@@ -0,0 +1,71 @@
+//! The emulated origin, in HTTP.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use bytes::Bytes;
+use tokio::net::TcpListener;
+
+use super::CORRUPT_REPLY;
+use crate::sockets::cluster::{AttemptReply, RequestId};
+use crate::sockets::shared::SharedCluster;
+
+/// The header in which a node names the request that a call is for.
+const REQUEST_HEADER: &str = "x-correlation-id";
+
+/// Serves the origin's connections, for ever. They end with this task.
+///
+/// # Errors
+/// Where the listener fails.
+pub async fn serve(shared: Arc<SharedCluster>, listener: TcpListener) -> std::io::Result<()> {
+    let routes = Router::new()
+        .route("/{key}", get(fetch).put(fetch))
+        .with_state(shared);
+    axum::serve(listener, routes).await
+}
+
+async fn fetch(State(shared): State<Arc<SharedCluster>>, headers: HeaderMap) -> Response {
+    let Some(request) = request_id(&headers) else {
+        return (StatusCode::BAD_REQUEST, "no request of a client").into_response();
+    };
+    let now = shared.now();
+    // Bound outside of the match: the lock is not held while it waits.
+    let attempt = shared.state().attempt_at_origin(now, request);
+    shared.notify_due_changed();
+    let Some(attempt) = attempt else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    match attempt.reply.await {
+        Ok(AttemptReply::Value) => shared.value().clone().into_response(),
+        Ok(AttemptReply::Busy) => {
+            (StatusCode::SERVICE_UNAVAILABLE, [("x-unprocessed", "1")]).into_response()
+        }
+        Ok(AttemptReply::Nothing) => std::future::pending().await,
+        Ok(AttemptReply::Corrupt) => (StatusCode::IM_A_TEAPOT, CORRUPT_REPLY).into_response(),
+        Ok(AttemptReply::Failed | AttemptReply::Miss) => {
+            StatusCode::INTERNAL_SERVER_ERROR.into_response()
+        }
+        Ok(AttemptReply::ConnectionReset) | Err(_) => broken_off(),
+    }
+}
+
+fn request_id(headers: &HeaderMap) -> Option<RequestId> {
+    let id = headers.get(REQUEST_HEADER)?.to_str().ok()?;
+    RequestId::from_str_radix(id, 16).ok()
+}
+
+/// A response that breaks off in its head: a process that dies takes its connections with it.
+fn broken_off() -> Response {
+    let failing_body = futures_util::stream::once(async {
+        Err::<Bytes, std::io::Error>(std::io::ErrorKind::ConnectionReset.into())
+    });
+    Response::builder()
+        .header(header::CONTENT_LENGTH, "1")
+        .body(Body::from_stream(failing_body))
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/testbed/src/virtual_time/attempts.rs
@@ -0,0 +1,336 @@
+//! Attempts on their way: from a node over the network to a cache server or the origin, and back with an outcome.
+
+use std::collections::BTreeMap;
+
+use cluster_model::Micros;
+use cluster_model::endpoint_list::NodeId;
+use cluster_model::invariants::InvariantLimits;
+use cluster_model::machine::JobId;
+use cluster_model::network::{Delivery, Zone};
+use cluster_model::origin::Admission as OriginAdmission;
+use cluster_model::server::{Admission, Lookup, Response};
+use routing_policy::{AttemptStatus, Event as PolicyEvent, RequestId, ServerId};
+
+use super::servers::{ORIGIN, origin_status};
+use super::{Event, Simulation};
+use crate::clients::{Reply, log_normal_factor};
+use crate::deployment::{self, MAX_ATTEMPTS, ORIGIN_WORK_DEVIATION};
+use crate::micros;
+
+/// An event of an attempt, which is named by its job.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum AttemptEvent {
+    /// It reaches its server.
+    ReachesServer { job: JobId },
+    /// Its outcome reaches its node.
+    Outcome { job: JobId, status: AttemptStatus },
+    /// Its node stops waiting for it.
+    TimesOut { job: JobId },
+}
+
+/// Identifies an attempt at its node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct AttemptKey {
+    node: NodeId,
+    request: RequestId,
+    attempt: u16,
+}
+
+impl AttemptKey {
+    /// The least key of a node.
+    fn first_of(node: NodeId) -> AttemptKey {
+        AttemptKey {
+            node,
+            request: 0,
+            attempt: 0,
+        }
+    }
+}
+
+/// An attempt without an outcome so far.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct InFlightAttempt {
+    key: AttemptKey,
+    pub(super) server: ServerId,
+    /// Id of the client whose request it serves.
+    pub(super) client: u64,
+}
+
+impl InFlightAttempt {
+    pub(super) fn node(&self) -> NodeId {
+        self.key.node
+    }
+
+    pub(super) fn request(&self) -> RequestId {
+        self.key.request
+    }
+}
+
+/// The attempts in flight, by job and by key.
+#[derive(Default)]
+pub(super) struct InFlightAttempts {
+    attempts: BTreeMap<JobId, InFlightAttempt>,
+    jobs: BTreeMap<AttemptKey, JobId>,
+    next_job: JobId,
+}
+
+impl InFlightAttempts {
+    fn insert(&mut self, attempt: InFlightAttempt) -> JobId {
+        let job = self.next_job;
+        self.next_job += 1;
+        self.attempts.insert(job, attempt);
+        self.jobs.insert(attempt.key, job);
+        job
+    }
+
+    pub(super) fn get(&self, job: JobId) -> Option<InFlightAttempt> {
+        self.attempts.get(&job).copied()
+    }
+
+    pub(super) fn remove(&mut self, job: JobId) -> Option<InFlightAttempt> {
+        let attempt = self.attempts.remove(&job)?;
+        self.jobs.remove(&attempt.key);
+        Some(attempt)
+    }
+
+    fn find(&self, key: AttemptKey) -> Option<JobId> {
+        self.jobs.get(&key).copied()
+    }
+
+    /// The jobs of a node's attempts.
+    pub(super) fn of_node(&self, node: NodeId) -> Vec<JobId> {
+        let keys = AttemptKey::first_of(node)..AttemptKey::first_of(node + 1);
+        self.jobs.range(keys).map(|(_, job)| *job).collect()
+    }
+}
+
+impl Simulation<'_> {
+    pub(super) fn handle_attempt_event(&mut self, event: AttemptEvent) {
+        match event {
+            AttemptEvent::ReachesServer { job } => self.attempt_arrives(job),
+            AttemptEvent::Outcome { job, status } => self.outcome_arrives(job, status),
+            AttemptEvent::TimesOut { job } => self.attempt_times_out(job),
+        }
+    }
+
+    /// A node's policy sends an attempt.
+    pub(super) fn send_attempt(&mut self, node: NodeId, request: RequestId, server: ServerId) {
+        let Some(open) = self.nodes[node].open.get_mut(&request) else {
+            return;
+        };
+        let attempt = open.attempts_sent;
+        let client = open.client;
+        let deadline = open.deadline;
+        let may_send = !open.complete && u32::from(attempt) < MAX_ATTEMPTS && self.now < deadline;
+        open.attempts_sent += 1;
+        open.in_flight += 1;
+        let key = AttemptKey {
+            node,
+            request,
+            attempt,
+        };
+        let job = self.attempts.insert(InFlightAttempt {
+            key,
+            server,
+            client,
+        });
+        if !may_send {
+            return self.schedule_outcome(self.now, job, AttemptStatus::NotSent);
+        }
+        self.invariants
+            .sent(self.now, (node, request), attempt, server);
+        self.count_attempt(client, server);
+        let zone = self.nodes[node].zone();
+        let server_zone = self.zone_of(server, zone);
+        let random = &mut self.random.network;
+        if let Some(delay) = self.network.transit_time(zone, server_zone, random) {
+            let arrival = AttemptEvent::ReachesServer { job };
+            self.schedule(self.now + delay, Event::Attempt(arrival));
+        }
+        self.schedule(deadline, Event::Attempt(AttemptEvent::TimesOut { job }));
+    }
+
+    fn count_attempt(&mut self, client: u64, server: ServerId) {
+        if server == ORIGIN {
+            return self.count(client, |counts| counts.origin_calls += 1);
+        }
+        *self.attempts_by_server.entry(server).or_default() += 1;
+        self.count(client, |counts| counts.attempts += 1);
+    }
+
+    /// The zone of a server. The origin is in every zone, so that its zone is that of the node.
+    fn zone_of(&self, server: ServerId, node_zone: Zone) -> Zone {
+        self.servers
+            .get(&server)
+            .map_or(node_zone, |server| server.zone)
+    }
+
+    fn attempt_arrives(&mut self, job: JobId) {
+        let Some(attempt) = self.attempts.get(job) else {
+            return;
+        };
+        // If the client has gone, nobody knows the work; the node gives the attempt up by itself.
+        let Some(client) = self.clients.get(attempt.client) else {
+            return;
+        };
+        if attempt.server == ORIGIN {
+            return self.arrive_at_origin(job);
+        }
+        let lookup = Lookup {
+            key: client.key,
+            work: client.work,
+            informed: self.is_informed(attempt.node(), attempt.server),
+        };
+        self.arrive_at_cache_server(job, attempt, lookup);
+    }
+
+    /// Whether a node knows, or should know by now, when a server last started.
+    fn is_informed(&self, node: NodeId, server: ServerId) -> bool {
+        let started = self
+            .servers
+            .get(&server)
+            .map_or(0, |server| server.cache.started());
+        let notified = self.nodes[node]
+            .endpoints
+            .get(&server)
+            .is_some_and(|record| record.started >= started);
+        let grace = InvariantLimits::default().notified_after;
+        let should_know = self
+            .starts_known
+            .get(&server)
+            .is_some_and(|known| self.now >= known + grace);
+        notified || should_know
+    }
+
+    fn arrive_at_origin(&mut self, job: JobId) {
+        let random = &mut self.random.work;
+        let mean_work = micros(self.scenario.origin.work) as f64;
+        let work = mean_work * log_normal_factor(ORIGIN_WORK_DEVIATION, random);
+        let admission = self.origin.submit(self.now, job, work, random);
+        self.schedule_origin();
+        match admission {
+            OriginAdmission::Accepted => {}
+            OriginAdmission::Answered(response) => {
+                self.send_outcome(job, origin_status(response));
+            }
+            OriginAdmission::Collapsed(lost) => self.reset_attempts(lost, job),
+        }
+    }
+
+    fn arrive_at_cache_server(&mut self, job: JobId, attempt: InFlightAttempt, lookup: Lookup) {
+        let Some(server) = self.servers.get_mut(&attempt.server) else {
+            return self.send_outcome(job, AttemptStatus::ConnectFailed);
+        };
+        match server.cache.submit(self.now, job, lookup) {
+            Admission::Accepted => {}
+            Admission::Answered(Response::Refused) => {
+                self.send_outcome(job, AttemptStatus::ConnectFailed);
+            }
+            Admission::Answered(_) => {
+                self.count(attempt.client, |counts| counts.rejected_attempts += 1);
+                self.send_outcome(job, AttemptStatus::Rejected);
+            }
+            Admission::Collapsed(lost) => {
+                if let Some(collapse) = server.cache.collapse() {
+                    self.invariants.collapsed(attempt.server, collapse);
+                }
+                self.reset_attempts(lost, job);
+                self.server_is_gone(attempt.server);
+            }
+        }
+        self.schedule_cache_server(attempt.server);
+    }
+
+    /// The connections of the lost attempts are reset, and that of the attempt that just arrived.
+    fn reset_attempts(&mut self, lost: Vec<JobId>, arrived: JobId) {
+        for job in lost.into_iter().chain([arrived]) {
+            self.send_outcome(job, AttemptStatus::Reset);
+        }
+    }
+
+    /// A server sends an answer, which the network may lose or damage.
+    pub(super) fn send_outcome(&mut self, job: JobId, status: AttemptStatus) {
+        let Some(attempt) = self.attempts.get(job) else {
+            return;
+        };
+        let zone = self.nodes[attempt.node()].zone();
+        let server_zone = self.zone_of(attempt.server, zone);
+        let random = &mut self.random.network;
+        let delivery = self.network.draw_delivery(random);
+        let Some(delay) = self.network.transit_time(server_zone, zone, random) else {
+            return;
+        };
+        let received = match delivery {
+            Delivery::Lost => return,
+            Delivery::Complete => status,
+            // A node closes a connection that brings malformed bytes, which is the same to its policy.
+            Delivery::Corrupted | Delivery::Reset => AttemptStatus::Reset,
+        };
+        self.schedule_outcome(self.now + delay, job, received);
+    }
+
+    fn schedule_outcome(&mut self, at: Micros, job: JobId, status: AttemptStatus) {
+        let outcome = AttemptEvent::Outcome { job, status };
+        self.schedule(at, Event::Attempt(outcome));
+    }
+
+    fn outcome_arrives(&mut self, job: JobId, status: AttemptStatus) {
+        let Some(InFlightAttempt { key, server, .. }) = self.attempts.remove(job) else {
+            return;
+        };
+        let AttemptKey {
+            node,
+            request,
+            attempt,
+        } = key;
+        if status.proves_not_run() {
+            self.invariants.never_ran((node, request), attempt);
+        }
+        let Some(open) = self.nodes[node].open.get_mut(&request) else {
+            return;
+        };
+        open.in_flight -= 1;
+        if status == AttemptStatus::Miss {
+            open.missed.push(server);
+        }
+        let complete = open.complete || status == AttemptStatus::Served;
+        if status == AttemptStatus::Served {
+            self.answer(node, request, Reply::Served);
+        }
+        let outcome = deployment::attempt_outcome(request, attempt, server, status, complete);
+        self.notify_policy(node, PolicyEvent::AttemptOutcome(outcome));
+        self.forget_if_over(node, request);
+    }
+
+    fn attempt_times_out(&mut self, job: JobId) {
+        if self.attempts.get(job).is_some() {
+            self.cancel_at_server(job);
+            self.outcome_arrives(job, AttemptStatus::TimedOut);
+        }
+    }
+
+    /// A node's policy cancels an attempt.
+    pub(super) fn cancel_attempt(&mut self, node: NodeId, request: RequestId, attempt: u16) {
+        let key = AttemptKey {
+            node,
+            request,
+            attempt,
+        };
+        if let Some(job) = self.attempts.find(key) {
+            self.cancel_at_server(job);
+            // The policy is notified by an event of its own, after the one that it handles now.
+            self.schedule_outcome(self.now, job, AttemptStatus::Cancelled);
+        }
+    }
+
+    /// The server of an attempt notices that nobody waits for it.
+    pub(super) fn cancel_at_server(&mut self, job: JobId) {
+        let Some(attempt) = self.attempts.get(job) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(&attempt.server) {
+            server.cache.cancel(self.now, job);
+            self.schedule_cache_server(attempt.server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/virtual_time/clients.rs
@@ -0,0 +1,120 @@
+//! The clients' side: requests arrive, the load balancer gives each attempt to a node, and replies come back.
+
+use cluster_model::Micros;
+use cluster_model::endpoint_list::NodeId;
+use rand::Rng;
+use routing_policy::{Event as PolicyEvent, Request};
+
+use super::nodes::OpenRequest;
+use super::{Event, Simulation};
+use crate::clients::{Assignment, Client, Reply};
+use crate::deployment;
+
+/// Delay between a client and a node, one way, in microseconds.
+pub(super) const CLIENT_DELAY: Micros = 300;
+
+/// An event at a client. Clients are named by their ids.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum ClientEvent {
+    /// A new request arrives.
+    Arrival,
+    /// A client retries.
+    Retry { client: u64 },
+    /// A client goes away, at its deadline or before.
+    Leave { client: u64 },
+    /// A reply reaches a client.
+    Reply { client: u64, reply: Reply },
+}
+
+impl Simulation<'_> {
+    pub(super) fn handle_client_event(&mut self, event: ClientEvent) {
+        match event {
+            ClientEvent::Arrival => self.request_arrives(),
+            ClientEvent::Retry { client } => self.begin_attempt(client),
+            ClientEvent::Leave { client } => self.client_leaves(client),
+            ClientEvent::Reply { client, reply } => self.reply_arrives(client, reply),
+        }
+    }
+
+    pub(super) fn schedule_next_arrival(&mut self) {
+        if let Some(at) = self.clients.next_arrival(self.now) {
+            self.schedule(at, Event::Client(ClientEvent::Arrival));
+        }
+    }
+
+    fn request_arrives(&mut self) {
+        self.schedule_next_arrival();
+        let id = self.clients.new_client(self.now);
+        let leaves_at = self
+            .clients
+            .get(id)
+            .map_or(self.now, |client| client.leaves_at);
+        let leave = ClientEvent::Leave { client: id };
+        self.schedule(leaves_at, Event::Client(leave));
+        self.begin_attempt(id);
+    }
+
+    /// A client sends an attempt through the load balancer to a node.
+    fn begin_attempt(&mut self, id: u64) {
+        let Some(client) = self.clients.begin_attempt(id) else {
+            return;
+        };
+        let nodes = self.load_balancer.nodes();
+        if nodes.is_empty() {
+            return self.schedule_reply(CLIENT_DELAY, id, Reply::Failed);
+        }
+        let node = nodes[self.random.load_balancer.random_range(0..nodes.len())];
+        if !self.nodes[node].is_running() {
+            // The connection is refused: the refusal takes a round trip.
+            return self.schedule_reply(2 * CLIENT_DELAY, id, Reply::Failed);
+        }
+        self.accept_request(node, id, &client);
+    }
+
+    /// A node accepts the request of a client's attempt.
+    fn accept_request(&mut self, node: NodeId, client_id: u64, client: &Client) {
+        // The way to the node takes some of the time that it is told.
+        let remaining = client.deadline.saturating_sub(self.now + CLIENT_DELAY);
+        let deadline = self.now + remaining;
+        let id = self.nodes[node].open_request(OpenRequest::new(client_id, deadline));
+        self.clients.assign(client_id, node, id);
+        let idempotency = deployment::idempotency(self.scenario, client.class);
+        self.invariants.accepted((node, id), deadline, idempotency);
+        let request = Request {
+            id,
+            class: client.class,
+            key: client.key,
+            write: self.scenario.classes[client.class].write,
+            remaining_deadline: remaining,
+            ..Request::default()
+        };
+        self.notify_policy(node, PolicyEvent::Request(request));
+    }
+
+    /// A reply reaches a client after a delay.
+    pub(super) fn schedule_reply(&mut self, delay: Micros, client: u64, reply: Reply) {
+        let reply = ClientEvent::Reply { client, reply };
+        self.schedule(self.now + delay, Event::Client(reply));
+    }
+
+    fn reply_arrives(&mut self, client: u64, reply: Reply) {
+        if let Some(retry_at) = self.clients.notified(self.now, client, reply) {
+            self.schedule(retry_at, Event::Client(ClientEvent::Retry { client }));
+        }
+    }
+
+    /// A client goes away. It is owed no answer any more, and its node notices that it has disconnected.
+    fn client_leaves(&mut self, client: u64) {
+        let Some(Assignment { node, request }) = self.clients.leave(client) else {
+            return;
+        };
+        self.invariants.client_gone(self.now, (node, request));
+        if let Some(open) = self.nodes[node].open.get_mut(&request)
+            && !open.complete
+        {
+            open.complete = true;
+            self.notify_policy(node, PolicyEvent::ClientGone(request));
+            self.forget_if_over(node, request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/virtual_time/faults.rs
@@ -0,0 +1,268 @@
+//! Fault injection: the faults of the scenario begin, and those that last end.
+
+use cluster_model::endpoint_list::NodeId;
+use cluster_model::network::{AnswerFaults, Zone};
+use cluster_model::{Micros, RandomStream};
+use rand::seq::SliceRandom;
+use router_config::Span;
+use routing_policy::ServerId;
+
+use super::discovery::DiscoveryEvent;
+use super::lifecycle::NodeEvent;
+use super::servers::ServerEvent;
+use super::{Event, Simulation};
+use crate::scenario::{FaultEvent, OriginFailure};
+use crate::{deployment, micros};
+
+/// An event of the fault injection.
+pub(super) enum InjectionEvent {
+    /// A fault begins, by its index in the scenario.
+    Begin { index: usize },
+    /// A fault ends.
+    End(FaultEnd),
+}
+
+/// The end of a fault that lasts.
+pub(super) enum FaultEnd {
+    /// A zone is connected to the others again.
+    ZoneIsolation { zone: Zone },
+    /// Clients send requests at the usual rate again.
+    Burst { factor: f64 },
+    /// A neighbour leaves a machine alone.
+    NoisyNeighbour { server: ServerId },
+    /// Calls to the origin succeed again.
+    OriginFailure,
+    /// The origin has all its cores again.
+    OriginSlowness,
+    /// Answers arrive intact again.
+    AnswerDamage,
+    /// A part of the requests leaves the hot key.
+    HotKey { part: f64 },
+    /// A part of the requests stops scanning.
+    Scan { part: f64 },
+}
+
+/// Picks a part of the candidates at random.
+fn pick<T>(mut candidates: Vec<T>, part: f64, random: &mut RandomStream) -> Vec<T> {
+    candidates.shuffle(random);
+    candidates.truncate((candidates.len() as f64 * part).round() as usize);
+    candidates
+}
+
+/// Times that are spread evenly over a period.
+struct EvenlySpread {
+    begin: Micros,
+    period: Micros,
+    count: Micros,
+}
+
+impl EvenlySpread {
+    fn new(begin: Micros, period: Micros, count: usize) -> Self {
+        EvenlySpread {
+            begin,
+            period,
+            count: count.max(1) as Micros,
+        }
+    }
+
+    fn time(&self, index: usize) -> Micros {
+        self.begin + self.period * index as Micros / self.count
+    }
+}
+
+impl Simulation<'_> {
+    pub(super) fn handle_injection_event(&mut self, event: InjectionEvent) {
+        match event {
+            InjectionEvent::Begin { index } => self.begin_fault(&self.scenario.faults[index]),
+            InjectionEvent::End(end) => self.end_fault(&end),
+        }
+    }
+
+    fn schedule_end(&mut self, lasts: Span, end: FaultEnd) {
+        let end = InjectionEvent::End(end);
+        self.schedule(self.now + micros(lasts), Event::Injection(end));
+    }
+
+    fn begin_fault(&mut self, fault: &FaultEvent) {
+        match *fault {
+            FaultEvent::ReplaceServers {
+                part, over, drain, ..
+            } => self.replace_servers(part, micros(over), micros(drain)),
+            FaultEvent::CrashServers { part, back, .. } => self.crash_servers(part, micros(back)),
+            FaultEvent::NoisyNeighbour {
+                part, taken, lasts, ..
+            } => self.add_noisy_neighbours(part, taken, lasts),
+            FaultEvent::KillNodes { part, back, .. } => self.kill_nodes(part, micros(back)),
+            FaultEvent::PauseNodes { part, lasts, .. } => self.pause_nodes(part, micros(lasts)),
+            FaultEvent::RestartNodes { part, over, .. } => self.restart_nodes(part, micros(over)),
+            FaultEvent::RelocateList { .. } => self.relocate_list(),
+            FaultEvent::ListDown { lasts, .. } => self.stop_list(micros(lasts)),
+            FaultEvent::IsolateZone { zone, lasts, .. } => self.isolate_zone(zone, lasts),
+            FaultEvent::Burst { factor, lasts, .. } => self.begin_burst(factor, lasts),
+            FaultEvent::HotKey { part, lasts, .. } => self.begin_hot_key(part, lasts),
+            FaultEvent::Scan { part, lasts, .. } => self.begin_scan(part, lasts),
+            FaultEvent::OriginFails {
+                part, how, lasts, ..
+            } => self.fail_origin(part, how, lasts),
+            FaultEvent::OriginSlow { taken, lasts, .. } => self.slow_origin(taken, lasts),
+            FaultEvent::DamageAnswers {
+                lost,
+                spoilt,
+                reset,
+                lasts,
+                ..
+            } => {
+                let corrupted = spoilt;
+                let faults = AnswerFaults {
+                    lost,
+                    corrupted,
+                    reset,
+                };
+                self.damage_answers(faults, lasts);
+            }
+            // No policy sees malformed commands.
+            FaultEvent::MalformedTraffic { .. } => {}
+        }
+    }
+
+    fn end_fault(&mut self, end: &FaultEnd) {
+        match *end {
+            FaultEnd::ZoneIsolation { zone } => self.set_zone_isolated(zone, false),
+            FaultEnd::Burst { factor } => self.clients.scale_rate(1.0 / factor),
+            FaultEnd::NoisyNeighbour { server } => self.set_stolen_share(server, 0.0),
+            FaultEnd::OriginFailure => self.origin.set_fault(None),
+            FaultEnd::OriginSlowness => {
+                self.origin.set_stolen_share(self.now, 0.0);
+                self.schedule_origin();
+            }
+            FaultEnd::AnswerDamage => self.network.set_answer_faults(AnswerFaults::default()),
+            FaultEnd::HotKey { part } => self.clients.adjust_hot_share(-part),
+            FaultEnd::Scan { part } => self.clients.adjust_scan_share(-part),
+        }
+    }
+
+    /// A part of the nodes, picked at random.
+    fn pick_nodes(&mut self, part: f64) -> Vec<NodeId> {
+        pick(self.nodes.ids(), part, &mut self.random.faults)
+    }
+
+    /// A part of the servers that run, picked at random.
+    fn pick_servers(&mut self, part: f64) -> Vec<ServerId> {
+        let running = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.cache.is_running())
+            .map(|(id, _)| *id)
+            .collect();
+        pick(running, part, &mut self.random.faults)
+    }
+
+    fn replace_servers(&mut self, part: f64, over: Micros, drain: Micros) {
+        let servers = self.pick_servers(part);
+        let times = EvenlySpread::new(self.now, over, servers.len());
+        for (index, server) in servers.into_iter().enumerate() {
+            let at = times.time(index);
+            self.schedule(at, Event::Server(ServerEvent::Drain { server }));
+            self.schedule(at + drain, Event::Server(ServerEvent::Stop { server }));
+            // The replacement starts while the old server drains.
+            let server = self.add_replacement(server);
+            self.schedule(at, Event::Server(ServerEvent::Start { server }));
+        }
+    }
+
+    fn crash_servers(&mut self, part: f64, back: Micros) {
+        for server in self.pick_servers(part) {
+            self.stop_server(server);
+            let start = ServerEvent::Start { server };
+            self.schedule(self.now + back, Event::Server(start));
+        }
+    }
+
+    fn kill_nodes(&mut self, part: f64, back: Micros) {
+        for node in self.pick_nodes(part) {
+            self.kill_node(node);
+            self.schedule(self.now + back, Event::Node(NodeEvent::Start { node }));
+        }
+    }
+
+    fn pause_nodes(&mut self, part: f64, lasts: Micros) {
+        for node in self.pick_nodes(part) {
+            self.nodes[node].pause();
+            self.schedule(self.now + lasts, Event::Node(NodeEvent::PauseEnds { node }));
+        }
+    }
+
+    fn restart_nodes(&mut self, part: f64, over: Micros) {
+        let nodes = self.pick_nodes(part);
+        let times = EvenlySpread::new(self.now, over, nodes.len());
+        for (index, node) in nodes.into_iter().enumerate() {
+            let restart = NodeEvent::Restart { node };
+            self.schedule(times.time(index), Event::Node(restart));
+        }
+    }
+
+    fn relocate_list(&mut self) {
+        for node in self.nodes.iter_mut() {
+            node.list_version = 0;
+        }
+        for (node, response) in self.list.relocate() {
+            self.schedule_list_response(self.now, node, response);
+        }
+    }
+
+    fn stop_list(&mut self, lasts: Micros) {
+        for (node, response) in self.list.set_available(self.now, false) {
+            self.schedule_list_response(self.now, node, response);
+        }
+        let restored = DiscoveryEvent::ListRestored;
+        self.schedule(self.now + lasts, Event::Discovery(restored));
+    }
+
+    fn isolate_zone(&mut self, zone: Zone, lasts: Span) {
+        self.set_zone_isolated(zone, true);
+        self.schedule_end(lasts, FaultEnd::ZoneIsolation { zone });
+    }
+
+    fn set_zone_isolated(&mut self, zone: Zone, isolated: bool) {
+        self.network
+            .set_isolated(zone, self.scenario.zones, isolated);
+    }
+
+    fn add_noisy_neighbours(&mut self, part: f64, taken: f64, lasts: Span) {
+        for server in self.pick_servers(part) {
+            self.set_stolen_share(server, taken);
+            self.schedule_end(lasts, FaultEnd::NoisyNeighbour { server });
+        }
+    }
+
+    fn begin_burst(&mut self, factor: f64, lasts: Span) {
+        self.clients.scale_rate(factor);
+        self.schedule_end(lasts, FaultEnd::Burst { factor });
+    }
+
+    fn begin_hot_key(&mut self, part: f64, lasts: Span) {
+        self.clients.adjust_hot_share(part);
+        self.schedule_end(lasts, FaultEnd::HotKey { part });
+    }
+
+    fn begin_scan(&mut self, part: f64, lasts: Span) {
+        self.clients.adjust_scan_share(part);
+        self.schedule_end(lasts, FaultEnd::Scan { part });
+    }
+
+    fn fail_origin(&mut self, part: f64, how: OriginFailure, lasts: Span) {
+        self.origin.set_fault(Some(deployment::fault(how, part)));
+        self.schedule_end(lasts, FaultEnd::OriginFailure);
+    }
+
+    fn slow_origin(&mut self, taken: f64, lasts: Span) {
+        self.origin.set_stolen_share(self.now, taken);
+        self.schedule_origin();
+        self.schedule_end(lasts, FaultEnd::OriginSlowness);
+    }
+
+    fn damage_answers(&mut self, faults: AnswerFaults, lasts: Span) {
+        self.network.set_answer_faults(faults);
+        self.schedule_end(lasts, FaultEnd::AnswerDamage);
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/virtual_time/mod.rs
@@ -0,0 +1,194 @@
+//! The driver in virtual time: an event queue, the policy of each node, and the parts of the cluster model. The clock
+//! jumps from event to event; events at the same time happen in the order in which they were scheduled.
+//!
+//! Each concern has a module, most with the events that it handles: `clients` with the `load_balancer`; `nodes` with the
+//! `lifecycle` of their processes and the `policy_driver`; `attempts` on their way between nodes and servers; `servers`
+//! with the origin; `discovery` through the endpoint list; and `faults`.
+
+mod attempts;
+mod clients;
+mod discovery;
+mod faults;
+mod lifecycle;
+mod load_balancer;
+mod nodes;
+mod policy_driver;
+mod servers;
+
+use std::collections::BTreeMap;
+
+use cluster_model::endpoint_list::EndpointList;
+use cluster_model::invariants::Invariants;
+use cluster_model::network::Network;
+use cluster_model::origin::Origin;
+use cluster_model::{Micros, RandomStream, random_stream};
+use routing_policy::ServerId;
+
+use crate::clients::{Clients, Stream};
+use crate::event_queue::EventQueue;
+use crate::report::{self, Counts, Report};
+use crate::scenario::Scenario;
+use crate::{deployment, micros};
+use attempts::{AttemptEvent, InFlightAttempts};
+use clients::ClientEvent;
+use discovery::DiscoveryEvent;
+use faults::InjectionEvent;
+use lifecycle::NodeEvent;
+use load_balancer::LoadBalancer;
+use nodes::Nodes;
+use servers::{Server, ServerEvent};
+
+/// When a run begins, in microseconds: late enough that "long ago" is before it.
+const BEGIN: Micros = 1_000_000_000;
+/// After the last arrival a run goes on until all is answered, but no longer than this, in microseconds.
+const MAX_TAIL: Micros = 10_000_000;
+
+/// A future event, by the module that handles it.
+enum Event {
+    Client(ClientEvent),
+    Node(NodeEvent),
+    Attempt(AttemptEvent),
+    Server(ServerEvent),
+    Discovery(DiscoveryEvent),
+    Injection(InjectionEvent),
+}
+
+/// The random streams of the parts that the driver draws for.
+struct RandomStreams {
+    work: RandomStream,
+    network: RandomStream,
+    load_balancer: RandomStream,
+    faults: RandomStream,
+    node_seeds: RandomStream,
+}
+
+impl RandomStreams {
+    fn new(seed: u64) -> Self {
+        let stream = |stream: Stream| random_stream(seed, stream as u64);
+        RandomStreams {
+            work: stream(Stream::Work),
+            network: stream(Stream::Network),
+            load_balancer: stream(Stream::LoadBalancer),
+            faults: stream(Stream::Faults),
+            node_seeds: stream(Stream::Nodes),
+        }
+    }
+}
+
+/// A run in progress.
+struct Simulation<'a> {
+    scenario: &'a Scenario,
+    now: Micros,
+    queue: EventQueue<Event>,
+    events: u64,
+    random: RandomStreams,
+    clients: Clients<'a>,
+    load_balancer: LoadBalancer,
+    nodes: Nodes,
+    attempts: InFlightAttempts,
+    network: Network,
+    servers: BTreeMap<ServerId, Server>,
+    origin: Origin,
+    /// Grows whenever the origin's next event is scheduled anew; earlier ones are void.
+    origin_generation: u64,
+    list: EndpointList,
+    /// When the latest start of each server became known.
+    starts_known: BTreeMap<ServerId, Micros>,
+    invariants: Invariants,
+    attempts_by_server: BTreeMap<ServerId, u64>,
+}
+
+/// Runs a scenario with a seed.
+pub fn run(scenario: &Scenario, seed: u64) -> Report {
+    let mut simulation = Simulation::new(scenario, seed);
+    simulation.begin();
+    let end = BEGIN + micros(scenario.length) + MAX_TAIL;
+    while let Some((at, event)) = simulation.queue.pop() {
+        if at > end {
+            break;
+        }
+        simulation.now = at;
+        simulation.events += 1;
+        simulation.handle(event);
+    }
+    simulation.report(seed)
+}
+
+impl<'a> Simulation<'a> {
+    fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        let servers = servers::initial_servers(scenario);
+        let list = EndpointList::new(deployment::endpoint_list(scenario), servers.keys().copied());
+        Simulation {
+            now: BEGIN,
+            queue: EventQueue::new(),
+            events: 0,
+            random: RandomStreams::new(seed),
+            clients: Clients::new(scenario, seed, BEGIN),
+            load_balancer: LoadBalancer::new(scenario.nodes),
+            nodes: Nodes::default(),
+            attempts: InFlightAttempts::default(),
+            network: deployment::network(scenario),
+            servers,
+            origin: deployment::origin(scenario, BEGIN),
+            origin_generation: 0,
+            list,
+            starts_known: BTreeMap::new(),
+            invariants: deployment::invariants(scenario, 0),
+            attempts_by_server: BTreeMap::new(),
+            scenario,
+        }
+    }
+
+    /// Fills the caches, starts the nodes, and schedules the faults and the first arrival.
+    fn begin(&mut self) {
+        self.fill_caches();
+        self.start_all_nodes();
+        for (index, fault) in self.scenario.faults.iter().enumerate() {
+            let begin = InjectionEvent::Begin { index };
+            self.schedule(BEGIN + micros(fault.at()), Event::Injection(begin));
+        }
+        self.schedule_next_arrival();
+    }
+
+    fn schedule(&mut self, at: Micros, event: Event) {
+        self.queue.schedule(at.max(self.now), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Client(event) => self.handle_client_event(event),
+            Event::Node(event) => self.handle_node_event(event),
+            Event::Attempt(event) => self.handle_attempt_event(event),
+            Event::Server(event) => self.handle_server_event(event),
+            Event::Discovery(event) => self.handle_discovery_event(event),
+            Event::Injection(event) => self.handle_injection_event(event),
+        }
+    }
+
+    /// Counts something for the request of a client; for the present time if that has ended.
+    fn count(&mut self, client: u64, add: impl FnOnce(&mut Counts)) {
+        let intended_at = self
+            .clients
+            .get(client)
+            .map_or(self.now, |client| client.intended_at);
+        self.clients.count(intended_at, add);
+    }
+
+    fn report(mut self, seed: u64) -> Report {
+        self.invariants.finish(self.now);
+        let results = self.clients.results();
+        let violations = report::violations(&self.invariants, BEGIN);
+        Report {
+            seed,
+            nodes: self.scenario.nodes,
+            servers: self.scenario.server_count(),
+            service: results.service,
+            classes: results.classes,
+            windows: results.windows,
+            attempts_by_server: self.attempts_by_server,
+            events: self.events,
+            violations: violations.shown,
+            violation_count: violations.count,
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/virtual_time/nodes.rs
@@ -0,0 +1,180 @@
+//! The state of the nodes: each has a policy, the requests it has accepted, and its copy of the endpoint list.
+
+use std::collections::BTreeMap;
+use std::ops::{Index, IndexMut};
+
+use cluster_model::Micros;
+use cluster_model::endpoint_list::{EndpointRecord, NodeId};
+use cluster_model::network::Zone;
+use routing_policy::{Action, Event as PolicyEvent, Policy, RequestId, ServerId};
+
+/// Id of the first request of an incarnation.
+const FIRST_REQUEST: RequestId = 1;
+
+/// A request that a node has accepted and not forgotten.
+pub(super) struct OpenRequest {
+    /// Id of its client.
+    pub(super) client: u64,
+    /// In microseconds.
+    pub(super) deadline: Micros,
+    /// Attempts sent so far.
+    pub(super) attempts_sent: u16,
+    /// Attempts without an outcome so far.
+    pub(super) in_flight: u16,
+    /// Whether it has its final answer, or its client has gone.
+    pub(super) complete: bool,
+    /// Servers that answered with a miss.
+    pub(super) missed: Vec<ServerId>,
+}
+
+impl OpenRequest {
+    pub(super) fn new(client: u64, deadline: Micros) -> Self {
+        OpenRequest {
+            client,
+            deadline,
+            attempts_sent: 0,
+            in_flight: 0,
+            complete: false,
+            missed: Vec::new(),
+        }
+    }
+}
+
+/// A node, over all its incarnations.
+pub(super) struct Node {
+    policy: Policy,
+    zone: Zone,
+    running: bool,
+    /// Grows whenever its process ends.
+    incarnation: u32,
+    next_request: RequestId,
+    pub(super) open: BTreeMap<RequestId, OpenRequest>,
+    /// Number of pauses that have not ended.
+    pauses: u32,
+    /// Events that wait for its policy while it is paused.
+    deferred: Vec<PolicyEvent>,
+    /// Its copy of the endpoint list.
+    pub(super) endpoints: BTreeMap<ServerId, EndpointRecord>,
+    /// Version of that copy.
+    pub(super) list_version: u64,
+}
+
+impl Node {
+    /// A node whose process has just started for the first time.
+    pub(super) fn new(
+        policy: Policy,
+        zone: Zone,
+        endpoints: BTreeMap<ServerId, EndpointRecord>,
+        list_version: u64,
+    ) -> Self {
+        Node {
+            policy,
+            zone,
+            running: true,
+            incarnation: 0,
+            next_request: FIRST_REQUEST,
+            open: BTreeMap::new(),
+            pauses: 0,
+            deferred: Vec::new(),
+            endpoints,
+            list_version,
+        }
+    }
+
+    pub(super) fn zone(&self) -> Zone {
+        self.zone
+    }
+
+    /// Whether its process runs, be it paused or not.
+    pub(super) fn is_running(&self) -> bool {
+        self.running
+    }
+
+    pub(super) fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
+    /// Adds a request under a new id, which is returned.
+    pub(super) fn open_request(&mut self, request: OpenRequest) -> RequestId {
+        let id = self.next_request;
+        self.next_request += 1;
+        self.open.insert(id, request);
+        id
+    }
+
+    /// Passes an event to the policy, and returns its actions. While the node is paused, the event waits.
+    pub(super) fn handle(&mut self, now: Micros, event: PolicyEvent) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.pauses > 0 {
+            self.deferred.push(event);
+        } else {
+            self.policy.handle(now, event, &mut actions);
+        }
+        actions
+    }
+
+    /// Pauses the node once more.
+    pub(super) fn pause(&mut self) {
+        self.pauses += 1;
+    }
+
+    /// Ends one pause. If it was the last, the node resumes: the events that waited are returned.
+    pub(super) fn resume(&mut self) -> Vec<PolicyEvent> {
+        self.pauses = self.pauses.saturating_sub(1);
+        if self.pauses > 0 {
+            return Vec::new();
+        }
+        std::mem::take(&mut self.deferred)
+    }
+
+    /// Its process ends. Returns the requests that it had.
+    pub(super) fn stop(&mut self) -> BTreeMap<RequestId, OpenRequest> {
+        self.running = false;
+        self.incarnation += 1;
+        std::mem::take(&mut self.open)
+    }
+
+    /// Its process starts again with a new policy. It keeps its copy of the endpoint list.
+    pub(super) fn restart(&mut self, policy: Policy) {
+        self.policy = policy;
+        self.running = true;
+        self.next_request = FIRST_REQUEST;
+        self.pauses = 0;
+        self.deferred.clear();
+    }
+}
+
+/// All nodes, by id.
+#[derive(Default)]
+pub(super) struct Nodes {
+    list: Vec<Node>,
+}
+
+impl Nodes {
+    /// Adds a node under the next id.
+    pub(super) fn add(&mut self, node: Node) {
+        self.list.push(node);
+    }
+
+    pub(super) fn ids(&self) -> Vec<NodeId> {
+        (0..self.list.len() as NodeId).collect()
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Node> {
+        self.list.iter_mut()
+    }
+}
+
+impl Index<NodeId> for Nodes {
+    type Output = Node;
+
+    fn index(&self, id: NodeId) -> &Node {
+        &self.list[id as usize]
+    }
+}
+
+impl IndexMut<NodeId> for Nodes {
+    fn index_mut(&mut self, id: NodeId) -> &mut Node {
+        &mut self.list[id as usize]
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/virtual_time/policy_driver.rs
@@ -0,0 +1,81 @@
+//! Passes events to the policy of a node, and carries out its actions.
+
+use cluster_model::endpoint_list::{ListCall, NodeId};
+use routing_policy::{Action, Event as PolicyEvent, RequestId};
+
+use super::clients::CLIENT_DELAY;
+use super::lifecycle::NodeEvent;
+use super::nodes::OpenRequest;
+use super::{Event, Simulation};
+use crate::clients::Reply;
+
+impl Simulation<'_> {
+    /// Passes an event to a node's policy, and carries out its actions. While the node is paused, the event waits.
+    pub(super) fn notify_policy(&mut self, node: NodeId, event: PolicyEvent) {
+        let actions = self.nodes[node].handle(self.now, event);
+        for action in &actions {
+            self.carry_out(node, action);
+        }
+    }
+
+    fn carry_out(&mut self, node: NodeId, action: &Action) {
+        match *action {
+            Action::Send {
+                request, server, ..
+            } => self.send_attempt(node, request, server),
+            Action::Reject {
+                request,
+                retry_after,
+            } => self.answer(node, request, Reply::Rejected(retry_after)),
+            Action::Fail(request) => self.answer(node, request, Reply::Failed),
+            Action::Cancel { request, attempt } => self.cancel_attempt(node, request, attempt),
+            Action::Timer { after, token } => {
+                let timer = NodeEvent::Timer {
+                    node,
+                    incarnation: self.nodes[node].incarnation(),
+                    token,
+                };
+                self.schedule(self.now + after.max(1), Event::Node(timer));
+            }
+            Action::Subscribe(true) => {
+                let after = self.nodes[node].list_version;
+                self.call_list(node, ListCall::Watch { after });
+            }
+            Action::Subscribe(false) => self.list.disconnect(node),
+            Action::FetchEndpoints => self.call_list(node, ListCall::Complete),
+            // Connections cost nothing in virtual time, and neither peers nor health checks are modelled.
+            Action::CloseIdle(_)
+            | Action::CheckHealth(_)
+            | Action::SendToPeer { .. }
+            | Action::Log(_)
+            | Action::Fault(_) => {}
+        }
+    }
+
+    /// A node gives its final answer to a request, unless it has done so before.
+    pub(super) fn answer(&mut self, node: NodeId, request: RequestId, reply: Reply) {
+        let Some(open) = self.nodes[node].open.get_mut(&request) else {
+            return;
+        };
+        if open.complete {
+            return;
+        }
+        open.complete = true;
+        let client = open.client;
+        let rejected = matches!(reply, Reply::Rejected(_));
+        self.invariants
+            .answered(self.now, (node, request), rejected);
+        self.schedule_reply(CLIENT_DELAY, client, reply);
+        self.forget_if_over(node, request);
+    }
+
+    /// Forgets a request that is complete and has no attempt in flight.
+    pub(super) fn forget_if_over(&mut self, node: NodeId, request: RequestId) {
+        let open = &mut self.nodes[node].open;
+        let is_over = |open: &OpenRequest| open.complete && open.in_flight == 0;
+        if open.get(&request).is_some_and(is_over) {
+            open.remove(&request);
+            self.invariants.forget((node, request));
+        }
+    }
+}
