--- a/crates/routerctl/src/commands/demo.rs
+++ b/crates/routerctl/src/commands/demo.rs
@@ -22,7 +22,7 @@
     let report = socket_run::run(&scenario, arguments.seed, &arguments.sockets)?;
     println!("\n{report}");
     println!(
-        "The same in virtual time, or with one thing changed: `routerctl testbed run FILE` (docs/LAB.md)."
+        "The same in virtual time, or with one thing changed: `routerctl testbed run FILE` (docs/TESTBED.md)."
     );
     Ok(Outcome::passed_if(report.invariants_hold()))
 }
--- a/crates/routerctl/src/commands/testbed/experiment.rs
+++ b/crates/routerctl/src/commands/testbed/experiment.rs
@@ -15,7 +15,7 @@
     after_help = "Example:\n  routerctl testbed experiment crates/testbed/experiments/retries.toml --out target/retries"
 )]
 pub struct Arguments {
-    /// The experiment, TOML (docs/LAB.md)
+    /// The experiment, TOML (docs/TESTBED.md)
     file: PathBuf,
     /// Folder of its results; an experiment that was interrupted is resumed
     #[arg(long, value_name = "DIR")]
--- a/crates/routerctl/src/commands/testbed/run.rs
+++ b/crates/routerctl/src/commands/testbed/run.rs
@@ -15,7 +15,7 @@
                   routerctl testbed run crates/testbed/scenarios/demo.toml --sockets"
 )]
 pub struct Arguments {
-    /// The scenario, TOML (docs/LAB.md)
+    /// The scenario, TOML (docs/TESTBED.md)
     file: PathBuf,
     /// Seed in place of the file's
     #[arg(long)]
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -1,4 +1,4 @@
-//! A scenario: the cluster, its load and the faults that are injected, read from a TOML file. `docs/LAB.md` has every
+//! A scenario: the cluster, its load and the faults that are injected, read from a TOML file. `docs/TESTBED.md` has every
 //! key. This module holds the schema and its defaults; [`FaultEvent`] lists the faults, and a file is checked as a whole
 //! before it is run.
 
