Write the docs of the policy's interface in ordinary technical English

Docs spoke of balancers that are told, servers that fall over, worth and aims. They use the field's terms now, with units; the types of the settings' JSON form say that they are that.

--- a/crates/routing-policy/src/interface.rs
+++ b/crates/routing-policy/src/interface.rs
@@ -1,70 +1,70 @@
-//! The types through which a node and the decision module speak: settings, events, actions.
+//! The interface of the policy: settings, events that it takes, actions that it answers with.
 //!
-//! Times are microseconds of the node's own clock, which may start anywhere and only advances.
+//! Times are microseconds of the caller's clock, which may start anywhere and only advances.
 
 use crate::log_event::LogEvent;
 
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
-/// Names one client request at this balancer; never used twice.
+/// Identifies a client request at this router; never used twice.
 pub type RequestId = u64;
-/// Names a server (or the origin); stays the same over restarts of its process.
+/// Identifies a server (or the origin); the same after a restart of its process.
 pub type ServerId = u32;
-/// The subject of a request; 0 means that it names none.
+/// The key that a request reads or writes; 0 for none.
 pub type Key = u64;
 
-/// What a node is told once, at its start.
+/// What a router is configured with at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
-    /// How many balancers share the fleet.
+    /// Number of routers in front of the fleet.
     pub balancer_count: u32,
-    /// The number of this balancer among them, from 0.
+    /// Index of this router among them, from 0.
     pub balancer_index: u32,
-    /// The zone that this balancer stands in.
+    /// The zone of this router.
     pub zone: u8,
     /// The classes of requests.
     pub classes: Vec<RequestClass>,
     /// The tenants; empty where a deployment has none.
     pub tenants: Vec<Tenant>,
-    /// Whether the server list must be asked for (subscription or whole list) or comes by itself.
+    /// Whether the endpoint list must be requested (a watch or the whole list) or arrives unrequested.
     pub poll_discovery: bool,
-    /// Without a subscription, the balancer counts as told of changes this long after they happened.
+    /// A router without a watch counts as notified of a change this long after it happened.
     pub notified_within: Micros,
-    /// Machine kind of the origin in the server list; `None` where servers fetch for themselves.
+    /// Machine kind of the origin in the endpoint list; `None` where cache servers fetch for themselves.
     pub origin_kind: Option<u16>,
-    /// Whether weights in the list tell the size of a server.
+    /// Whether weights in the endpoint list are sizes of servers.
     pub weights_are_sizes: bool,
-    /// Whether weights in the list tell size / (1 + requests held a core).
+    /// Whether weights in the endpoint list are size / (1 + requests in flight per core).
     pub weights_are_live: bool,
-    /// The figures that load reports carry, in their order.
+    /// The fields of load reports, in their order.
     pub load_fields: Vec<LoadField>,
-    /// Attempts that one request may make.
+    /// Attempts that one request may make, the first included.
     pub max_attempts: u32,
-    /// Whether two attempts of one request may be out at once.
+    /// Whether two attempts of one request may be in flight at once.
     pub may_hedge: bool,
     /// Whether an attempt may be cancelled.
     pub may_cancel: bool,
-    /// Whether servers may be probed.
+    /// Whether health checks are allowed.
     pub may_check_health: bool,
-    /// Whether balancers may send each other messages.
+    /// Whether routers may send each other messages.
     pub may_message_peers: bool,
-    /// Price of the connections that one balancer in a hundred holds open to all servers ...
+    /// Cost of the connections that one router in a hundred keeps open to all servers.
     pub connection_cost: f64,
-    /// ... and of opening one for each request.
+    /// Cost of opening a connection for each request, in the same unit.
     pub handshake_cost: f64,
-    /// The longest retry-after that clients honour; 0 where they honour none.
+    /// The longest Retry-After that clients honour; 0 where they honour none.
     pub max_retry_after: Micros,
-    /// Shortest time between two calls of the module.
+    /// Shortest time between two calls of the policy; timers are this late at the most.
     pub tick: Micros,
-    /// A server starts with at least this part of its capacity.
+    /// A server that has just started has at least this fraction of its capacity.
     pub cold_capacity_share: f64,
-    /// A started server is warm after this time at the latest.
+    /// A server has its whole capacity this long after its start at the latest.
     pub warm_up_period: Micros,
-    /// A cold server falls over when sent more than this multiple of what it can do ...
+    /// A server that warms up collapses when sent more than this multiple of its present capacity.
     pub overload_multiple: f64,
-    /// ... for this long.
+    /// For how long that multiple must last.
     pub overload_window: Micros,
-    /// Sends to a draining or gone server must stop within this time.
+    /// Sends to a draining or removed server must stop within this time.
     pub drain_grace: Micros,
 }
 
@@ -122,18 +122,18 @@
     }
 }
 
-/// A class of requests.
+/// A class of requests with one latency objective.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RequestClass {
-    /// An answer within this time earns the full worth.
+    /// An answer within this time earns the full priority weight.
     pub latency_objective: Micros,
-    /// A client waits this long in all.
+    /// A client waits this long, its retries included.
     pub deadline: Micros,
-    /// Worth of one request.
+    /// What an answer in time earns.
     pub priority_weight: f64,
-    /// Part of the worth that an answer after the aim still earns.
+    /// Fraction of the priority weight that an answer after the objective still earns.
     pub late_weight: f64,
-    /// What a repeat of such a request does.
+    /// What a retry of such a request does.
     pub idempotency: Idempotency,
 }
 
@@ -149,26 +149,26 @@
     }
 }
 
-/// What a repeat of a request does.
+/// What a retry of a request that may have run does.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Idempotency {
-    /// Nothing: it may be sent as often as wanted.
+    /// Nothing: it may be sent any number of times.
     Idempotent,
-    /// Servers of one group drop a repeat for a while after the first attempt.
+    /// It carries an idempotency key: servers in scope drop a retry for a while after the first attempt.
     Deduplicated {
-        /// Which servers drop a repeat.
+        /// Which servers drop a retry.
         scope: DeduplicationScope,
-        /// For how long, from the sending of the earliest attempt that may have run.
+        /// For how long, since the earliest attempt that may have run was sent.
         window: Micros,
     },
     /// The effect happens again.
     NotIdempotent,
 }
 
-/// A group of cache servers that knows which keyed requests its members have seen.
+/// The cache servers that share which idempotency keys they have seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DeduplicationScope {
-    /// Every cache server.
+    /// All cache servers.
     All,
     /// Those of one zone.
     Zone,
@@ -176,57 +176,57 @@
     Cell,
 }
 
-/// A tenant and its share.
+/// A tenant and its quota.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
-    /// Requests a second within its share, over all balancers together.
+    /// Requests per second over all routers together.
     pub quota_per_s: f64,
 }
 
-/// A figure of a load report.
+/// A field of a load report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LoadField {
     /// Requests in progress.
     InFlight,
-    /// Requests that wait.
+    /// Requests in the queue.
     Queued,
-    /// Share of CPU in use.
+    /// Fraction of the CPU in use.
     Busy,
-    /// Recent service time, milliseconds.
+    /// Recent service time in milliseconds.
     ServiceMs,
-    /// Requests served a second.
+    /// Requests served per second.
     Rate,
-    /// Errors a second.
+    /// Errors per second.
     ErrorRate,
-    /// A figure that this module gives no meaning.
+    /// A field that this version does not know.
     Other,
 }
 
-/// A load report: figures in the order of [`Settings::load_fields`].
+/// A load report: values in the order of [`Settings::load_fields`].
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct LoadReport {
-    /// How many of `values` are there.
+    /// How many of `values` are set.
     pub count: u8,
-    /// The figures.
+    /// The values.
     pub values: [f32; 4],
 }
 
-/// One line of the server list.
+/// A server in the endpoint list.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
-    /// The server.
+    /// Its id.
     pub id: ServerId,
     /// Its zone.
     pub zone: u8,
-    /// Its cell, a small group that shares which keyed requests it has seen.
+    /// Its cell, a small group that shares which idempotency keys it has seen.
     pub cell: u16,
     /// Its machine kind.
     pub kind: u16,
-    /// Its weight.
+    /// Its weight; the settings say what it means.
     pub weight: f32,
-    /// When its process last started; 0 for long ago.
+    /// When its process started; 0 for long ago.
     pub started: Micros,
-    /// Whether it runs, drains or is gone.
+    /// Whether it takes requests.
     pub state: EndpointState,
 }
 
@@ -244,30 +244,30 @@
     }
 }
 
-/// What the list says of a server.
+/// The state of a server in the endpoint list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointState {
-    /// It runs.
+    /// It takes requests.
     Ready,
-    /// It ends what it has; nothing new may be sent to it.
+    /// It completes what it has in flight; nothing new may be sent to it.
     Draining,
-    /// It is gone.
+    /// It is no longer there.
     Removed,
 }
 
-/// How a server list relates to the one held.
+/// How an endpoint list relates to the one in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListUpdate {
-    /// The whole list; a server not in it is gone.
+    /// The whole list; a server not in it is removed.
     Full,
-    /// The list last held before a restart, whole but perhaps old.
+    /// The list cached before a restart of the router, whole but perhaps old.
     Cached,
-    /// Only lines that changed.
+    /// Only endpoints that changed.
     Delta,
-    /// A call to discovery failed or the subscription broke; the list held stays in force.
+    /// A call to discovery failed or the watch broke; the list stays in force.
     Failed,
-    /// A subscription that was open fell silent, which is no word of discovery's: the list held stays in force, but
-    /// what it misses counts as told soon.
+    /// An open watch has stalled, which is not for discovery to say: the list stays in force, but changes that
+    /// it misses count as notified soon.
     WatchSilent,
 }
 
@@ -282,15 +282,15 @@
     pub tenant: usize,
     /// Its key, 0 for none.
     pub key: Key,
-    /// Whether it writes (and so goes to the origin).
+    /// Whether it is a write, which goes to the origin.
     pub write: bool,
-    /// Whether the client said that it repeats an earlier try.
+    /// Whether the client has marked it as a retry.
     pub is_retry: bool,
-    /// Time until the client gives this try up.
+    /// Time until the client gives it up.
     pub remaining_deadline: Micros,
-    /// Expected work, where told.
+    /// Expected service time, where known.
     pub cost: Option<Micros>,
-    /// Size of the value in bytes, 0 where not told.
+    /// Size of the value in bytes, 0 where unknown.
     pub value_size: f32,
 }
 
@@ -299,26 +299,26 @@
 pub enum AttemptStatus {
     /// Served.
     Served,
-    /// The server holds nothing for this key; it did not run.
+    /// The server has no value for this key; the attempt did not run.
     Miss,
     /// The server reported an error; it may have run.
     Error,
-    /// Turned away unseen; it did not run.
+    /// The server rejected it before execution; it did not run.
     Rejected,
     /// No answer in time; it may have run or still run.
     TimedOut,
-    /// No connection came about; it did not run.
+    /// No connection was established; it did not run.
     ConnectFailed,
     /// The connection was lost; it may have run.
     Reset,
-    /// Cancelled by this balancer; it may have run.
+    /// Cancelled by this router; it may have run.
     Cancelled,
     /// Never sent: the request had ended or had no attempts left; it did not run.
     NotSent,
 }
 
 impl AttemptStatus {
-    /// Whether this outcome proves that the attempt never ran.
+    /// Whether this outcome proves that the attempt did not run.
     pub fn proves_not_run(self) -> bool {
         matches!(
             self,
@@ -330,21 +330,21 @@
     }
 }
 
-/// What a server said of the key in its answer.
+/// What a response says of the key in the cache.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum CacheLookup {
-    /// The server did not say.
+    /// Nothing.
     #[default]
     Unknown,
-    /// The value was held.
+    /// The value was cached.
     Hit,
-    /// It was not.
+    /// It was not cached.
     Miss,
-    /// It was not, and another request has been told to fetch it.
+    /// It was not cached, and another request is fetching it.
     MissBeingFetched,
 }
 
-/// The end of one attempt.
+/// The outcome of one attempt.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AttemptOutcome {
     /// Its request.
@@ -355,73 +355,73 @@
     pub server: ServerId,
     /// How it ended.
     pub status: AttemptStatus,
-    /// Whether the request has its final answer (by this outcome or before).
+    /// Whether the request has its final answer, by this outcome or before.
     pub request_complete: bool,
-    /// What the server said of the key.
+    /// What the response says of the key.
     pub cache_lookup: CacheLookup,
-    /// Time from sending to this end.
+    /// Time from sending to this outcome.
     pub elapsed: Micros,
-    /// LoadReport report of the server, if one came along.
+    /// Load report of the server, empty where there was none.
     pub load: LoadReport,
 }
 
-/// Something that happened at this balancer.
+/// Something that happened at this router.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
-    /// The server list, or a change of it.
+    /// The endpoint list, or a change of it.
     EndpointList {
         /// How it relates to the list in force.
         update: ListUpdate,
         /// Its endpoints.
         endpoints: Vec<Endpoint>,
     },
-    /// A client's request arrived; one final answer is owed from now on.
+    /// A client's request arrived; it is owed one final answer from now on.
     Request(Request),
     /// An attempt ended.
     AttemptOutcome(AttemptOutcome),
-    /// An attempt waits for a connection (`established` is false), or waits no more and is being written. Where nothing is
-    /// told of it, an attempt is written when it is sent.
+    /// An attempt waits for a connection (`established` is false), or has it and is being written. Without this
+    /// event, an attempt is written when it is sent.
     Connection {
         /// Its request.
         request: RequestId,
         /// Number of the attempt.
         attempt: u16,
-        /// Whether it has its connection now.
+        /// Whether it has its connection.
         established: bool,
     },
-    /// A streamed answer began; the attempt belongs to the client now.
+    /// A streamed response began; the request is owed nothing more.
     ResponseStarted {
         /// Its request.
         request: RequestId,
-        /// The attempt that began to answer.
+        /// The attempt that it belongs to.
         attempt: u16,
     },
-    /// The client left, or the request ended otherwise; nothing is owed any more.
+    /// The client disconnected, or the request ended otherwise; it is owed nothing more.
     ClientGone(RequestId),
-    /// A timer set by [`Action::Timer`] is due.
+    /// A timer set by [`Action::Timer`] has fired.
     Timer(u32),
-    /// The end of a probe; or, with `healthy`, a connection that came up after the attempts that waited for it had given it
-    /// up, which shows as much.
+    /// The outcome of a health check; or, with `healthy`, a connection that came up after the attempts that
+    /// waited for it had given up, which shows as much.
     HealthChecked {
-        /// The server probed.
+        /// The server checked.
         server: ServerId,
-        /// Whether it answered well.
+        /// Whether it is healthy.
         healthy: bool,
-        /// Time from sending to this end.
+        /// Time from sending to this outcome.
         elapsed: Micros,
-        /// LoadReport report of the server, if one came along.
+        /// Load report of the server, empty where there was none.
         load: LoadReport,
     },
-    /// A message of another balancer.
+    /// A message of another router.
     PeerMessage {
-        /// Number of the sender.
+        /// Index of the sender.
         from: u32,
         /// Its bytes.
         bytes: Vec<u8>,
     },
 }
 
-/// Something that the node is to do, in the order given.
+/// Something that the caller is to do, in the order given.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Send an attempt of a request to a server.
@@ -430,49 +430,49 @@
         request: RequestId,
         /// The server.
         server: ServerId,
-        /// Give the attempt up after this time; 0 for the client's own limit.
+        /// Give the attempt up after this time; 0 for the client's deadline.
         give_up_after: Micros,
     },
-    /// Final answer: turned away, a retry is harmless.
+    /// Final answer: rejected, a retry is harmless.
     Reject {
         /// The request.
         request: RequestId,
-        /// Ask the client to stay away for this long; 0 for no hint.
+        /// Retry-After for the client; 0 for none.
         retry_after: Micros,
     },
-    /// Final answer: failed, with no promise.
+    /// Final answer: failed, and it may have run.
     Fail(RequestId),
-    /// Stop waiting for an attempt.
+    /// Cancel an attempt.
     Cancel {
         /// The request.
         request: RequestId,
         /// The attempt.
         attempt: u16,
     },
-    /// Call back with [`Event::Timer`] after a time.
+    /// Send [`Event::Timer`] after a time.
     Timer {
         /// The time from now.
         after: Micros,
-        /// Given back with the event.
+        /// Returned with the event.
         token: u32,
     },
-    /// Subscribe to (or leave) the changes of the server list.
+    /// Open (or close) a watch of the endpoint list.
     Subscribe(bool),
-    /// Ask for the whole server list once.
+    /// Fetch the whole endpoint list once.
     FetchEndpoints,
-    /// Probe a server.
+    /// Check the health of a server.
     CheckHealth(ServerId),
     /// Close idle connections to a server.
     CloseIdle(ServerId),
-    /// Send at most 256 bytes to one balancer, or to all.
+    /// Send at most 256 bytes to one router, or to all.
     SendToPeer {
-        /// Number of the balancer; `None` for every peer.
+        /// Index of the router; `None` for all.
         to: Option<u32>,
         /// The bytes.
         bytes: Vec<u8>,
     },
-    /// A line for the log.
+    /// An event for the log.
     Log(LogEvent),
-    /// The module cannot go on.
+    /// The policy cannot go on.
     Fault(String),
 }
--- a/crates/routing-policy/src/lib.rs
+++ b/crates/routing-policy/src/lib.rs
@@ -1,23 +1,29 @@
 //! Decisions of a router in front of fleets of cache servers, as a pure and deterministic state machine.
 //!
-//! A [`Policy`] is one balancer's mind. It is told what happens ([`Event`]) and when, and answers with what
-//! to do ([`Action`]). It has no clock, no threads and no I/O: the node that embeds it owns the sockets.
+//! A [`Policy`] takes what happens at one router ([`Event`]) with the time, and returns what to do
+//! ([`Action`]). It has no clock, no threads and no I/O: the program that embeds it owns the sockets.
+//!
+//! Every decision is in `policy` and its modules, one for each concern; `state` holds records, containers and
+//! estimators, which decide nothing.
 //!
 //! ```
-//! use routing_policy::{Action, EndpointState, Event, ListUpdate, Policy, Request, Endpoint, Settings};
+//! use routing_policy::{
+//!     Action, Endpoint, EndpointState, Event, ListUpdate, Policy, Request, Settings,
+//! };
 //!
-//! let settings = Settings::default();
-//! let mut policy = Policy::new(settings, 42);
+//! let seed = 42;
+//! let mut policy = Policy::new(Settings::default(), seed);
 //! let mut actions = Vec::new();
 //!
-//! // The balancer starts at some clock value (microseconds) with the server list it last held.
-//! let servers = vec![
+//! // The router starts at some clock value (microseconds) with the endpoint list that it had cached.
+//! let endpoints = vec![
 //!     Endpoint { id: 7, state: EndpointState::Ready, ..Endpoint::default() },
 //!     Endpoint { id: 9, state: EndpointState::Ready, ..Endpoint::default() },
 //! ];
-//! policy.handle(1_000_000, Event::EndpointList { update: ListUpdate::Cached, endpoints: servers }, &mut actions);
+//! let list = Event::EndpointList { update: ListUpdate::Cached, endpoints };
+//! policy.handle(1_000_000, list, &mut actions);
 //!
-//! // A client asks for a key; the policy names the cache server to try first.
+//! // A client reads a key; the policy names the cache server for the first attempt.
 //! let request = Request { id: 1, key: 0xfeed, remaining_deadline: 500_000, ..Request::default() };
 //! policy.handle(1_000_100, Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, server: 7 | 9, .. })));
--- a/crates/routing-policy/src/log_event.rs
+++ b/crates/routing-policy/src/log_event.rs
@@ -1,25 +1,25 @@
-//! What the policy reports for the operators' log, as typed events: the router decides how a line is written.
+//! Events for the operators' log. The policy reports them; the program that embeds it writes them.
 
 use std::fmt;
 
 use crate::interface::{Micros, ServerId};
 
-/// Something that an operator wants to know of. Its `Display` is one plain line.
+/// An event for the log. Its `Display` is one line: a constant message and key=value fields.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogEvent {
-    /// A server failed several times in a row, or refused a connection, and gets no requests for a while.
+    /// A server failed several times in a row, or refused a connection, and is ejected for a while.
     ServerEjected {
         /// The server.
         server: ServerId,
-        /// For how long, microseconds.
+        /// Duration of the ejection in microseconds.
         ejected_for: Micros,
     },
-    /// An ejected server answered a request and gets requests again.
+    /// An ejected server answered a request and is readmitted.
     ServerReadmitted {
         /// The server.
         server: ServerId,
     },
-    /// A connection to an unreachable server came up late; the server gets requests again.
+    /// A connection to an unreachable server came up late; the server is readmitted.
     ServerReached {
         /// The server.
         server: ServerId,
@@ -30,11 +30,11 @@
     OriginLimitRestored,
     /// Tenants over their quotas are being rejected.
     LoadSheddingStarted,
-    /// No tenant is held to its quota any more.
+    /// Tenants are no longer held to their quotas.
     LoadSheddingEnded,
     /// A call to discovery failed or the watch broke.
     DiscoveryRetry {
-        /// The backoff before the next call, microseconds.
+        /// The backoff before the next call in microseconds.
         backoff: Micros,
     },
 }
--- a/crates/routing-policy/src/policy/admission.rs
+++ b/crates/routing-policy/src/policy/admission.rs
@@ -6,9 +6,9 @@
 const BURST: f64 = 5.0;
 /// Fraction of the quotas that tenants may use in common: those within theirs leave about the rest unused.
 const SHARED_QUOTA: f64 = 0.8;
-const DEADLINE_TOLERANCE: f64 = 0.01; // of the deadline, as the way here takes some of it
+const DEADLINE_TOLERANCE: f64 = 0.01; // of the deadline, as the network takes some of it
 const VOTES_KNOWN: u32 = 4; // from which a class's usual remaining deadline counts as known
-const VOTES_MOST: u32 = 16; // that are held, so that a change is noticed
+const VOTES_MOST: u32 = 16; // counted at most, so that a change is noticed
 
 /// The quotas of all tenants, and what is known of their clients' deadlines.
 pub(super) struct Admission {
@@ -44,7 +44,7 @@
             return true;
         };
         let multiplier = self.load_shedding.quota_multiplier();
-        // While all together ask for less than their quotas, chance in a small bucket rejects none. A falling
+        // While all together stay below their quotas, chance in a small bucket rejects none. A falling
         // multiplier empties the buckets too: what many hold back would keep an overload going for long.
         let burst = (BURST * multiplier).clamp(1.0, BURST);
         let shared_rate = SHARED_QUOTA * self.request_rate.quota_share() * multiplier;
@@ -61,9 +61,9 @@
         true
     }
 
-    /// How long a client has waited in earlier tries. A deadline spans them all, and the objective counts
-    /// from the first: a try with the usual remaining deadline tells nothing, any other has what the earlier
-    /// ones left. Served under load as though it were new, what is late takes the place of what is not.
+    /// How long a client has waited before this retry. A deadline spans all its retries, and the objective
+    /// counts from the first request: one with the usual remaining deadline may be that, any other has what
+    /// the earlier ones left. Served under load as though new, what is late takes the place of what is not.
     pub(super) fn waited_before(&mut self, request: &Request) -> Micros {
         if request.write {
             return 0;
--- a/crates/routing-policy/src/policy/attempts.rs
+++ b/crates/routing-policy/src/policy/attempts.rs
@@ -12,8 +12,8 @@
 const FASTEST_TIME_WEIGHT: f64 = 0.02; // of a slower answer: it measures the network, not chance and queues
 const CONNECTION_COST_ROUTERS: f64 = 100.0; // the costs of connections are those of one in so many
 
-/// Held by all routers, a connection may cost more than it saves: whatever the traffic, the price of keeping
-/// one open grows with their number and the price of opening it again does not.
+/// Kept open by all routers, a connection may cost more than it saves: whatever the traffic, the cost of
+/// keeping it grows with their number and the cost of opening it again does not.
 pub(super) fn closes_idle(settings: &Settings) -> bool {
     let keeping = f64::from(settings.balancer_count) * settings.connection_cost;
     keeping > CONNECTION_COST_ROUTERS * settings.handshake_cost
@@ -185,8 +185,8 @@
         }
     }
 
-    /// An attempt has had no answer for long: a sign of overload, and against silent and hanging servers a
-    /// failure when the server has answered nothing since.
+    /// An attempt has had no answer for long: a sign of overload, and a failure of the server when it has
+    /// answered nothing since, as it may hang.
     pub(super) fn on_attempt_slow(&mut self, id: AttemptId) {
         let Some(&attempt) = self.attempts.get(&id) else {
             return;
@@ -220,8 +220,8 @@
         }
     }
 
-    /// Against a slow or silent server, of which one of many routers sees too little to avoid it: a read that
-    /// waits long is sent to the next server too. Where it sees enough, a hedge would only add a fetch.
+    /// Against a slow or hanging server, of which one of many routers sees too little to avoid it: a read that
+    /// waits long is hedged. Where the router sees enough, a hedged request would only add a fetch.
     fn hedge(&mut self, id: RequestId, slow_server: ServerId) {
         let server = self.fleet.get(slow_server);
         let is_well_known = server.is_some_and(|server| self.is_well_known(server));
--- a/crates/routing-policy/src/policy/endpoints.rs
+++ b/crates/routing-policy/src/policy/endpoints.rs
@@ -5,8 +5,8 @@
 /// So many routers meet each server often; of more, each meets it less often.
 const FEW_ROUTERS: f64 = 5.0;
 const FIRST_BACKOFF_DIVISOR: Micros = 16; // of the time within which a change counts as notified
-/// The backoff is doubled so often: a change counts as notified after 6 s, whether it was heard of or not, and
-/// the longest backoff must leave time for the call itself.
+/// The backoff is doubled so often: a change counts as notified after 6 s, whether the router knows it or not,
+/// and the longest backoff must leave time for the call itself.
 const BACKOFF_DOUBLINGS: u32 = 2;
 const LONGEST_BACKOFF: Micros = 1_600_000; // on the mean: the failed call may have waited for 2 s of the 6
 const LEAST_CAPACITY: f64 = 0.01; // of a server or of all, as it divides
@@ -20,7 +20,7 @@
     pub(super) fn on_endpoint_list(&mut self, update: ListUpdate, endpoints: Vec<Endpoint>) {
         match update {
             ListUpdate::Failed => return self.on_discovery_failed(),
-            // Its silence was waited for, and began for each router at a time of its own: no backoff.
+            // No backoff: its timeout has been waited for, and began for each router at a time of its own.
             ListUpdate::WatchSilent => return self.actions.push(Action::Subscribe(true)),
             ListUpdate::Cached => {}
             ListUpdate::Full | ListUpdate::Delta => self.discovery_failures = 0,
--- a/crates/routing-policy/src/policy/outlier.rs
+++ b/crates/routing-policy/src/policy/outlier.rs
@@ -4,8 +4,8 @@
 
 const FAILURES_TO_EJECT: u32 = 3; // with no answer between them
 /// A server is ejected for this multiple of the longest objective, doubled each time up to the second, or to
-/// the third where it refuses connections: a late list names servers that are gone for good, and each trial of
-/// one costs a request an attempt. What returns stays ejected for about as long as it was away.
+/// the third where it refuses connections: a late list names servers that were removed, and each trial of one
+/// costs a request an attempt. What returns stays ejected for about as long as it was away.
 const SHORTEST_EJECTION: f64 = 1.0;
 const LONGEST_EJECTION: f64 = 8.0;
 const LONGEST_EJECTION_UNREACHABLE: f64 = 64.0;
--- a/crates/routing-policy/src/policy/overload.rs
+++ b/crates/routing-policy/src/policy/overload.rs
@@ -116,7 +116,7 @@
         }
     }
 
-    /// A server was silent or failed: that tells nothing of how many keys it can bear, or its kind.
+    /// A server failed or did not answer: that tells nothing of how many keys it can take, or its kind.
     pub(super) fn forget_overload(&mut self, id: ServerId) {
         if let Some(server) = self.fleet.servers.get_mut(&id) {
             server.key_share = KeyShare::default();
--- a/crates/routing-policy/src/policy/requests.rs
+++ b/crates/routing-policy/src/policy/requests.rs
@@ -1,4 +1,4 @@
-//! The way of a request: arrival, next call, final answer.
+//! Requests: arrival, next call, final answer.
 
 use super::{attempts::*, slow_start::HOT_KEY_REQUESTS, *};
 
@@ -29,7 +29,7 @@
         if !is_admitted || self.now >= deadline_at {
             return self.end(arrived.id);
         }
-        // A client's known retry was counted before: counted again, an overload in which clients ask twice
+        // A client's known retry was counted before: counted again, an overload in which clients retry once
         // looks like twice the fleet, and servers that warm up in it as though they could do twice as much.
         if waited == 0 {
             self.request_rate.count();
@@ -91,8 +91,8 @@
             self.admission.refund(request.charged_tenant);
         }
         let answer = if is_harmless {
-            // The client comes back after the random delay of a deferred call: told to wait for longer it
-            // comes back too late, and its answer takes another's place.
+            // The random delay of a deferred call: after a longer one the client's retry would be too late, and
+            // its answer take another's place.
             let retry_after = self.deferral(class).min(self.settings.max_retry_after);
             Action::Reject {
                 request: id,
--- a/crates/routing-policy/src/policy/router_state.rs
+++ b/crates/routing-policy/src/policy/router_state.rs
@@ -13,7 +13,7 @@
     Timer, TimerQueue,
 };
 
-/// The decisions of one router: what it was told, what it has seen and what it owes.
+/// The policy of one router: its settings, what it has learned, and the requests and attempts in flight.
 pub struct Policy {
     pub(super) settings: Settings,
     pub(super) random: Random,
--- a/crates/routing-policy/src/policy/slow_start.rs
+++ b/crates/routing-policy/src/policy/slow_start.rs
@@ -62,9 +62,9 @@
     }
 
     /// Requests per second that a warm server like this one has from this router: its part of the usual ones
-    /// (the current ones have what clients ask for again), or what the warm ones of its kind answer where that
-    /// is less. An overload shows in the second only: all kinds are left fewer keys in it, and what clients
-    /// ask for is more than any server can do.
+    /// (client retries swell the current ones), or what the warm ones of its kind answer where that is less. An
+    /// overload shows in the second only: all kinds are left fewer keys in it, and requests are more than any
+    /// server can take.
     fn warm_rate(&self, server: &Server) -> f64 {
         let part = self.request_rate.usual() * self.capacity(server) / self.fleet.total_capacity;
         let kind = self.fleet.kind_of(server);
--- a/crates/routing-policy/src/settings.rs
+++ b/crates/routing-policy/src/settings.rs
@@ -1,4 +1,5 @@
-//! The settings text of a deployment, as the simulator's first message and a node's configuration hold it.
+//! Reads the settings of a deployment from the JSON form that the simulator's first message and the router's
+//! configuration share. The `Wire` types have the keys of that form; here is where they get the code's names.
 
 use serde::Deserialize;
 
@@ -6,10 +7,10 @@
     DeduplicationScope, Idempotency, LoadField, Micros, RequestClass, Settings, Tenant,
 };
 
-/// A deployment: what the module is told of it, and what only the node round the module needs.
+/// A deployment: the settings of the policy, and what only the program that embeds it needs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Deployment {
-    /// What the module is told.
+    /// The settings of the policy.
     pub settings: Settings,
     /// Names of the classes, in the order of [`Settings::classes`].
     pub classes: Vec<String>,
@@ -19,32 +20,32 @@
     pub zones: Vec<String>,
     /// Names of the machine kinds.
     pub kinds: Vec<String>,
-    /// Names of the figures in a load report, in the order of [`Settings::load_fields`].
+    /// Names of the fields of a load report, in the order of [`Settings::load_fields`].
     pub load_names: Vec<String>,
-    /// A connection that is not up by then has failed.
+    /// A connection that is not established after this time has failed, microseconds.
     pub connect_timeout: Micros,
-    /// Servers close a connection that was idle for this long.
+    /// Servers close a connection that was idle for this long, microseconds.
     pub idle_close: Micros,
-    /// Requests that a node may hold open at once.
+    /// Requests that a router may have in flight at once.
     pub max_open: usize,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
-struct Wire {
+struct WireSettings {
     balancers: u32,
     me: u32,
     zone: u8,
     classes: Vec<WireClass>,
-    realms: Vec<WireRealm>,
+    realms: Vec<WireTenant>,
     zones: Vec<String>,
     machine_types: Vec<String>,
     discovery: String,
-    specifics: Specifics,
-    limits: Limits,
-    guarantees: Guarantees,
-    prices: Prices,
-    report: Report,
+    specifics: WireSpecifics,
+    limits: WireLimits,
+    guarantees: WireGuarantees,
+    prices: WirePrices,
+    report: WireReport,
     weight_source: String,
     period_us: f64,
 }
@@ -64,21 +65,21 @@
 
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
-struct WireRealm {
+struct WireTenant {
     name: String,
     quota_per_s: f64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
-struct Specifics {
+struct WireSpecifics {
     mode: String,
     origin_kind: i64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
-struct Limits {
+struct WireLimits {
     max_attempts: u32,
     may_duplicate: bool,
     may_cancel: bool,
@@ -93,7 +94,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
-struct Guarantees {
+struct WireGuarantees {
     ask_within_us: f64,
     cold_share: f64,
     cold_us: f64,
@@ -104,21 +105,21 @@
 
 #[derive(Deserialize, Default)]
 #[serde(default)]
-struct Prices {
+struct WirePrices {
     connection: f64,
     handshake: f64,
 }
 
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
-struct Report {
+struct WireReport {
     fields: Vec<String>,
 }
 
-impl Default for Wire {
+impl Default for WireSettings {
     fn default() -> Self {
         let base = Settings::default();
-        Wire {
+        WireSettings {
             balancers: base.balancer_count,
             me: base.balancer_index,
             zone: base.zone,
@@ -127,11 +128,11 @@
             zones: Vec::new(),
             machine_types: Vec::new(),
             discovery: "push".into(),
-            specifics: Specifics::default(),
-            limits: Limits::default(),
-            guarantees: Guarantees::default(),
-            prices: Prices::default(),
-            report: Report::default(),
+            specifics: WireSpecifics::default(),
+            limits: WireLimits::default(),
+            guarantees: WireGuarantees::default(),
+            prices: WirePrices::default(),
+            report: WireReport::default(),
             weight_source: "silent".into(),
             period_us: base.tick as f64,
         }
@@ -154,18 +155,18 @@
     }
 }
 
-impl Default for Specifics {
+impl Default for WireSpecifics {
     fn default() -> Self {
-        Specifics {
+        WireSpecifics {
             mode: "through".into(),
             origin_kind: -1,
         }
     }
 }
 
-impl Default for Limits {
+impl Default for WireLimits {
     fn default() -> Self {
-        Limits {
+        WireLimits {
             max_attempts: Settings::default().max_attempts,
             may_duplicate: false,
             may_cancel: false,
@@ -180,10 +181,10 @@
     }
 }
 
-impl Default for Guarantees {
+impl Default for WireGuarantees {
     fn default() -> Self {
         let base = Settings::default();
-        Guarantees {
+        WireGuarantees {
             ask_within_us: base.notified_within as f64,
             cold_share: base.cold_capacity_share,
             cold_us: base.warm_up_period as f64,
@@ -194,26 +195,33 @@
     }
 }
 
-/// Why a settings text can't be used.
+/// Why settings can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
-    /// It is not JSON, or a value is of the wrong kind.
+    /// They are not JSON, or a value has the wrong type.
     #[error("unreadable settings: {0}")]
     Malformed(#[from] serde_json::Error),
     /// A class names an effect that the protocol does not have.
-    #[error("unreadable settings: unknown effect {0:?} of a class")]
-    UnknownEffect(String),
+    #[error(
+        "unreadable settings: unknown effect {effect:?} of class {class:?}; use pure, token or side_effect"
+    )]
+    UnknownEffect {
+        /// Name of the class.
+        class: String,
+        /// The effect that it names.
+        effect: String,
+    },
 }
 
-/// Reads a settings text, which is JSON in the form that the operators' pages give.
+/// Reads settings from JSON. Keys that are missing have their defaults; unknown keys are ignored.
 ///
 /// # Errors
-/// Where the text is malformed or a class has an unknown effect.
+/// If the text is not valid JSON of that form or a class has an unknown effect.
 pub fn read(text: &[u8]) -> Result<Deployment, SettingsError> {
-    let wire: Wire = serde_json::from_slice(text)?;
+    let wire: WireSettings = serde_json::from_slice(text)?;
     let mut classes = Vec::with_capacity(wire.classes.len());
-    for c in &wire.classes {
-        classes.push(class(c)?);
+    for class in &wire.classes {
+        classes.push(request_class(class)?);
     }
     let origin =
         (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
@@ -268,29 +276,32 @@
     })
 }
 
-fn class(c: &WireClass) -> Result<RequestClass, SettingsError> {
-    let group = match c.dedup_scope.as_str() {
+fn request_class(wire: &WireClass) -> Result<RequestClass, SettingsError> {
+    let scope = match wire.dedup_scope.as_str() {
         "all" => DeduplicationScope::All,
         "zone" => DeduplicationScope::Zone,
         _ => DeduplicationScope::Cell,
     };
-    let effect = match c.effect.as_str() {
+    let idempotency = match wire.effect.as_str() {
         "pure" => Idempotency::Idempotent,
         "token" => Idempotency::Deduplicated {
-            scope: group,
-            window: micros(c.dedup_window_us),
+            scope,
+            window: micros(wire.dedup_window_us),
         },
         "side_effect" => Idempotency::NotIdempotent,
         other => {
-            return Err(SettingsError::UnknownEffect(other.to_owned()));
+            return Err(SettingsError::UnknownEffect {
+                class: wire.name.clone(),
+                effect: other.to_owned(),
+            });
         }
     };
     Ok(RequestClass {
-        latency_objective: micros(c.goal_time_us),
-        deadline: micros(c.deadline_us),
-        priority_weight: c.gain,
-        late_weight: c.late_value,
-        idempotency: effect,
+        latency_objective: micros(wire.goal_time_us),
+        deadline: micros(wire.deadline_us),
+        priority_weight: wire.gain,
+        late_weight: wire.late_value,
+        idempotency,
     })
 }
 
@@ -306,7 +317,7 @@
     }
 }
 
-/// Saturating: a negative figure counts as 0.
+/// Whole microseconds; a negative value or one that is not a number is 0.
 fn micros(value: f64) -> Micros {
     value as Micros
 }
--- a/crates/routing-policy/src/state/key_share.rs
+++ b/crates/routing-policy/src/state/key_share.rs
@@ -1,6 +1,6 @@
 //! The share of its keys that a server, or all servers of a kind, is left.
 
-/// A share of keys, held as the fraction that is routed past; a new one is whole.
+/// A share of keys, stored as the fraction that is routed past; a new one is whole.
 #[derive(Default)]
 pub(crate) struct KeyShare {
     routed_past: f64,
--- a/crates/routing-policy/src/state/majority_vote.rs
+++ b/crates/routing-policy/src/state/majority_vote.rs
@@ -9,7 +9,7 @@
 
 impl MajorityVote {
     /// Takes a value, which is for the candidate within the tolerance; tells whether it is. At most so many
-    /// votes are held, so that a change is noticed.
+    /// votes are kept, so that a change is noticed.
     pub(crate) fn take(&mut self, value: u64, tolerance: f64, most_votes: u32) -> bool {
         let agrees = value.abs_diff(self.candidate) as f64 <= tolerance;
         if agrees {
