--- a/crates/routing-policy/src/policy/admission.rs
+++ b/crates/routing-policy/src/policy/admission.rs
@@ -3,9 +3,9 @@
 use super::*;
 
 /// Tokens that a bucket holds beyond an objective's worth, against chance in who reaches which router.
-const BURST: f64 = 5.0;
+const BURST_TOKENS: f64 = 5.0;
 /// Fraction of the quotas that tenants may use in common: those within theirs leave about the rest unused.
-const SHARED_QUOTA: f64 = 0.8;
+const SHARED_QUOTA_FRACTION: f64 = 0.8;
 const DEADLINE_TOLERANCE: f64 = 0.01; // of the deadline, as the network takes some of it
 const VOTES_KNOWN: u32 = 4; // from which a class's usual remaining deadline counts as known
 const VOTES_MOST: u32 = 16; // counted at most, so that a change is noticed
@@ -46,8 +46,8 @@
         let multiplier = self.load_shedding.quota_multiplier();
         // While all together stay below their quotas, chance in a small bucket rejects none. A falling
         // multiplier empties the buckets too: what many hold back would keep an overload going for long.
-        let burst = (BURST * multiplier).clamp(1.0, BURST);
-        let shared_rate = SHARED_QUOTA * self.request_rate.quota_share() * multiplier;
+        let burst = (BURST_TOKENS * multiplier).clamp(1.0, BURST_TOKENS);
+        let shared_rate = SHARED_QUOTA_FRACTION * self.request_rate.quota_share() * multiplier;
         let in_shared = admission.shared.fill(self.now, shared_rate, burst);
         let rate = multiplier * quota.per_s / self.settings.router_count();
         let depth = burst + rate * self.objective as f64 / 1e6;
--- a/crates/routing-policy/src/policy/attempts.rs
+++ b/crates/routing-policy/src/policy/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-const SLOW: f64 = 0.4; // fraction of its objective for an attempt; without answer for twice this, nearly late
+const SLOW_FRACTION: f64 = 0.4; // of its objective; an attempt is slow after that, nearly late after twice
 /// The budget for retries of what may have run and for hedged requests:
 pub(super) const RETRIES_PER_REQUEST: f64 = 0.05;
 pub(super) const MOST_RETRIES: f64 = 5.0; // at once
@@ -27,8 +27,8 @@
             return false;
         };
         let objective = self.settings.classes[request.class].latency_objective;
-        let mut attempt = Attempt::new(server, call, self.now, objective);
-        attempt.slow_after = (objective as f64 * SLOW) as Micros;
+        let slow_after = (objective as f64 * SLOW_FRACTION) as Micros;
+        let attempt = Attempt::new(server, call, self.now, objective, slow_after);
         let attempt_id = AttemptId::new(id, request.begin_attempt(server, self.now));
         self.count_attempt(server);
         if attempt.is_cache_read() {
--- a/crates/routing-policy/src/policy/origin_limiter.rs
+++ b/crates/routing-policy/src/policy/origin_limiter.rs
@@ -2,21 +2,21 @@
 
 use super::*;
 
-const MOST_OUTSTANDING: f64 = 20.0; // calls of one router; it starts from half
+const MOST_OUTSTANDING_CALLS: f64 = 20.0; // of one router; it starts from half
 /// So many routers may each have that much and the least rate; more of them share what these have together, as
 /// the origin bears the sum. Not fewer: one with only a call or two at a time must find room in spite of chance.
 const ROUTERS_AT_FULL_LIMIT: f64 = 15.0;
-const LEAST_RATE: f64 = 30.0; // calls per second
+const LEAST_CALLS_PER_S: f64 = 30.0; // that a router may make, whatever its request rate
 /// The tally's window as a fraction of the longest objective, short enough that a burst over it can still wait;
 /// longer where a router has so small a share that chance would overrun it, up to the second, microseconds.
-const WINDOW: f64 = 0.25;
-const LONGEST_WINDOW: f64 = 1e6;
-const FETCH_PART: f64 = 0.7; // of both limits; writes have the rest for themselves
-const CAP_CUT: f64 = 0.8; // factor on the cap at a sign of congestion
-const CAP_FLOOR: f64 = 0.1; // fraction of an equal share's ceiling
-const LOGGED_CAP: f64 = 0.25; // fraction of its ceiling at which the cap is logged
-const SLOW: f64 = 0.8; // fraction of the shortest objective; a later answer is a sign of congestion
-const CONGESTED: f64 = 0.05; // fraction of calls that find no room while the origin is short of capacity
+const WINDOW_FRACTION: f64 = 0.25;
+const LONGEST_WINDOW_US: f64 = 1e6;
+const FETCH_FRACTION: f64 = 0.7; // of both limits; writes have the rest for themselves
+const CAP_CUT_FACTOR: f64 = 0.8; // at a sign of congestion
+const CAP_FLOOR_FRACTION: f64 = 0.1; // of an equal share's ceiling
+const LOGGED_CAP_FRACTION: f64 = 0.25; // of its ceiling; the cap is logged when it crosses that
+const SLOW_FRACTION: f64 = 0.8; // of the shortest objective; a later answer is a sign of congestion
+const CONGESTED_FRACTION: f64 = 0.05; // of the calls; the origin is short of capacity when so many find no room
 const FETCH_TIME_WEIGHT: f64 = 0.1; // of an answer in the usual time of a fetch
 const FETCH_TIME_DECAY: f64 = 0.98; // at each fetch not made, as the origin may have become quicker
 /// A deferral lasts a random fraction of the objective between these (1 s and 3 s of 60).
@@ -42,45 +42,45 @@
 impl OriginLimiter {
     pub(super) fn new(settings: &Settings) -> Self {
         let equal_share = (ROUTERS_AT_FULL_LIMIT / settings.router_count()).min(1.0);
-        let window = settings.longest_objective() as f64 * WINDOW / equal_share;
+        let window = settings.longest_objective() as f64 * WINDOW_FRACTION / equal_share;
         OriginLimiter {
             // Calls from before a restart of this router may still run: the cap rises gradually.
-            cap: MOST_OUTSTANDING / 2.0 * equal_share,
+            cap: MOST_OUTSTANDING_CALLS / 2.0 * equal_share,
             equal_share,
-            window: window.min(LONGEST_WINDOW),
-            slow_after: settings.shortest_objective() as f64 * SLOW,
+            window: window.min(LONGEST_WINDOW_US),
+            slow_after: settings.shortest_objective() as f64 * SLOW_FRACTION,
             ..OriginLimiter::default()
         }
     }
 
     /// How short the origin is of capacity, from 0 to 1.
     pub(super) fn congestion(&self) -> f64 {
-        (self.at_capacity.value() / CONGESTED).min(1.0)
+        (self.at_capacity.value() / CONGESTED_FRACTION).min(1.0)
     }
 
     /// Where some calls find no room, what can't be answered in time takes the place of what can: the origin
     /// would work for nobody, and what its client has given up by then is not stored either.
     fn is_too_late(&self, now: Micros, useful_until: Micros) -> bool {
         let in_time = now as f64 + self.fetch_time.get() < useful_until as f64;
-        self.at_capacity.value() > CONGESTED && !in_time
+        self.at_capacity.value() > CONGESTED_FRACTION && !in_time
     }
 
     /// This router's share of the limits: an equal one, or what its own requests ask for by Little's law. With
     /// equal ones a router with more clients would reject what the origin has capacity for.
     fn share(&self, usual_rate: f64) -> f64 {
-        let needed = usual_rate * (self.slow_after / 1e6) / MOST_OUTSTANDING;
+        let needed = usual_rate * (self.slow_after / 1e6) / MOST_OUTSTANDING_CALLS;
         self.equal_share.max(needed.min(1.0))
     }
 
     /// Whether the outstanding cap and the windowed tally let one more call through.
     fn has_room(&mut self, call: CallKind, now: Micros, rate: f64) -> bool {
-        let most_calls = rate.max(LEAST_RATE * self.equal_share) * self.window / 1e6;
+        let most_calls = rate.max(LEAST_CALLS_PER_S * self.equal_share) * self.window / 1e6;
         let tally = self.calls.tally(now, self.window as Micros);
         let in_tally = tally.has_room(most_calls);
-        let fetch_in_tally = tally.has_fetch_room(most_calls * FETCH_PART);
+        let fetch_in_tally = tally.has_fetch_room(most_calls * FETCH_FRACTION);
         let outstanding = self.calls.outstanding();
         let in_cap = outstanding.has_room(self.cap);
-        let fetch_in_cap = in_cap && outstanding.has_fetch_room(self.cap * FETCH_PART);
+        let fetch_in_cap = in_cap && outstanding.has_fetch_room(self.cap * FETCH_FRACTION);
         let has_room = in_tally
             && match call {
                 // Where there is less than one call for each router, a write does not wait for its fetches.
@@ -95,28 +95,28 @@
         self.calls.begin(call);
     }
 
-    fn end_call(&mut self, call: &Attempt, status: AttemptStatus, now: Micros, random_part: f64) {
-        self.calls.end(call.call);
+    fn end_call(&mut self, attempt: &Attempt, status: AttemptStatus, now: Micros, jitter: f64) {
+        self.calls.end(attempt.call);
         // A cap of less than one is kept by a rest after each call.
-        let rest = (1.0 / (self.cap * FETCH_PART) - 1.0).max(0.0) * random_part;
-        let elapsed = call.elapsed(now) as f64;
+        let rest = (1.0 / (self.cap * FETCH_FRACTION) - 1.0).max(0.0) * jitter;
+        let elapsed = attempt.elapsed(now) as f64;
         self.fetches_rest_until = now + (rest * elapsed) as Micros;
-        if status == AttemptStatus::Served && call.call == CallKind::OriginFetch {
+        if status == AttemptStatus::Served && attempt.call == CallKind::OriginFetch {
             self.fetch_time.record(elapsed, FETCH_TIME_WEIGHT);
         }
     }
 
     /// A slow, failing or rejecting origin lowers the cap, good answers restore it.
-    fn adjust_cap(&mut self, call: &Attempt, status: AttemptStatus, now: Micros, share: f64) {
-        let is_slow = call.elapsed(now) > self.slow_after as Micros;
+    fn adjust_cap(&mut self, attempt: &Attempt, status: AttemptStatus, now: Micros, share: f64) {
+        let is_slow = attempt.elapsed(now) > self.slow_after as Micros;
         if status == AttemptStatus::Served && !is_slow {
             let raised = self.cap + (share / self.cap).min(self.cap);
-            self.cap = raised.min(MOST_OUTSTANDING * share);
-        } else if status != AttemptStatus::NotSent && call.sent_at >= self.cut_at {
+            self.cap = raised.min(MOST_OUTSTANDING_CALLS * share);
+        } else if status != AttemptStatus::NotSent && attempt.sent_at >= self.cut_at {
             // One cut for all calls that were outstanding together.
             self.cut_at = now;
-            let floor = MOST_OUTSTANDING * self.equal_share * CAP_FLOOR;
-            self.cap = (self.cap * CAP_CUT).max(floor);
+            let floor = MOST_OUTSTANDING_CALLS * self.equal_share * CAP_FLOOR_FRACTION;
+            self.cap = (self.cap * CAP_CUT_FACTOR).max(floor);
         }
     }
 
@@ -153,14 +153,14 @@
         }
     }
 
-    pub(super) fn on_origin_outcome(&mut self, call: &Attempt, status: AttemptStatus) {
-        let random_part = 0.5 + self.random.unit();
+    pub(super) fn on_origin_outcome(&mut self, attempt: &Attempt, status: AttemptStatus) {
+        let jitter = 0.5 + self.random.unit();
         let share = self.origin_limiter.share(self.request_rate.usual());
         let limiter = &mut self.origin_limiter;
         let before = limiter.cap;
-        limiter.end_call(call, status, self.now, random_part);
-        limiter.adjust_cap(call, status, self.now, share);
-        let threshold = MOST_OUTSTANDING * share * LOGGED_CAP;
+        limiter.end_call(attempt, status, self.now, jitter);
+        limiter.adjust_cap(attempt, status, self.now, share);
+        let threshold = MOST_OUTSTANDING_CALLS * share * LOGGED_CAP_FRACTION;
         let (fallen, risen) = (LogEvent::OriginLimitLowered, LogEvent::OriginLimitRestored);
         let crossing = Crossing::new(before, limiter.cap, threshold).choose(fallen, risen);
         self.actions.extend(crossing.map(Action::Log));
--- a/crates/routing-policy/src/policy/overload.rs
+++ b/crates/routing-policy/src/policy/overload.rs
@@ -3,19 +3,19 @@
 use super::*;
 
 /// Signs per attempt (rejected or nearly late is one, slow a half) from which tenants are held
-const OVERLOADED: f64 = 0.06; // closer to their quotas,
-const COLLAPSING: f64 = 0.55; // and even below them
+const OVERLOADED_SIGNS: f64 = 0.06; // closer to their quotas,
+const COLLAPSING_SIGNS: f64 = 0.55; // and even below them
 /// Multiple of the quotas that fills the buckets:
 const LOWEST_MULTIPLIER: f64 = 0.25; // a collapsed fleet recovers half idle
-const QUOTAS: f64 = 1.0; // a router starts with the quotas themselves
+const NEUTRAL_MULTIPLIER: f64 = 1.0; // a router starts with the quotas themselves
 const HIGHEST_MULTIPLIER: f64 = 4.0; // no tenant is limited
-const MULTIPLIER_CUT: f64 = 0.92; // factor at a review under overload,
-const MULTIPLIER_GROWTH: f64 = 1.04; // and at any other
+const MULTIPLIER_CUT_FACTOR: f64 = 0.92; // at a review under overload,
+const MULTIPLIER_GROWTH_FACTOR: f64 = 1.04; // and at any other
 /// These are whole from so many attempts judged since the last review: one of many routers sees few.
 const FULL_STEP_ATTEMPTS: f64 = 5.0;
 /// Share of its keys that a server is left; cut and growth balance where about a twentieth is late. One of many
 /// routers meets it less often and takes larger steps, as the root of their number: chance in them evens out.
-const KEY_SHARE_CUT: f64 = 0.8; // factor at each attempt that it is nearly late with or rejects
+const KEY_SHARE_FACTOR: f64 = 0.8; // at each attempt that it is nearly late with or rejects
 const KEY_SHARE_GROWTH: f64 = 0.01; // added by an answer in good time
 const KEY_SHARE_LEAST: f64 = 0.05;
 /// Step for a machine kind, relative to a server's, as all servers of the kind take part in it. It shrinks
@@ -25,7 +25,7 @@
 const KIND_STEP_ATTEMPTS: f64 = 24.0;
 /// A server has all its keys again after this multiple of the longest objective at the latest: one left with
 /// few keys has few answers to show that it keeps up.
-const KEYS_RESTORED_AFTER: f64 = 256.0;
+const KEYS_RESTORED_OBJECTIVES: f64 = 256.0;
 
 /// The signs of overload in recent attempts, and how tightly they make the quotas hold.
 pub(super) struct LoadShedding {
@@ -37,7 +37,7 @@
     pub(super) fn new() -> Self {
         LoadShedding {
             signs: DecayingRatio::default(),
-            quota_multiplier: QUOTAS,
+            quota_multiplier: NEUTRAL_MULTIPLIER,
         }
     }
 
@@ -56,29 +56,29 @@
     }
 
     pub(super) fn is_below_quotas(&self) -> bool {
-        self.quota_multiplier < QUOTAS
+        self.quota_multiplier < NEUTRAL_MULTIPLIER
     }
 
     /// Moves the quota multiplier by the signs seen lately.
     fn review(&mut self, is_idle: bool) -> Option<LogEvent> {
         let signs = self.signs.value();
-        let (collapsing, overloaded) = (signs > COLLAPSING, signs > OVERLOADED);
+        let (collapsing, overloaded) = (signs > COLLAPSING_SIGNS, signs > OVERLOADED_SIGNS);
         // Fast in a collapse, which grows by itself, and where few or no requests are left to judge by.
         let is_urgent = collapsing || self.is_below_quotas() || (is_idle && signs <= 0.0);
         let judged = (self.signs.fresh() / FULL_STEP_ATTEMPTS).min(1.0);
         let step = if is_urgent { 1.0 } else { judged };
         let before = self.quota_multiplier;
         self.quota_multiplier = if collapsing {
-            (before * MULTIPLIER_CUT.powf(step)).max(LOWEST_MULTIPLIER)
-        } else if overloaded && before > QUOTAS {
-            (before * MULTIPLIER_CUT.powf(step)).max(QUOTAS)
+            (before * MULTIPLIER_CUT_FACTOR.powf(step)).max(LOWEST_MULTIPLIER)
+        } else if overloaded && before > NEUTRAL_MULTIPLIER {
+            (before * MULTIPLIER_CUT_FACTOR.powf(step)).max(NEUTRAL_MULTIPLIER)
         } else {
             let ceiling = if overloaded {
-                QUOTAS
+                NEUTRAL_MULTIPLIER
             } else {
                 HIGHEST_MULTIPLIER
             };
-            (before * MULTIPLIER_GROWTH.powf(step)).min(ceiling)
+            (before * MULTIPLIER_GROWTH_FACTOR.powf(step)).min(ceiling)
         };
         self.signs.decay(REVIEW_KEEP, REVIEW_LEAST);
         let (fallen, risen) = (LogEvent::LoadSheddingStarted, LogEvent::LoadSheddingEnded);
@@ -95,9 +95,9 @@
             let kind_step = kind.next_step(KIND_STEP, KIND_STEP_ATTEMPTS);
             server
                 .key_share
-                .cut(KEY_SHARE_CUT.powf(server_step), KEY_SHARE_LEAST);
+                .cut(KEY_SHARE_FACTOR.powf(server_step), KEY_SHARE_LEAST);
             kind.key_share
-                .cut(KEY_SHARE_CUT.powf(kind_step), KEY_SHARE_LEAST);
+                .cut(KEY_SHARE_FACTOR.powf(kind_step), KEY_SHARE_LEAST);
             server.kind_steps += kind_step;
         }
     }
@@ -122,7 +122,7 @@
             server.key_share = KeyShare::default();
             if let Some(kind) = self.fleet.kinds.get_mut(&server.endpoint.kind) {
                 let steps = std::mem::take(&mut server.kind_steps);
-                kind.key_share.undo_cut(KEY_SHARE_CUT.powf(steps));
+                kind.key_share.undo_cut(KEY_SHARE_FACTOR.powf(steps));
             }
         }
     }
@@ -131,7 +131,7 @@
     pub(super) fn review_load(&mut self, period: Micros) {
         let crossing = self.load_shedding.review(self.fleet.cache_attempts == 0);
         self.actions.extend(crossing.map(Action::Log));
-        let restored = period as f64 / (KEYS_RESTORED_AFTER * self.objective as f64);
+        let restored = period as f64 / (KEYS_RESTORED_OBJECTIVES * self.objective as f64);
         self.fleet.grow_key_shares(restored);
         self.fleet.end_period(period);
     }
--- a/crates/routing-policy/src/policy/requests.rs
+++ b/crates/routing-policy/src/policy/requests.rs
@@ -1,6 +1,8 @@
 //! Requests: arrival, next call, final answer.
 
-use super::{attempts::*, slow_start::HOT_KEY_REQUESTS, *};
+use super::attempts::{MOST_RETRIES, RETRIES_PER_REQUEST};
+use super::slow_start::HOT_KEY_REQUESTS;
+use super::*;
 
 const MARGIN_TICKS: Micros = 2; // at which a request ends before its time is up, as a timer may come late
 
--- a/crates/routing-policy/src/policy/selection.rs
+++ b/crates/routing-policy/src/policy/selection.rs
@@ -6,8 +6,8 @@
 const LOAD_BOUND: f64 = 1.25;
 const LOAD_BOUND_CONGESTED: f64 = 3.0; // where the origin has no capacity for the fetch that this costs
 /// The bound is not below this router's part of so many attempts, else a quiet one would scatter its keys.
-const LEAST_BOUND_OF_ALL: f64 = 8.0;
-const FULL: f64 = 0.5; // fraction of the remaining time; a server whose queue takes longer is full
+const LEAST_BOUND_ATTEMPTS: f64 = 8.0;
+const FULL_FRACTION: f64 = 0.5; // of the remaining time; a server whose queue takes longer is full
 /// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
 const ANSWER_CREDIT: f64 = 2.0;
 /// And once the time that servers take is known: those of so many cores in an objective. The few answers that
@@ -78,7 +78,7 @@
             key: if request.key == 0 { id } else { request.key },
             remaining: request.useful_until.saturating_sub(policy.now) as f64,
             bound_per_capacity: multiple * attempts / policy.fleet.total_capacity,
-            least_bound: LEAST_BOUND_OF_ALL / routers,
+            least_bound: LEAST_BOUND_ATTEMPTS / routers,
         }
     }
 
@@ -98,7 +98,7 @@
         let shed = 1.0 - self.policy.fleet.key_share(server);
         f64::from(server.in_flight) >= bound.max(self.least_bound)
             || (shed > 0.0 && unit_hash(self.key, server.endpoint.id, Purpose::KeyShare) < shed)
-            || self.queue_time(server) > self.remaining * FULL
+            || self.queue_time(server) > self.remaining * FULL_FRACTION
     }
 
     /// Place of a server in the key's order, the smaller the earlier (weighted rendezvous hashing): the same
@@ -114,7 +114,7 @@
     }
 
     fn is_full(&self, server: &Server) -> bool {
-        let most = self.remaining * FULL;
+        let most = self.remaining * FULL_FRACTION;
         let limits_tenants = self.policy.load_shedding.limits_tenants();
         self.queue_time(server) > most || (limits_tenants && self.backlog_time(server) > most)
     }
--- a/crates/routing-policy/src/policy/slow_start.rs
+++ b/crates/routing-policy/src/policy/slow_start.rs
@@ -4,7 +4,7 @@
 
 /// A server that warms up gets at most this part of what makes it collapse, scaled by its present part of
 /// capacity; a warm one's attempts are taken for what it can do, though it may be able to do more.
-const SAFE_LOAD: f64 = 0.8;
+const SAFE_LOAD_FRACTION: f64 = 0.8;
 /// And so many roots of what comes to it in the time in which it collapses are left to chance: each router
 /// counts its own only, their sum varies by about its root, the worst of many windows is three above.
 const CHANCE_ROOTS: f64 = 3.0;
@@ -41,7 +41,7 @@
 
     /// Multiple of a warm server's load that one of this warmth can take.
     fn safe_load(&self, warmth: f64) -> f64 {
-        SAFE_LOAD * self.settings.overload_multiple * warmth
+        SAFE_LOAD_FRACTION * self.settings.overload_multiple * warmth
     }
 
     /// Recent attempts at a server, as they leak at the rate that it can take, and how many it takes at once.
--- a/crates/routing-policy/src/settings.rs
+++ b/crates/routing-policy/src/settings.rs
@@ -219,31 +219,43 @@
 /// If the text is not valid JSON of that form or a class has an unknown effect.
 pub fn read(text: &[u8]) -> Result<Deployment, SettingsError> {
     let wire: WireSettings = serde_json::from_slice(text)?;
-    let mut classes = Vec::with_capacity(wire.classes.len());
-    for class in &wire.classes {
-        classes.push(request_class(class)?);
-    }
-    let origin =
-        (wire.specifics.mode == "aside").then(|| u16::try_from(wire.specifics.origin_kind).ok());
-    let limits = wire.limits;
-    let settings = Settings {
+    Ok(Deployment {
+        settings: policy_settings(&wire)?,
+        classes: wire.classes.into_iter().map(|class| class.name).collect(),
+        tenants: wire.realms.into_iter().map(|tenant| tenant.name).collect(),
+        zones: wire.zones,
+        kinds: wire.machine_types,
+        load_names: wire.report.fields,
+        connect_timeout: micros(wire.limits.connect_timeout_us),
+        idle_close: micros(wire.limits.idle_close_us),
+        max_open: wire.limits.max_open,
+    })
+}
+
+fn policy_settings(wire: &WireSettings) -> Result<Settings, SettingsError> {
+    let classes: Result<Vec<_>, _> = wire.classes.iter().map(request_class).collect();
+    let tenant = |wire: &WireTenant| Tenant {
+        quota_per_s: wire.quota_per_s,
+    };
+    let limits = &wire.limits;
+    let guarantees = &wire.guarantees;
+    Ok(Settings {
         balancer_count: wire.balancers,
         balancer_index: wire.me,
         zone: wire.zone,
-        classes,
-        tenants: wire
-            .realms
-            .iter()
-            .map(|r| Tenant {
-                quota_per_s: r.quota_per_s,
-            })
-            .collect(),
+        classes: classes?,
+        tenants: wire.realms.iter().map(tenant).collect(),
         poll_discovery: wire.discovery == "ask",
-        notified_within: micros(wire.guarantees.ask_within_us),
-        origin_kind: origin.flatten(),
+        notified_within: micros(guarantees.ask_within_us),
+        origin_kind: origin_kind(&wire.specifics),
         weights_are_sizes: matches!(wire.weight_source.as_str(), "nominal" | "rough"),
         weights_are_live: wire.weight_source == "live",
-        load_fields: wire.report.fields.iter().map(|f| load_field(f)).collect(),
+        load_fields: wire
+            .report
+            .fields
+            .iter()
+            .map(|name| load_field(name))
+            .collect(),
         max_attempts: limits.max_attempts,
         may_hedge: limits.may_duplicate,
         may_cancel: limits.may_cancel,
@@ -257,25 +269,23 @@
             0
         },
         tick: micros(wire.period_us),
-        cold_capacity_share: wire.guarantees.cold_share,
-        warm_up_period: micros(wire.guarantees.cold_us),
-        overload_multiple: wire.guarantees.fall_multiple,
-        overload_window: micros(wire.guarantees.tip_after_us),
-        drain_grace: micros(wire.guarantees.drain_grace_us),
-    };
-    Ok(Deployment {
-        settings,
-        classes: wire.classes.into_iter().map(|c| c.name).collect(),
-        tenants: wire.realms.into_iter().map(|r| r.name).collect(),
-        zones: wire.zones,
-        kinds: wire.machine_types,
-        load_names: wire.report.fields,
-        connect_timeout: micros(limits.connect_timeout_us),
-        idle_close: micros(limits.idle_close_us),
-        max_open: limits.max_open,
+        cold_capacity_share: guarantees.cold_share,
+        warm_up_period: micros(guarantees.cold_us),
+        overload_multiple: guarantees.fall_multiple,
+        overload_window: micros(guarantees.tip_after_us),
+        drain_grace: micros(guarantees.drain_grace_us),
     })
 }
 
+/// The origin's machine kind, where servers do not fetch for themselves.
+fn origin_kind(specifics: &WireSpecifics) -> Option<u16> {
+    if specifics.mode == "aside" {
+        u16::try_from(specifics.origin_kind).ok()
+    } else {
+        None
+    }
+}
+
 fn request_class(wire: &WireClass) -> Result<RequestClass, SettingsError> {
     let scope = match wire.dedup_scope.as_str() {
         "all" => DeduplicationScope::All,
--- a/crates/routing-policy/src/state/request.rs
+++ b/crates/routing-policy/src/state/request.rs
@@ -140,13 +140,19 @@
 
 impl Attempt {
     /// An attempt that is sent now.
-    pub(crate) fn new(server: ServerId, call: CallKind, now: Micros, objective: Micros) -> Self {
+    pub(crate) fn new(
+        server: ServerId,
+        call: CallKind,
+        now: Micros,
+        objective: Micros,
+        slow_after: Micros,
+    ) -> Self {
         Attempt {
             server,
             call,
             sent_at: now,
             objective,
-            slow_after: objective,
+            slow_after,
             connecting: false,
         }
     }
