--- a/crates/routing-policy/src/policy/endpoints.rs
+++ b/crates/routing-policy/src/policy/endpoints.rs
@@ -47,7 +47,9 @@
         let known_start = server.endpoint.started;
         let has_restarted = endpoint.started > known_start;
         if has_restarted {
-            server.reset();
+            server.consecutive_failures = 0;
+            server.ejection = None;
+            server.key_share = KeyShare::default();
         }
         server.idle_weight = if self.settings.weights_are_live {
             server.idle_weight.max(endpoint.weight)
--- a/crates/routing-policy/src/policy/origin_limiter.rs
+++ b/crates/routing-policy/src/policy/origin_limiter.rs
@@ -76,11 +76,12 @@
     fn has_room(&mut self, call: CallKind, now: Micros, rate: f64) -> bool {
         let most_calls = rate.max(LEAST_CALLS_PER_S * self.equal_share) * self.window / 1e6;
         let tally = self.calls.tally(now, self.window as Micros);
-        let in_tally = tally.has_room(most_calls);
-        let fetch_in_tally = tally.has_fetch_room(most_calls * FETCH_FRACTION);
+        let in_tally = tally.has_room(most_calls.max(1.0));
+        let fetch_in_tally = tally.has_fetch_room((most_calls * FETCH_FRACTION).max(1.0));
         let outstanding = self.calls.outstanding();
-        let in_cap = outstanding.has_room(self.cap);
-        let fetch_in_cap = in_cap && outstanding.has_fetch_room(self.cap * FETCH_FRACTION);
+        let in_cap = outstanding.has_room(self.cap.max(1.0));
+        let fetch_cap = (self.cap * FETCH_FRACTION).max(1.0);
+        let fetch_in_cap = in_cap && outstanding.has_fetch_room(fetch_cap);
         let has_room = in_tally
             && match call {
                 // Where there is less than one call for each router, a write does not wait for its fetches.
--- a/crates/routing-policy/src/policy/overload.rs
+++ b/crates/routing-policy/src/policy/overload.rs
@@ -68,17 +68,16 @@
         let judged = (self.signs.fresh() / FULL_STEP_ATTEMPTS).min(1.0);
         let step = if is_urgent { 1.0 } else { judged };
         let before = self.quota_multiplier;
+        let cut = before * MULTIPLIER_CUT_FACTOR.powf(step);
+        let grown = before * MULTIPLIER_GROWTH_FACTOR.powf(step);
         self.quota_multiplier = if collapsing {
-            (before * MULTIPLIER_CUT_FACTOR.powf(step)).max(LOWEST_MULTIPLIER)
+            cut.max(LOWEST_MULTIPLIER)
         } else if overloaded && before > NEUTRAL_MULTIPLIER {
-            (before * MULTIPLIER_CUT_FACTOR.powf(step)).max(NEUTRAL_MULTIPLIER)
+            cut.max(NEUTRAL_MULTIPLIER)
+        } else if overloaded {
+            grown.min(NEUTRAL_MULTIPLIER)
         } else {
-            let ceiling = if overloaded {
-                NEUTRAL_MULTIPLIER
-            } else {
-                HIGHEST_MULTIPLIER
-            };
-            (before * MULTIPLIER_GROWTH_FACTOR.powf(step)).min(ceiling)
+            grown.min(HIGHEST_MULTIPLIER)
         };
         self.signs.decay(REVIEW_KEEP, REVIEW_LEAST);
         let (fallen, risen) = (LogEvent::LoadSheddingStarted, LogEvent::LoadSheddingEnded);
--- a/crates/routing-policy/src/policy/requests.rs
+++ b/crates/routing-policy/src/policy/requests.rs
@@ -15,12 +15,8 @@
         let class = &self.settings.classes[arrived.class];
         let objective_at = self.now + class.latency_objective.saturating_sub(waited);
         let earns_late = class.late_weight > 0.0;
-        let earning_until = objective_at.saturating_sub(margin).min(deadline_at);
-        let useful_until = if earns_late {
-            deadline_at
-        } else {
-            earning_until
-        };
+        let late_from = objective_at.saturating_sub(margin).min(deadline_at);
+        let useful_until = if earns_late { deadline_at } else { late_from };
         let mut request = InFlightRequest::new(arrived);
         request.deadline_at = deadline_at;
         request.useful_until = useful_until;
--- a/crates/routing-policy/src/state/origin_calls.rs
+++ b/crates/routing-policy/src/state/origin_calls.rs
@@ -21,14 +21,14 @@
         self.fetches -= u32::from(call == CallKind::OriginFetch);
     }
 
-    /// Whether one more call of any kind is within a limit, which is one at the least.
+    /// Whether one more call of any kind is within a limit.
     pub(crate) fn has_room(&self, limit: f64) -> bool {
-        f64::from(self.all + 1) <= limit.max(1.0)
+        f64::from(self.all + 1) <= limit
     }
 
-    /// Whether one more fetch is within a limit, which is one at the least.
+    /// Whether one more fetch is within a limit.
     pub(crate) fn has_fetch_room(&self, limit: f64) -> bool {
-        f64::from(self.fetches + 1) <= limit.max(1.0)
+        f64::from(self.fetches + 1) <= limit
     }
 
     /// Whether there are no calls but fetches.
--- a/crates/routing-policy/src/state/server.rs
+++ b/crates/routing-policy/src/state/server.rs
@@ -58,13 +58,6 @@
         self.answered_at = now;
     }
 
-    /// Forgets what was seen of an earlier process, but for how it was reached.
-    pub(crate) fn reset(&mut self) {
-        self.consecutive_failures = 0;
-        self.ejection = None;
-        self.key_share = KeyShare::default();
-    }
-
     /// Takes one failure off the count.
     pub(crate) fn forgive_failure(&mut self) {
         self.consecutive_failures = self.consecutive_failures.saturating_sub(1);
