--- a/crates/routing-policy/src/policy/attempts.rs
+++ b/crates/routing-policy/src/policy/attempts.rs
@@ -91,7 +91,7 @@
         };
         request.end_attempt(outcome.attempt, status);
         if attempt.is_cache_read() && status != AttemptStatus::Miss {
-            request.tried.push(attempt.server);
+            request.excluded_servers.push(attempt.server);
         }
         let (class, others_in_flight) = (request.class, request.attempts_in_flight > 0);
         if outcome.request_complete || status == AttemptStatus::Served {
@@ -235,7 +235,7 @@
         if !may_hedge || !is_single_read || !has_budget || is_well_known {
             return;
         }
-        request.tried.push(slow_server);
+        request.excluded_servers.push(slow_server);
         let next = self.pick(id);
         if next.is_some_and(|next| self.send(id, next, CallKind::CacheRead)) {
             self.retry_budget.withdraw(RETRY_COST);
--- a/crates/routing-policy/src/policy/outlier.rs
+++ b/crates/routing-policy/src/policy/outlier.rs
@@ -56,7 +56,7 @@
             return;
         };
         server.count_answer(self.now, attempt.objective);
-        let was_away = server.unreachable && server.consecutive_failures >= FAILURES_TO_EJECT;
+        let is_restarted = server.unreachable && server.consecutive_failures >= FAILURES_TO_EJECT;
         server.forgive_failure();
         if server.ejection.take().is_none() {
             return;
@@ -64,11 +64,11 @@
         server.unreachable = false;
         // It refused connections for long and answers again: a new process, and the list is late. Once may
         // have been for want of room.
-        if was_away {
+        if is_restarted {
             server.endpoint.started = server.endpoint.started.max(self.now);
         }
         self.log(LogEvent::ServerReadmitted { server: id });
-        if was_away {
+        if is_restarted {
             self.begin_slow_start(id);
         }
     }
--- a/crates/routing-policy/src/policy/overload.rs
+++ b/crates/routing-policy/src/policy/overload.rs
@@ -65,7 +65,7 @@
         let (collapsing, overloaded) = (signs > COLLAPSING_SIGNS, signs > OVERLOADED_SIGNS);
         // Fast in a collapse, which grows by itself, and where few or no requests are left to judge by.
         let is_urgent = collapsing || self.is_below_quotas() || (is_idle && signs <= 0.0);
-        let judged = (self.signs.fresh() / FULL_STEP_ATTEMPTS).min(1.0);
+        let judged = (self.signs.since_decay() / FULL_STEP_ATTEMPTS).min(1.0);
         let step = if is_urgent { 1.0 } else { judged };
         let before = self.quota_multiplier;
         let cut = before * MULTIPLIER_CUT_FACTOR.powf(step);
--- a/crates/routing-policy/src/policy/selection.rs
+++ b/crates/routing-policy/src/policy/selection.rs
@@ -22,7 +22,7 @@
     /// A client in a hurry is served by a server near by or not at all.
     is_too_slow: bool,
     is_passed_over: bool,
-    place: f64,
+    position: f64,
     server: ServerId,
 }
 
@@ -44,8 +44,8 @@
         let selection = Selection::new(self, id, request);
         let mut best: Option<Rank> = None;
         for server in self.fleet.ready_cache_servers() {
-            let was_tried = request.tried.contains(&server.endpoint.id);
-            if was_tried || !self.is_warm_for(selection.key, request, server) {
+            let is_excluded = request.excluded_servers.contains(&server.endpoint.id);
+            if is_excluded || !self.may_take(selection.key, request, server) {
                 continue;
             }
             let rank = selection.rank(server);
@@ -87,7 +87,7 @@
             is_ejected: self.policy.is_ejected(server),
             is_too_slow: server.fastest.get() > self.remaining,
             is_passed_over: self.is_passed_over(server),
-            place: self.place(server),
+            position: self.position(server),
             server: server.endpoint.id,
         }
     }
@@ -101,10 +101,10 @@
             || self.queue_time(server) > self.remaining * FULL_FRACTION
     }
 
-    /// Place of a server in the key's order, the smaller the earlier (weighted rendezvous hashing): the same
+    /// Position of a server in the key's order, the smaller the earlier (weighted rendezvous hashing): the same
     /// at every router, and little moves when a server comes or goes.
-    fn place(&self, server: &Server) -> f64 {
-        let draw = unit_hash(self.key, server.endpoint.id, Purpose::Place);
+    fn position(&self, server: &Server) -> f64 {
+        let draw = unit_hash(self.key, server.endpoint.id, Purpose::Position);
         // The same order without the logarithm, which was most of a pick at 475 servers.
         if self.policy.settings.weights_are_sizes {
             -draw.ln() / self.policy.weight(server)
--- a/crates/routing-policy/src/policy/slow_start.rs
+++ b/crates/routing-policy/src/policy/slow_start.rs
@@ -11,15 +11,15 @@
 pub(super) const HOT_KEY_REQUESTS: usize = 64; // among which a hot key was asked for twice
 
 impl Policy {
-    /// Whether a server may get a request. One that warms up gets a part of its keys that grows, the same
+    /// Whether a server may take a request. One that warms up gets a part of its keys that grows, the same
     /// keys from every router, and from each no more than a part of a warm server's requests. What the warm
     /// ones reject in an overload goes along the order at all routers at once, and must not come down on it.
-    pub(super) fn is_warm_for(&self, key: Key, request: &InFlightRequest, server: &Server) -> bool {
-        let warmth = self.warmth(server);
-        if warmth >= 1.0 {
+    pub(super) fn may_take(&self, key: Key, request: &InFlightRequest, server: &Server) -> bool {
+        let warm_up = self.warm_up(server);
+        if warm_up >= 1.0 {
             return true;
         }
-        let key_share = self.safe_load(warmth) * self.capacity(server) / self.fleet.mean_capacity;
+        let key_share = self.safe_load(warm_up) * self.capacity(server) / self.fleet.mean_capacity;
         // A hot key would come from all routers at once, from each within its burst.
         request.attempts_sent == 0
             && unit_hash(key, server.endpoint.id, Purpose::SlowStart) < key_share
@@ -28,7 +28,7 @@
     }
 
     /// Fraction of its capacity that a server has at the least, some time after its start.
-    fn warmth(&self, server: &Server) -> f64 {
+    fn warm_up(&self, server: &Server) -> f64 {
         let started = server.endpoint.started;
         if started == 0 {
             return 1.0;
@@ -39,14 +39,14 @@
         (share + (1.0 - share) * age).min(1.0)
     }
 
-    /// Multiple of a warm server's load that one of this warmth can take.
-    fn safe_load(&self, warmth: f64) -> f64 {
-        SAFE_LOAD_FRACTION * self.settings.overload_multiple * warmth
+    /// Multiple of a warm server's load that one that is warmed up so far can take.
+    fn safe_load(&self, warm_up: f64) -> f64 {
+        SAFE_LOAD_FRACTION * self.settings.overload_multiple * warm_up
     }
 
     /// Recent attempts at a server, as they leak at the rate that it can take, and how many it takes at once.
     fn burst(&self, server: &Server) -> Burst {
-        let most = self.safe_load(self.warmth(server)) * self.warm_rate(server) / 1e6;
+        let most = self.safe_load(self.warm_up(server)) * self.warm_server_rate(server) / 1e6;
         let window = self.settings.overload_window as f64;
         let routers = self.settings.router_count();
         // Of all that may be sent within the window, m is usual where m + C * sqrt(m) = all.
@@ -65,7 +65,7 @@
     /// (client retries swell the current ones), or what the warm ones of its kind answer where that is less. An
     /// overload shows in the second only: all kinds are left fewer keys in it, and requests are more than any
     /// server can take.
-    fn warm_rate(&self, server: &Server) -> f64 {
+    fn warm_server_rate(&self, server: &Server) -> f64 {
         let part = self.request_rate.usual() * self.capacity(server) / self.fleet.total_capacity;
         let kind = self.fleet.kind_of(server);
         match kind.map(|kind| kind.answers_per_server.long_term()) {
--- a/crates/routing-policy/src/state/decaying_ratio.rs
+++ b/crates/routing-policy/src/state/decaying_ratio.rs
@@ -5,7 +5,7 @@
 pub(crate) struct DecayingRatio {
     cases: f64,
     all: f64,
-    fresh: f64,
+    since_decay: f64,
 }
 
 impl DecayingRatio {
@@ -13,7 +13,7 @@
     pub(crate) fn add(&mut self, cases: f64, all: f64) {
         self.cases += cases;
         self.all += all;
-        self.fresh += all;
+        self.since_decay += all;
     }
 
     /// The cases as a fraction of all observations, or of one where there were fewer.
@@ -22,8 +22,8 @@
     }
 
     /// Observations since the last decay.
-    pub(crate) fn fresh(&self) -> f64 {
-        self.fresh
+    pub(crate) fn since_decay(&self) -> f64 {
+        self.since_decay
     }
 
     /// Keeps this fraction of the past while more observations than the least remain.
@@ -31,6 +31,6 @@
         let keep = if self.all > least { keep } else { 1.0 };
         self.cases *= keep;
         self.all *= keep;
-        self.fresh = 0.0;
+        self.since_decay = 0.0;
     }
 }
--- a/crates/routing-policy/src/state/request.rs
+++ b/crates/routing-policy/src/state/request.rs
@@ -25,7 +25,7 @@
     /// Attempts without outcome.
     pub(crate) attempts_in_flight: u16,
     /// Cache servers not to be tried again.
-    pub(crate) tried: Vec<ServerId>,
+    pub(crate) excluded_servers: Vec<ServerId>,
     /// Number of its latest deferral.
     pub(crate) deferral: u32,
     /// Attempts that run or may have run, oldest first.
--- a/crates/routing-policy/src/state/unit_hash.rs
+++ b/crates/routing-policy/src/state/unit_hash.rs
@@ -8,8 +8,8 @@
 /// all routers must agree on them.
 #[derive(Clone, Copy)]
 pub(crate) enum Purpose {
-    /// The place of a server in a key's order.
-    Place = 0,
+    /// The position of a server in a key's order.
+    Position = 0,
     /// Which keys a server that warms up is given.
     SlowStart = 1,
     /// How long a request takes a server's queue for.
