--- a/crates/routing-policy/src/policy/admission.rs
+++ b/crates/routing-policy/src/policy/admission.rs
@@ -77,4 +77,10 @@
         }
         deadline.saturating_sub(request.remaining_deadline)
     }
+
+    /// Requests per second that are this router's: its part of all quotas, or those admitted where there are none.
+    pub(super) fn own_rate(&self, admitted_per_s: f64) -> f64 {
+        let quota = self.request_rate.quota_share();
+        if quota > 0.0 { quota } else { admitted_per_s }
+    }
 }
--- a/crates/routing-policy/src/policy/origin_limiter.rs
+++ b/crates/routing-policy/src/policy/origin_limiter.rs
@@ -146,7 +146,7 @@
         let Some(target) = target else {
             return self.defer(id, class);
         };
-        let rate = self.request_rate.current();
+        let rate = self.own_rate(self.request_rate.admitted_lately());
         if !self.origin_limiter.has_room(call, self.now, rate) {
             self.defer(id, class);
         } else if !self.send(id, target, call) {
@@ -156,7 +156,8 @@
 
     pub(super) fn on_origin_outcome(&mut self, attempt: &Attempt, status: AttemptStatus) {
         let jitter = 0.5 + self.random.unit();
-        let share = self.origin_limiter.share(self.request_rate.usual());
+        let usual_rate = self.own_rate(self.request_rate.admitted_usually());
+        let share = self.origin_limiter.share(usual_rate);
         let limiter = &mut self.origin_limiter;
         let before = limiter.cap;
         limiter.end_call(attempt, status, self.now, jitter);
--- a/crates/routing-policy/src/policy/slow_start.rs
+++ b/crates/routing-policy/src/policy/slow_start.rs
@@ -66,7 +66,8 @@
     /// overload shows in the second only: all kinds are left fewer keys in it, and requests are more than any
     /// server can take.
     fn warm_server_rate(&self, server: &Server) -> f64 {
-        let part = self.request_rate.usual() * self.capacity(server) / self.fleet.total_capacity;
+        let usual_rate = self.own_rate(self.request_rate.admitted_usually());
+        let part = usual_rate * self.capacity(server) / self.fleet.total_capacity;
         let kind = self.fleet.kind_of(server);
         match kind.map(|kind| kind.answers_per_server.long_term()) {
             Some(answered) if answered > 0.0 => answered.min(part),
--- a/crates/routing-policy/src/state/request_rate.rs
+++ b/crates/routing-policy/src/state/request_rate.rs
@@ -3,8 +3,7 @@
 use super::RateEstimator;
 use crate::interface::{Micros, Settings};
 
-/// Requests per second that are this router's: its equal part of all quotas, or those let in where there are
-/// no quotas.
+/// This router's equal part of all quotas, and the rate of the requests that it admits.
 #[derive(Default)]
 pub(crate) struct RequestRate {
     quota_share: f64,
@@ -26,25 +25,17 @@
         self.quota_share
     }
 
-    /// The rate of about the last second.
-    pub(crate) fn current(&self) -> f64 {
-        if self.quota_share > 0.0 {
-            self.quota_share
-        } else {
-            self.admitted.short_term()
-        }
+    /// Requests admitted per second, over about the last second.
+    pub(crate) fn admitted_lately(&self) -> f64 {
+        self.admitted.short_term()
     }
 
-    /// The rate of about the last half minute.
-    pub(crate) fn usual(&self) -> f64 {
-        if self.quota_share > 0.0 {
-            self.quota_share
-        } else {
-            self.admitted.long_term()
-        }
+    /// Requests admitted per second, over about the last half minute.
+    pub(crate) fn admitted_usually(&self) -> f64 {
+        self.admitted.long_term()
     }
 
-    /// Counts a request that was let in.
+    /// Counts a request that was admitted.
     pub(crate) fn count(&mut self) {
         self.admitted.count(1.0);
     }
