Type the router's messages: attempt ids, replies and server targets are structs

Need: AttemptId, the reply channel and the target of a connection were bare tuples, and several fields bore house names. Change: AttemptId {request, number}, ClientReply {sequence, bytes}, ServerTarget {server, address, protocol}; fields and connection events named after what they are. The JSON of discovery keeps its names by serde rename.

--- a/crates/cache-router/src/message.rs
+++ b/crates/cache-router/src/message.rs
@@ -1,38 +1,38 @@
-//! The messages between the tasks of the router: what clients, server connections, discovery and signals tell the event
-//! loop, and what it hands back. A leaf module: it imports none of the modules that send or receive.
+//! The messages between the tasks of the router: what client connections, server connections, discovery and signals
+//! report to the event loop, and what it returns. A leaf module: it imports none of the modules that send or receive.
 
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use routing_policy::{AttemptStatus, CacheLookup, Key, LoadReport, Micros, RequestId};
+use routing_policy::{AttemptStatus, CacheLookup, Key, LoadReport, Micros, RequestId, ServerId};
 use serde::Deserialize;
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// What reaches the loop.
+/// An event for the event loop.
 #[derive(Debug)]
 pub enum RouterEvent {
-    /// A client asks.
+    /// A client sent a command.
     ClientRequest(Box<ClientRequest>),
-    /// A client has closed its connection.
+    /// A client closed its connection.
     ClientDisconnected(ClientId),
-    /// What a connection to a server tells.
+    /// The state of a connection to a server changed.
     ServerConnection(ConnectionId, ServerConnectionEvent),
-    /// Discovery has sent a list or a change, in answer to a call.
-    EndpointList(DiscoveryCall, EndpointListing),
+    /// A call to discovery returned the endpoint list or a change of it.
+    EndpointList(DiscoveryCall, EndpointListUpdate),
     /// A call to discovery failed, or the watch broke.
     DiscoveryFailed(DiscoveryCall),
-    /// The watch was open and fell silent.
+    /// The watch was open and then sent nothing for too long.
     WatchStalled(DiscoveryCall),
-    /// Discovery lives elsewhere from now on.
+    /// Discovery has a new address.
     DiscoveryMoved(SocketAddr),
-    /// The platform asks the node to end.
+    /// The platform asks the router to shut down.
     Terminate,
 }
 
 impl RouterEvent {
-    /// Whether it may forbid what others ask for, and asks for nothing itself.
-    pub fn forbids_sends(&self) -> bool {
+    /// Whether the event can revoke the permission to send a request, and never asks for one to be sent.
+    pub fn revokes_sends(&self) -> bool {
         matches!(
             self,
             RouterEvent::ClientDisconnected(_) | RouterEvent::EndpointList(..)
@@ -40,145 +40,174 @@
     }
 }
 
-/// Names a client's connection; never used twice.
+/// Identifies the connection of a client; never reused.
 pub type ClientId = u64;
 
-/// A command of a client.
+/// A parsed command of a client.
 #[derive(Debug, Clone, Default)]
 pub struct ClientCommand {
-    /// Whether it writes.
-    pub write: bool,
-    /// The key, as the client wrote it.
+    /// Whether it is a write.
+    pub is_write: bool,
+    /// The key, as the client sent it.
     pub key: Bytes,
-    /// The request's id, as the client wrote it.
-    pub id: Bytes,
-    /// The list of facts, as the client wrote it.
-    pub facts: String,
-    /// What a write stores.
+    /// The client's id of the request, as the client sent it.
+    pub request_id: Bytes,
+    /// The `name=value` fields, comma separated, as the client sent them.
+    pub fields: String,
+    /// The value that a write stores.
     pub value: Option<Bytes>,
-    /// Position of its class in the settings.
+    /// Index of its class in the settings.
     pub class: usize,
-    /// Position of its tenant in the settings; 0 where there are none.
+    /// Index of its tenant in the settings; 0 where there are none.
     pub tenant: usize,
-    /// How long the client waits, microseconds.
+    /// How long the client waits, in microseconds.
     pub remaining_deadline: Micros,
-    /// Whether the client said that it repeats an earlier request.
+    /// Whether the client marked it as a retry of an earlier request.
     pub is_retry: bool,
-    /// Expected work, where told.
+    /// Expected work in microseconds, if the client stated it.
     pub cost: Option<Micros>,
-    /// Size of the value in bytes, 0 where not told.
+    /// Size of the value in bytes, 0 if the client did not state it.
     pub value_size: f32,
 }
 
+/// A key of this many hexadecimal digits is a hash already.
+const HEX_KEY_LENGTH: usize = 16;
+
 impl ClientCommand {
-    /// The key as the module knows it, the same at every node.
+    /// The key as the policy knows it, the same at every router.
     pub fn hashed_key(&self) -> Key {
         let text = std::str::from_utf8(&self.key).ok();
         let hex = text
-            .filter(|t| t.len() == 16)
-            .and_then(|t| u64::from_str_radix(t, 16).ok());
+            .filter(|text| text.len() == HEX_KEY_LENGTH)
+            .and_then(|text| u64::from_str_radix(text, 16).ok());
         hex.unwrap_or_else(|| xxh3_64(&self.key)).max(1)
     }
 }
 
-/// A command on its way to the node, and where its answer goes.
+/// A command on its way to the event loop, and where its reply goes.
 #[derive(Debug)]
 pub struct ClientRequest {
     /// The command.
     pub command: ClientCommand,
-    /// When its last byte arrived.
-    pub at: Micros,
-    /// The connection that it came on.
+    /// When its last byte arrived, on the router's clock.
+    pub received_at: Micros,
+    /// The connection that it arrived on.
     pub client: ClientId,
-    /// The place of its answer among those of the connection.
-    pub slot: u64,
-    /// Where its answer goes.
-    pub answers: mpsc::Sender<(u64, Bytes)>,
+    /// Position of its reply in the order of the connection's commands.
+    pub sequence: u64,
+    /// Where its reply goes. The channel has capacity for every reply that the connection is owed.
+    pub replies: mpsc::Sender<ClientReply>,
+}
+
+/// The reply to a command, encoded for the client.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ClientReply {
+    /// Position in the order of the connection's commands.
+    pub sequence: u64,
+    /// The encoded reply.
+    pub bytes: Bytes,
 }
 
-/// Names a connection; never used twice.
+/// Identifies a connection to a server; never reused.
 pub type ConnectionId = u64;
 
-/// Names an attempt: its request and its number.
-pub type AttemptId = (RequestId, u16);
+/// Identifies an attempt. The order is by request, then by number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The request that it serves.
+    pub request: RequestId,
+    /// Its number among the attempts of the request, from 0.
+    pub number: u16,
+}
 
-/// What a server sent can't be understood; the connection is of no more use.
+/// Where and how a server is reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerTarget {
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The protocol that it speaks.
+    pub protocol: ServerProtocol,
+}
+
+/// A server sent something that violates its protocol; its connection can't be used further.
 #[derive(Debug, PartialEq, Clone, Copy)]
 pub struct ProtocolError;
 
-/// An answer of a server.
+/// The response of a server to an attempt.
 #[derive(Debug, PartialEq)]
 pub struct ServerResponse {
     /// How the attempt ended.
     pub status: AttemptStatus,
-    /// What the server said of the key.
+    /// The cache lookup that the server reported.
     pub cache_lookup: CacheLookup,
-    /// The load report that came along.
+    /// The load report that the response carried.
     pub load: LoadReport,
-    /// What the client is sent.
+    /// The value for the client.
     pub value: Option<Bytes>,
     /// Whether the connection can carry another request.
     pub reusable: bool,
 }
 
-/// What a connection tells the node.
+/// What happened on a connection to a server.
 #[derive(Debug)]
 pub enum ServerConnectionEvent {
-    /// It is up, and nothing has been written to it.
-    Up,
-    /// The answer to the request that it carried.
-    Answer(ServerResponse),
-    /// The request that it was given was withdrawn, or its time was up, before its first byte was written; it is free.
-    Unsent,
-    /// The process stood still between the node's word and the first byte, which was not written: what came meanwhile
-    /// may forbid it.
-    Stale,
-    /// It could not be opened or is lost.
+    /// It is established, and nothing has been written to it.
+    Established,
+    /// The response to the request that it carried.
+    Response(ServerResponse),
+    /// Its request was withdrawn, or reached its deadline, before the first byte was written; the connection is free.
+    NotWritten,
+    /// The process was suspended between the event loop's decision to write and the first byte, which was not written:
+    /// the decision has to be confirmed, since events that arrived meanwhile can revoke it.
+    ConfirmWrite,
+    /// It could not be established, or was lost.
     Lost {
         /// Whether the last byte of its request may have been written.
         written: bool,
     },
 }
 
-/// What is spoken with a server.
+/// The protocol that a server speaks.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ServerProtocol {
-    /// RESP2, with cache servers.
+    /// RESP2, spoken by cache servers.
     Resp,
-    /// HTTP/1.1, with the origin.
+    /// HTTP/1.1, spoken by the origin.
     Http,
 }
 
-/// What a call to discovery was, for whoever takes what it brought out of a queue.
+/// Identifies a call to discovery, and what was known when it began, for whoever receives its results later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DiscoveryCall {
-    /// Names it; later calls have higher numbers.
-    pub(crate) number: u64,
-    /// Which of the addresses it was made to that discovery has had.
-    pub(crate) address_generation: u64,
-    /// Version of the list that was in force when it began.
-    pub(crate) held_version: u64,
+    /// Its number; later calls have higher numbers.
+    pub number: u64,
+    /// Which of the addresses that discovery has had it was made to, counted from 0.
+    pub address_generation: u64,
+    /// Version of the endpoint list that was in force when it began.
+    pub held_version: u64,
 }
 
-/// A list of servers, or a change of it.
+/// The endpoint list, or a change of it. The names of the fields in JSON are discovery's.
 #[derive(Deserialize, Default, Debug)]
-pub struct EndpointListing {
+pub struct EndpointListUpdate {
     /// Its version.
-    #[serde(default)]
-    pub index: u64,
-    /// Whether it is whole.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// Its entries.
+    #[serde(default, rename = "index")]
+    pub version: u64,
+    /// Whether it is the complete list and not a change.
+    #[serde(default, rename = "snapshot")]
+    pub is_complete: bool,
+    /// The endpoints that are listed or changed.
     pub endpoints: Vec<DiscoveredEndpoint>,
 }
 
-/// A server of the list.
+/// An endpoint as discovery describes it. The names of the fields in JSON are discovery's.
 #[derive(Deserialize, Debug)]
 pub struct DiscoveredEndpoint {
-    /// The name, which stays over restarts.
+    /// The name, which is the same after a restart.
     pub name: String,
-    /// Where it is reached, `ip:port`.
+    /// The address, `ip:port`.
     #[serde(default)]
     pub address: String,
     /// Name of its zone.
@@ -187,19 +216,19 @@
     /// Name of its machine kind.
     #[serde(default, rename = "type")]
     pub kind: String,
-    /// Its cell, a group that shares which requests with an idempotency key it has seen.
-    #[serde(default)]
-    pub group: u16,
-    /// Whether it is active, draining or gone, in discovery's words.
+    /// Its cell: the group of servers that share which idempotency keys they have seen.
+    #[serde(default, rename = "group")]
+    pub cell: u16,
+    /// `active`, `left`, or anything else for draining.
     pub status: String,
     /// Its weight.
-    #[serde(default = "one")]
+    #[serde(default = "default_weight")]
     pub weight: f32,
-    /// When its process started, Unix milliseconds; 0 where not known.
-    #[serde(default)]
-    pub since_ms: u64,
+    /// When its process started, in Unix milliseconds; 0 if not known.
+    #[serde(default, rename = "since_ms")]
+    pub started_ms: u64,
 }
 
-fn one() -> f32 {
+fn default_weight() -> f32 {
     1.0
 }
--- a/crates/cache-router/src/node.rs
+++ b/crates/cache-router/src/node.rs
@@ -21,8 +21,9 @@
 use crate::discovery::{Discovery, Verdict};
 use crate::lifecycle::LifecyclePhase;
 use crate::message::{
-    AttemptId, ClientCommand, ClientId, ClientRequest, ConnectionId, EndpointListing, RouterEvent,
-    ServerConnectionEvent, ServerProtocol, ServerResponse,
+    AttemptId, ClientCommand, ClientId, ClientReply, ClientRequest, ConnectionId,
+    EndpointListUpdate, RouterEvent, ServerConnectionEvent, ServerProtocol, ServerResponse,
+    ServerTarget,
 };
 use crate::trace::{self, Trace};
 use crate::upstreams::{Pool, Progress, State};
@@ -77,7 +78,7 @@
     command: ClientCommand,
     client: ClientId,
     slot: u64,
-    answers: mpsc::Sender<(u64, Bytes)>,
+    answers: mpsc::Sender<ClientReply>,
     ends: Micros,
     sent: u16,
     /// Attempts without an outcome.
@@ -107,7 +108,7 @@
     servers: HashMap<ServerId, Server>,
     pool: Pool,
     discovery: Discovery,
-    known: Option<EndpointListing>,
+    known: Option<EndpointListUpdate>,
     ends_at: Option<Micros>,
     /// What comes after SIGTERM has its answer by then.
     answered_by: Micros,
@@ -134,7 +135,7 @@
             next: 1,
             servers: HashMap::new(),
             pool: Pool::new(conns, deployment.clone(), clock, hub.clone()),
-            discovery: Discovery::new(config.discovery, config.known.index, hub),
+            discovery: Discovery::new(config.discovery, config.known.version, hub),
             known: Some(config.known),
             ends_at: None,
             answered_by: Micros::MAX,
@@ -248,7 +249,7 @@
         }
         let mut all: Vec<_> = arrived.take().into_iter().collect();
         all.extend(std::iter::from_fn(|| inputs.try_recv().ok()));
-        let (first, rest): (Vec<_>, Vec<_>) = all.into_iter().partition(RouterEvent::forbids_sends);
+        let (first, rest): (Vec<_>, Vec<_>) = all.into_iter().partition(RouterEvent::revokes_sends);
         first
             .into_iter()
             .chain(rest)
@@ -305,19 +306,49 @@
         match due {
             Due::Policy(token) => self.tell(Event::Timer(token)),
             Due::Attempt(id, number) => {
-                self.give_up((id, number), AttemptStatus::TimedOut);
+                self.give_up(
+                    AttemptId {
+                        request: id,
+                        number,
+                    },
+                    AttemptStatus::TimedOut,
+                );
                 self.run_events();
             }
             Due::Another(id, number, since) => {
-                let server = self.waits((id, number), since);
+                let server = self.waits(
+                    AttemptId {
+                        request: id,
+                        number,
+                    },
+                    since,
+                );
                 if let Some(to) = server.and_then(|server| self.target(server)) {
                     self.pool.open(to, now);
                 }
             }
             Due::Unconnected(id, number, since) => {
-                if let Some(server) = self.waits((id, number), since) {
-                    self.pool.leave(server, (id, number));
-                    self.end((id, number), AttemptStatus::ConnectFailed);
+                if let Some(server) = self.waits(
+                    AttemptId {
+                        request: id,
+                        number,
+                    },
+                    since,
+                ) {
+                    self.pool.leave(
+                        server,
+                        AttemptId {
+                            request: id,
+                            number,
+                        },
+                    );
+                    self.end(
+                        AttemptId {
+                            request: id,
+                            number,
+                        },
+                        AttemptStatus::ConnectFailed,
+                    );
                     self.run_events();
                 }
             }
@@ -380,9 +411,13 @@
                 self.answer(request, answer);
             }
             Action::Fail(request) => self.answer(request, Bytes::from_static(b"-ERR failed\r\n")),
-            Action::Cancel { request, attempt } => {
-                self.give_up((request, attempt), AttemptStatus::Cancelled)
-            }
+            Action::Cancel { request, attempt } => self.give_up(
+                AttemptId {
+                    request,
+                    number: attempt,
+                },
+                AttemptStatus::Cancelled,
+            ),
             Action::Timer { after, token } => {
                 self.timers.push(Reverse((
                     self.clock.now() + after.max(1),
@@ -427,7 +462,10 @@
             // Before the attempts end, so that the module makes no others.
             self.events.push_back(Event::ClientGone(id));
             for number in 0..attempts {
-                let _ = self.unsend((id, number));
+                let _ = self.unsend(AttemptId {
+                    request: id,
+                    number,
+                });
             }
             self.run_events();
         }
@@ -457,10 +495,10 @@
     fn asked(&mut self, asked: ClientRequest) {
         let ClientRequest {
             command,
-            at,
+            received_at: at,
             client,
-            slot,
-            answers,
+            sequence: slot,
+            replies: answers,
         } = asked;
         if answers.is_closed() {
             return; // Its client has gone, and the news of that waits behind it.
@@ -474,7 +512,7 @@
             class: command.class,
             tenant: command.tenant,
             key: command.hashed_key(),
-            write: command.write,
+            write: command.is_write,
             is_retry: command.is_retry,
             remaining_deadline: ends.saturating_sub(self.clock.now()),
             cost: command.cost,
@@ -487,7 +525,7 @@
                 request.key,
                 command.class,
                 command.remaining_deadline,
-                command.id.escape_ascii()
+                command.request_id.escape_ascii()
             ),
         );
         let open = PendingRequest {
@@ -521,8 +559,11 @@
             now,
             format_args!("end {id} {how} {}", now as i64 - open.ends as i64),
         );
-        debug!(request = %open.command.id.escape_ascii(), attempts = open.sent, "{how}");
-        let _ = open.answers.try_send((open.slot, answer));
+        debug!(request = %open.command.request_id.escape_ascii(), attempts = open.sent, "{how}");
+        let _ = open.answers.try_send(ClientReply {
+            sequence: open.slot,
+            bytes: answer,
+        });
         self.close_request(id);
     }
 
@@ -545,10 +586,13 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let key = (id, open.sent);
+        let key = AttemptId {
+            request: id,
+            number: open.sent,
+        };
         (open.sent, open.out) = (open.sent + 1, open.out + 1);
         let allowed = !open.over
-            && u32::from(key.1) < self.deployment.settings.max_attempts
+            && u32::from(key.number) < self.deployment.settings.max_attempts
             && now < open.ends;
         let limit = if give_up_after == 0 {
             open.ends
@@ -567,7 +611,8 @@
         };
         let conn = self.pool.reuse(server, key, now);
         self.attempts.insert(key, Attempt { conn, ..attempt });
-        self.timers.push(Reverse((limit, Due::Attempt(id, key.1))));
+        self.timers
+            .push(Reverse((limit, Due::Attempt(id, key.number))));
         match conn {
             Some(conn) => self.carry(key, conn),
             None => self.wait(key, to),
@@ -575,10 +620,12 @@
     }
 
     /// Where a server is reached.
-    fn target(&self, server: ServerId) -> Option<(ServerId, SocketAddr, ServerProtocol)> {
-        self.servers
-            .get(&server)
-            .map(|s| (server, s.address, s.protocol))
+    fn target(&self, server: ServerId) -> Option<ServerTarget> {
+        self.servers.get(&server).map(|s| ServerTarget {
+            server,
+            address: s.address,
+            protocol: s.protocol,
+        })
     }
 
     /// The server of an attempt that waits for a connection still, since a time.
@@ -591,7 +638,7 @@
     }
 
     /// Has an attempt wait for the first connection that comes up or becomes free.
-    fn wait(&mut self, key: AttemptId, to: (ServerId, SocketAddr, ServerProtocol)) {
+    fn wait(&mut self, key: AttemptId, to: ServerTarget) {
         let (now, limit) = (self.clock.now(), self.deployment.connect_timeout.max(1_000));
         if !self.pool.wait(to, key, now) {
             // Forced by the limit on sockets: there is no connection to send this on.
@@ -601,16 +648,20 @@
             attempt.waits_since = now;
         }
         self.events.push_back(Event::Connection {
-            request: key.0,
-            attempt: key.1,
+            request: key.request,
+            attempt: key.number,
             established: false,
         });
         // Half the time is far more than a connect takes: one that has not come by then is one of those that come
         // late or never, and the next has the same chance again.
-        self.timers
-            .push(Reverse((now + limit / 2, Due::Another(key.0, key.1, now))));
-        self.timers
-            .push(Reverse((now + limit, Due::Unconnected(key.0, key.1, now))));
+        self.timers.push(Reverse((
+            now + limit / 2,
+            Due::Another(key.request, key.number, now),
+        )));
+        self.timers.push(Reverse((
+            now + limit,
+            Due::Unconnected(key.request, key.number, now),
+        )));
     }
 
     /// Hands an attempt to its connection, which is up; an attempt that may not be sent any more leaves it to the next.
@@ -655,7 +706,7 @@
             .filter(|s| s.condition == EndpointState::Ready);
         let wanted =
             |open: &&PendingRequest| !open.over && now < open.ends && !open.answers.is_closed();
-        let open = self.open.get(&key.0).filter(wanted);
+        let open = self.open.get(&key.request).filter(wanted);
         let (Some(server), Some(open)) = (server, open) else {
             return false;
         };
@@ -672,13 +723,15 @@
         let server = attempt.server;
         if self.pool.start(conn, bytes, by, asked) {
             if !asked {
-                self.trace
-                    .line(now, format_args!("send {} {} {server}", key.0, key.1));
+                self.trace.line(
+                    now,
+                    format_args!("send {} {} {server}", key.request, key.number),
+                );
             }
             if waited {
                 self.events.push_back(Event::Connection {
-                    request: key.0,
-                    attempt: key.1,
+                    request: key.request,
+                    attempt: key.number,
                     established: true,
                 });
             }
@@ -693,14 +746,14 @@
         let Some((server, state)) = self.pool.state(conn) else {
             return;
         };
-        if matches!(news, ServerConnectionEvent::Answer(_)) {
+        if matches!(news, ServerConnectionEvent::Response(_)) {
             self.servers
                 .get_mut(&server)
                 .into_iter()
                 .for_each(|s| s.last_seen = now);
         }
         match (news, state) {
-            (ServerConnectionEvent::Up, State::Opening(since)) => {
+            (ServerConnectionEvent::Established, State::Opening(since)) => {
                 self.free(conn);
                 // What waited for it in vain has been told that there was no connection.
                 if self.pool.overdue(since, now) {
@@ -713,25 +766,26 @@
                     });
                 }
             }
-            (ServerConnectionEvent::Answer(response), State::Busy(key)) => {
+            (ServerConnectionEvent::Response(response), State::Busy(key)) => {
                 self.free_or_close(conn, response.reusable);
                 self.end_with(key, response);
             }
-            (ServerConnectionEvent::Unsent, State::Busy(key)) => {
+            (ServerConnectionEvent::NotWritten, State::Busy(key)) => {
                 self.end(key, AttemptStatus::NotSent);
                 self.free(conn);
             }
-            (ServerConnectionEvent::Stale, State::Busy(key)) => {
+            (ServerConnectionEvent::ConfirmWrite, State::Busy(key)) => {
                 if !self.write(key, conn, true) {
                     self.end(key, AttemptStatus::NotSent);
                     self.free(conn);
                 }
             }
-            (ServerConnectionEvent::Unsent | ServerConnectionEvent::Stale, State::Late(_)) => {
-                self.free(conn)
-            }
+            (
+                ServerConnectionEvent::NotWritten | ServerConnectionEvent::ConfirmWrite,
+                State::Late(_),
+            ) => self.free(conn),
             // What was given up has its answer after all: of no more interest, but the machine is there.
-            (ServerConnectionEvent::Answer(response), _) => {
+            (ServerConnectionEvent::Response(response), _) => {
                 self.free_or_close(conn, response.reusable)
             }
             (ServerConnectionEvent::Lost { written }, State::Busy(key)) => {
@@ -746,9 +800,9 @@
                 }
             }
             (
-                ServerConnectionEvent::Up
-                | ServerConnectionEvent::Unsent
-                | ServerConnectionEvent::Stale,
+                ServerConnectionEvent::Established
+                | ServerConnectionEvent::NotWritten
+                | ServerConnectionEvent::ConfirmWrite,
                 _,
             ) => {}
         }
@@ -794,7 +848,10 @@
         let (server, sent, Some(conn)) = (attempt.server, attempt.sent, attempt.conn) else {
             return;
         };
-        let class = self.open.get(&key.0).map_or(0, |open| open.command.class);
+        let class = self
+            .open
+            .get(&key.request)
+            .map_or(0, |open| open.command.class);
         let due = sent + self.deployment.settings.classes[class].latency_objective;
         if self.clock.now() < due && self.pool.abandon(conn, sent) {
             self.timers.push(Reverse((due, Due::Late(conn, sent))));
@@ -836,7 +893,7 @@
         let Some(attempt) = self.attempts.remove(&key) else {
             return;
         };
-        let Some(open) = self.open.get_mut(&key.0) else {
+        let Some(open) = self.open.get_mut(&key.request) else {
             return;
         };
         open.out -= 1;
@@ -846,24 +903,24 @@
             now,
             format_args!(
                 "outcome {} {} {server} {} {}",
-                key.0,
-                key.1,
+                key.request,
+                key.number,
                 trace::status_word(status),
                 trace::lookup_word(response.cache_lookup)
             ),
         );
-        debug!(request = %open.command.id.escape_ascii(), attempt = key.1, server, ?status, "attempt ended");
+        debug!(request = %open.command.request_id.escape_ascii(), attempt = key.number, server, ?status, "attempt ended");
         if let Some(value) = &response.value {
             let mut answer = BytesMut::with_capacity(value.len() + 16);
             resp::put_bulk(&mut answer, value);
-            self.answer(key.0, answer.freeze());
+            self.answer(key.request, answer.freeze());
         }
         if over {
-            self.close_request(key.0);
+            self.close_request(key.request);
         }
         self.events.push_back(Event::AttemptOutcome(AttemptOutcome {
-            request: key.0,
-            attempt: key.1,
+            request: key.request,
+            attempt: key.number,
             server: attempt.server,
             status: response.status,
             request_complete: over,
@@ -875,13 +932,13 @@
 
     // The list.
 
-    fn list(&mut self, listing: EndpointListing, kind: Option<ListUpdate>) {
-        let kind = kind.unwrap_or(if listing.snapshot {
+    fn list(&mut self, listing: EndpointListUpdate, kind: Option<ListUpdate>) {
+        let kind = kind.unwrap_or(if listing.is_complete {
             ListUpdate::Full
         } else {
             ListUpdate::Delta
         });
-        self.discovery.held(listing.index);
+        self.discovery.held(listing.version);
         let now = self.clock.now();
         let mut lines: Vec<Endpoint> = Vec::with_capacity(listing.endpoints.len());
         let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
@@ -905,13 +962,13 @@
                 false => ServerProtocol::Resp,
             };
             // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
-            let started = if entry.since_ms == 0 {
+            let started = if entry.started_ms == 0 {
                 0
             } else {
-                entry.since_ms.saturating_mul(1_000).min(now)
+                entry.started_ms.saturating_mul(1_000).min(now)
             };
             let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
-            let cell = entry.group;
+            let cell = entry.cell;
             lines.push(Endpoint {
                 id,
                 zone,
@@ -939,7 +996,14 @@
                 // What is being opened to the old address is of no use to what waits.
                 let waiting = self.pool.waiting(id).len();
                 for _ in 0..waiting {
-                    let _ = self.pool.open((id, address, protocol), now);
+                    let _ = self.pool.open(
+                        ServerTarget {
+                            server: id,
+                            address,
+                            protocol,
+                        },
+                        now,
+                    );
                 }
             }
         }
@@ -958,7 +1022,7 @@
         unready.append(&mut gone);
         self.trace.line(
             now,
-            format_args!("list {} {}", trace::update_word(kind), listing.index),
+            format_args!("list {} {}", trace::update_word(kind), listing.version),
         );
         for line in &lines {
             let Endpoint {
--- a/crates/cache-router/tests/parts/node.rs
+++ b/crates/cache-router/tests/parts/node.rs
@@ -18,8 +18,8 @@
     inputs: mpsc::Receiver<RouterEvent>,
     cache: TcpListener,
     hub: mpsc::Sender<RouterEvent>,
-    answer_to: mpsc::Sender<(u64, Bytes)>,
-    answers: mpsc::Receiver<(u64, Bytes)>,
+    answer_to: mpsc::Sender<ClientReply>,
+    answers: mpsc::Receiver<ClientReply>,
 }
 
 impl Driven {
@@ -36,9 +36,9 @@
         );
         let deployment = routing_policy::settings::read(settings.as_bytes()).unwrap();
         let (hub, inputs) = mpsc::channel(64);
-        let known = EndpointListing {
-            index: 1,
-            snapshot: true,
+        let known = EndpointListUpdate {
+            version: 1,
+            is_complete: true,
             endpoints: vec![endpoint(&cache, "active")],
         };
         let nowhere = cache.local_addr().unwrap();
@@ -47,7 +47,7 @@
             discovery: nowhere,
             seed: 1,
             sockets: 64,
-            known: EndpointListing::default(),
+            known: EndpointListUpdate::default(),
             deployment: deployment.clone(),
         };
         let mut node = Node::new(
@@ -74,8 +74,8 @@
     fn ask(&mut self, id: &'static str) -> RequestId {
         let command = ClientCommand {
             key: "aa".into(),
-            id: id.into(),
-            facts: "c=read".into(),
+            request_id: id.into(),
+            fields: "c=read".into(),
             remaining_deadline: AIM,
             ..ClientCommand::default()
         };
@@ -83,10 +83,10 @@
         let (slot, answers) = (number, self.answer_to.clone());
         self.node.asked(ClientRequest {
             command,
-            at,
+            received_at: at,
             client: 1,
-            slot,
-            answers,
+            sequence: slot,
+            replies: answers,
         });
         number
     }
@@ -106,10 +106,10 @@
         address: cache.local_addr().unwrap().to_string(),
         zone: String::new(),
         kind: String::new(),
-        group: 0,
+        cell: 0,
         status: status.into(),
         weight: 1.0,
-        since_ms: 0,
+        started_ms: 0,
     }
 }
 
@@ -140,7 +140,13 @@
     let (mut stream, _) = all.cache.accept().await.unwrap();
     all.step().await; // The connection is up.
     read(&mut stream, "1d").await;
-    all.node.give_up((hasty, 0), AttemptStatus::Cancelled);
+    all.node.give_up(
+        AttemptId {
+            request: hasty,
+            number: 0,
+        },
+        AttemptStatus::Cancelled,
+    );
     all.node.close_request(hasty);
     stream.write_all(VALUE).await.unwrap();
     all.step().await; // The late answer, which reaches nobody.
@@ -150,7 +156,10 @@
     all.step().await;
     assert_eq!(
         all.answers.try_recv(),
-        Ok((next, Bytes::from_static(b"$1\r\nv\r\n")))
+        Ok(ClientReply {
+            sequence: next,
+            bytes: Bytes::from_static(b"$1\r\nv\r\n")
+        })
     );
 }
 
@@ -181,7 +190,20 @@
             all.node.clock.now() + after,
         );
         all.node.pool.sweep(later);
-        assert_eq!(all.node.pool.reuse(server, (9, 0), later).is_some(), kept);
+        assert_eq!(
+            all.node
+                .pool
+                .reuse(
+                    server,
+                    AttemptId {
+                        request: 9,
+                        number: 0
+                    },
+                    later
+                )
+                .is_some(),
+            kept
+        );
     }
 }
 
@@ -209,7 +231,9 @@
     all.node.input(late);
     stream.write_all(VALUE).await.unwrap();
     all.step().await;
-    let answered: Vec<_> = (0..2).map(|_| all.answers.try_recv().unwrap().0).collect();
+    let answered: Vec<_> = (0..2)
+        .map(|_| all.answers.try_recv().unwrap().sequence)
+        .collect();
     assert_eq!(answered, [first, second]);
     let idle = all
         .node
@@ -231,11 +255,15 @@
         .await
         .unwrap()
         .unwrap();
-    let since = all.node.attempts[&(hasty, 0)].waits_since;
+    let since = all.node.attempts[&AttemptId {
+        request: hasty,
+        number: 0,
+    }]
+        .waits_since;
     all.node
         .due(Due::Unconnected(hasty, 0, since), all.node.clock.now());
     assert_eq!(
-        all.answers.try_recv().unwrap().0,
+        all.answers.try_recv().unwrap().sequence,
         hasty,
         "refused, as there is no other server"
     );
@@ -262,7 +290,18 @@
         *all.node.servers.keys().next().unwrap(),
         all.node.clock.now(),
     );
-    let conn = all.node.pool.reuse(server, (9, 0), now).unwrap();
+    let conn = all
+        .node
+        .pool
+        .reuse(
+            server,
+            AttemptId {
+                request: 9,
+                number: 0,
+            },
+            now,
+        )
+        .unwrap();
     assert!(
         all.node
             .pool
@@ -273,8 +312,14 @@
     read(&mut stream, "2d").await;
     stream.write_all(VALUE).await.unwrap();
     all.step().await;
-    assert_eq!(all.answers.recv().await.map(|(slot, _)| slot), Some(1));
-    assert_eq!(all.answers.recv().await.map(|(slot, _)| slot), Some(next));
+    assert_eq!(
+        all.answers.recv().await.map(|reply| reply.sequence),
+        Some(1)
+    );
+    assert_eq!(
+        all.answers.recv().await.map(|reply| reply.sequence),
+        Some(next)
+    );
 }
 
 #[tokio::test]
@@ -284,14 +329,17 @@
         let waits = all.ask("1d");
         let endpoints = vec![endpoint(&all.cache, status)];
         all.node.list(
-            EndpointListing {
-                index: 2,
-                snapshot: false,
+            EndpointListUpdate {
+                version: 2,
+                is_complete: false,
                 endpoints,
             },
             None,
         );
-        let (slot, answer) = all.answers.try_recv().unwrap();
+        let ClientReply {
+            sequence: slot,
+            bytes: answer,
+        } = all.answers.try_recv().unwrap();
         assert!(slot == waits && answer.starts_with(b"-BUSY"), "{answer:?}");
     }
 }
@@ -301,7 +349,13 @@
     let mut all = Driven::new().await;
     let hasty = all.ask("1d");
     let (mut stream, _) = all.cache.accept().await.unwrap();
-    all.node.give_up((hasty, 0), AttemptStatus::Cancelled);
+    all.node.give_up(
+        AttemptId {
+            request: hasty,
+            number: 0,
+        },
+        AttemptStatus::Cancelled,
+    );
     all.node.close_request(hasty);
     all.step().await; // The connection is up.
     all.ask("2d");
@@ -316,9 +370,26 @@
         let (mut stream, _) = all.cache.accept().await.unwrap();
         all.step().await;
         read(&mut stream, "1d").await;
-        let sent = all.node.attempts[&(late, 0)].sent;
-        all.node.attempts.get_mut(&(late, 0)).unwrap().sent -= if overdue { AIM } else { 0 };
-        all.node.give_up((late, 0), AttemptStatus::TimedOut);
+        let sent = all.node.attempts[&AttemptId {
+            request: late,
+            number: 0,
+        }]
+            .sent;
+        all.node
+            .attempts
+            .get_mut(&AttemptId {
+                request: late,
+                number: 0,
+            })
+            .unwrap()
+            .sent -= if overdue { AIM } else { 0 };
+        all.node.give_up(
+            AttemptId {
+                request: late,
+                number: 0,
+            },
+            AttemptStatus::TimedOut,
+        );
         if !overdue {
             let (server, _) = all.node.servers.iter().next().unwrap();
             assert_eq!(all.node.pool.state(1), Some((*server, State::Late(sent))));
@@ -405,10 +476,10 @@
     all.node
         .input(RouterEvent::ClientRequest(Box::new(ClientRequest {
             command,
-            at,
+            received_at: at,
             client: 2,
-            slot: 0,
-            answers,
+            sequence: 0,
+            replies: answers,
         })));
     assert_eq!((all.node.attempts.len(), all.node.open.len()), (0, 0));
 }
@@ -430,7 +501,13 @@
 async fn what_is_cancelled_before_its_first_byte_is_never_written_and_costs_no_connection() {
     let (mut all, mut stream) = Driven::warmed().await;
     let hasty = all.ask("1d");
-    all.node.give_up((hasty, 0), AttemptStatus::Cancelled);
+    all.node.give_up(
+        AttemptId {
+            request: hasty,
+            number: 0,
+        },
+        AttemptStatus::Cancelled,
+    );
     all.node.close_request(hasty);
     all.step().await;
     all.only(&mut stream, "2d").await;
@@ -443,15 +520,18 @@
     all.stand_still();
     let endpoints = vec![endpoint(&all.cache, "leaving")];
     all.node.list(
-        EndpointListing {
-            index: 2,
-            snapshot: false,
+        EndpointListUpdate {
+            version: 2,
+            is_complete: false,
             endpoints,
         },
         None,
     );
     all.step().await; // The connection asks again.
-    let (slot, answer) = all.answers.try_recv().unwrap();
+    let ClientReply {
+        sequence: slot,
+        bytes: answer,
+    } = all.answers.try_recv().unwrap();
     assert!(slot == waits && answer.starts_with(b"-BUSY"), "{answer:?}");
     let mut seen = Vec::new();
     assert_eq!(stream.read_to_end(&mut seen).await.unwrap(), 0, "{seen:?}");
@@ -467,7 +547,7 @@
     read(&mut stream, "1d").await;
     stream.write_all(VALUE).await.unwrap();
     all.step().await;
-    assert_eq!(all.answers.try_recv().unwrap().0, waits);
+    assert_eq!(all.answers.try_recv().unwrap().sequence, waits);
     // On a machine that is always late it goes on all the same: it is asked about once.
     let late = all.ask("2d");
     all.stand_still();
@@ -480,7 +560,7 @@
     read(&mut stream, "2d").await;
     stream.write_all(VALUE).await.unwrap();
     all.step().await;
-    assert_eq!(all.answers.try_recv().unwrap().0, late);
+    assert_eq!(all.answers.try_recv().unwrap().sequence, late);
 }
 
 #[tokio::test]
@@ -495,10 +575,10 @@
         let (at, answers) = (all.node.clock.now(), all.answer_to.clone());
         RouterEvent::ClientRequest(Box::new(ClientRequest {
             command,
-            at,
+            received_at: at,
             client: 1,
-            slot: 9,
-            answers,
+            sequence: 9,
+            replies: answers,
         }))
     };
     let (call, endpoints) = (
@@ -509,9 +589,9 @@
     all.hub
         .try_send(RouterEvent::EndpointList(
             call,
-            EndpointListing {
-                index: 2,
-                snapshot: false,
+            EndpointListUpdate {
+                version: 2,
+                is_complete: false,
                 endpoints,
             },
         ))
@@ -519,7 +599,7 @@
     let mut arrived = Some(asked(&all));
     all.node.catch_up(&mut all.inputs, &mut arrived).await;
     for _ in 0..2 {
-        let (_, answer) = all.answers.try_recv().unwrap();
+        let ClientReply { bytes: answer, .. } = all.answers.try_recv().unwrap();
         assert!(answer.starts_with(b"-BUSY"), "{answer:?}");
     }
     assert!(all.node.attempts.is_empty());
@@ -533,7 +613,7 @@
     let value = Some(Bytes::from(vec![b'v'; 64 * 1024 * 1024]));
     let command = ClientCommand {
         key: "aa".into(),
-        id: "1d".into(),
+        request_id: "1d".into(),
         value,
         remaining_deadline: AIM,
         ..ClientCommand::default()
@@ -541,12 +621,17 @@
     let answers = all.answer_to.clone();
     all.node.asked(ClientRequest {
         command,
-        at,
+        received_at: at,
         client: 1,
-        slot: number,
-        answers,
+        sequence: number,
+        replies: answers,
     });
-    let conn = all.node.attempts[&(number, 0)].conn.unwrap();
+    let conn = all.node.attempts[&AttemptId {
+        request: number,
+        number: 0,
+    }]
+        .conn
+        .unwrap();
     while all.node.pool.progress(conn) != Progress::Writing {
         tokio::task::yield_now().await;
     }
@@ -566,15 +651,38 @@
     let (mut all, mut stream) = Driven::warmed().await;
     let first = all.ask("1d");
     read(&mut stream, "1d").await;
-    let sent = all.node.attempts[&(first, 0)].sent;
-    all.node.give_up((first, 0), AttemptStatus::Cancelled);
+    let sent = all.node.attempts[&AttemptId {
+        request: first,
+        number: 0,
+    }]
+        .sent;
+    all.node.give_up(
+        AttemptId {
+            request: first,
+            number: 0,
+        },
+        AttemptStatus::Cancelled,
+    );
     all.node.close_request(first);
     stream.write_all(VALUE).await.unwrap();
     all.step().await; // Late, but there: the connection goes on.
     let second = all.ask("2d");
     read(&mut stream, "2d").await;
-    all.node.attempts.get_mut(&(second, 0)).unwrap().sent = sent + 1;
-    all.node.give_up((second, 0), AttemptStatus::Cancelled);
+    all.node
+        .attempts
+        .get_mut(&AttemptId {
+            request: second,
+            number: 0,
+        })
+        .unwrap()
+        .sent = sent + 1;
+    all.node.give_up(
+        AttemptId {
+            request: second,
+            number: 0,
+        },
+        AttemptStatus::Cancelled,
+    );
     let conn = all.node.pool.state(1).map(|(_, state)| state);
     all.node.due(Due::Late(1, sent), sent + AIM);
     assert_eq!(
@@ -589,13 +697,13 @@
     all.ask("1d");
     let moved = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let endpoints = vec![DiscoveredEndpoint {
-        since_ms: 5,
+        started_ms: 5,
         ..endpoint(&moved, "active")
     }];
     all.node.list(
-        EndpointListing {
-            index: 2,
-            snapshot: false,
+        EndpointListUpdate {
+            version: 2,
+            is_complete: false,
             endpoints,
         },
         None,
@@ -615,7 +723,7 @@
             }
         }
     }
-    assert_eq!(all.answers.try_recv().unwrap().1, &b"$1\r\nv\r\n"[..]);
+    assert_eq!(all.answers.try_recv().unwrap().bytes, &b"$1\r\nv\r\n"[..]);
     let (mut old, _) = all.cache.accept().await.unwrap();
     assert_eq!(
         old.read(&mut [0; 8]).await.unwrap(),
