Follow renames of the router's messages in connections, clients and discovery

Change: uses only, by the compiler's errors; in connections and clients the tuples for targets and replies become ServerTarget and ClientReply.

--- a/crates/cache-router/src/caches.rs
+++ b/crates/cache-router/src/caches.rs
@@ -9,7 +9,7 @@
 /// The facts of a client's command as an attempt tells them: all unchanged but `d`, the time left now.
 pub fn facts(command: &ClientCommand, left_ms: u64) -> String {
     let facts = command
-        .facts
+        .fields
         .split(',')
         .map(|fact| match fact.split_once('=') {
             Some(("d", _)) => format!("d={left_ms}"),
@@ -21,14 +21,20 @@
 /// The command of a client as it goes on to a cache server.
 pub fn encode(command: &ClientCommand, left_ms: u64) -> Bytes {
     let facts = facts(command, left_ms);
-    let name: &[u8] = if command.write {
+    let name: &[u8] = if command.is_write {
         b"OBJ.SET"
     } else {
         b"OBJ.GET"
     };
     match &command.value {
-        Some(value) => resp::command(&[name, &command.key, &command.id, facts.as_bytes(), value]),
-        None => resp::command(&[name, &command.key, &command.id, facts.as_bytes()]),
+        Some(value) => resp::command(&[
+            name,
+            &command.key,
+            &command.request_id,
+            facts.as_bytes(),
+            value,
+        ]),
+        None => resp::command(&[name, &command.key, &command.request_id, facts.as_bytes()]),
     }
 }
 
--- a/crates/cache-router/src/clients.rs
+++ b/crates/cache-router/src/clients.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::Clock;
 use crate::lifecycle::LifecyclePhase;
-use crate::message::{ClientCommand, ClientId, ClientRequest, RouterEvent};
+use crate::message::{ClientCommand, ClientId, ClientReply, ClientRequest, RouterEvent};
 use crate::resp;
 use crate::resting::{Rest, Resting};
 
@@ -227,8 +227,8 @@
 struct Session {
     stream: TcpStream,
     client: ClientId,
-    answers: mpsc::Sender<(u64, Bytes)>,
-    answered: mpsc::Receiver<(u64, Bytes)>,
+    answers: mpsc::Sender<ClientReply>,
+    answered: mpsc::Receiver<ClientReply>,
     input: BytesMut,
     arrivals: Arrivals,
     /// Bytes thrown away since the framing was lost.
@@ -311,7 +311,7 @@
             let closes = tokio::select! {
                 biased;
                 answer = self.answered.recv() => {
-                    if let Some((slot, bytes)) = answer
+                    if let Some(ClientReply { sequence: slot, bytes }) = answer
                         && let Some(place) = self.slots.get_mut(slot.saturating_sub(self.first) as usize)
                     {
                         place.0 = Some(bytes);
@@ -465,10 +465,10 @@
                 let (client, answers) = (self.client, self.answers.clone());
                 let asked = Box::new(ClientRequest {
                     command,
-                    at,
+                    received_at: at,
                     client,
-                    slot,
-                    answers,
+                    sequence: slot,
+                    replies: answers,
                 });
                 let _ = self.front.hub.send(RouterEvent::ClientRequest(asked)).await;
             }
@@ -493,9 +493,9 @@
     let facts = String::from_utf8_lossy(&words[3]).into_owned();
     let (mut class, mut tenant, mut wait) = (None, None, None);
     let mut command = ClientCommand {
-        write,
+        is_write: write,
         key: words[1].clone(),
-        id: words[2].clone(),
+        request_id: words[2].clone(),
         ..ClientCommand::default()
     };
     for fact in facts.split(',').filter(|fact| !fact.is_empty()) {
@@ -521,7 +521,7 @@
     let deadline = deployment.settings.classes[command.class].deadline;
     command.remaining_deadline = wait.unwrap_or(deadline).min(60_000_000);
     command.value = words.get(4).cloned();
-    command.facts = facts;
+    command.fields = facts;
     Ok(command)
 }
 
--- a/crates/cache-router/src/config.rs
+++ b/crates/cache-router/src/config.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::message::EndpointListing;
+use crate::message::EndpointListUpdate;
 
 /// All that a node is told at its start.
 pub struct Config {
@@ -19,7 +19,7 @@
     /// Sockets that the node may hold, all counted.
     pub sockets: usize,
     /// The list of servers as this node last had it.
-    pub known: EndpointListing,
+    pub known: EndpointListUpdate,
     /// The settings.
     pub deployment: Deployment,
 }
@@ -65,7 +65,7 @@
     discovery: String,
     seed: String,
     limits: Limits,
-    known: Option<EndpointListing>,
+    known: Option<EndpointListUpdate>,
     settings: Option<Box<serde_json::value::RawValue>>,
 }
 
--- a/crates/cache-router/src/discovery.rs
+++ b/crates/cache-router/src/discovery.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{info, warn};
 
-use crate::message::{DiscoveryCall, EndpointListing, RouterEvent};
+use crate::message::{DiscoveryCall, EndpointListUpdate, RouterEvent};
 
 /// A connection that is not up by the first is made anew beside it, as a lost packet is sent again after a second only;
 /// by the second the call has failed.
@@ -117,12 +117,12 @@
     }
 
     /// What a list is, by the call that brought it: events of two calls can cross on their way here.
-    pub fn judge(&self, call: &DiscoveryCall, listing: &EndpointListing) -> Verdict {
+    pub fn judge(&self, call: &DiscoveryCall, listing: &EndpointListUpdate) -> Verdict {
         let held = self.calls.index.load(Ordering::Relaxed);
         match call.address_generation == self.calls.home {
-            true if listing.index >= held => Verdict::News,
+            true if listing.version >= held => Verdict::News,
             // Nothing newer has come since it was asked for: discovery began anew, with versions of its own.
-            true if call.held_version == held && listing.snapshot => Verdict::News,
+            true if call.held_version == held && listing.is_complete => Verdict::News,
             true if call.held_version == held => Verdict::WentBack,
             _ => Verdict::Stale,
         }
@@ -402,7 +402,7 @@
 
 impl Lists {
     /// The lists that are whole now.
-    fn take(&mut self, data: &[u8]) -> Result<Vec<EndpointListing>, CallError> {
+    fn take(&mut self, data: &[u8]) -> Result<Vec<EndpointListUpdate>, CallError> {
         self.pending.extend_from_slice(data);
         let mut taken = Vec::new();
         // A list ends with a brace: without one among the new bytes none has become whole, and what drips
--- a/crates/cache-router/src/origin.rs
+++ b/crates/cache-router/src/origin.rs
@@ -11,13 +11,13 @@
 /// The request for a client's command. Like a cache server, the origin is told the time that is left.
 pub fn encode(command: &ClientCommand, host: &str, left_ms: u64) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
-    out.put_slice(if command.write { b"PUT /" } else { b"GET /" });
+    out.put_slice(if command.is_write { b"PUT /" } else { b"GET /" });
     out.put_slice(&command.key);
     out.put_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nX-Correlation-Id: ").as_bytes());
-    out.put_slice(&command.id);
+    out.put_slice(&command.request_id);
     out.put_slice(format!("\r\nX-Facts: {}\r\n", caches::facts(command, left_ms)).as_bytes());
     let body: &[u8] = command.value.as_deref().unwrap_or(b"");
-    if command.write {
+    if command.is_write {
         out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
     }
     out.put_slice(b"\r\n");
--- a/crates/cache-router/src/upstreams.rs
+++ b/crates/cache-router/src/upstreams.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::message::{
     AttemptId, ConnectionId, ProtocolError, RouterEvent, ServerConnectionEvent, ServerProtocol,
-    ServerResponse,
+    ServerResponse, ServerTarget,
 };
 use crate::{caches, origin};
 
@@ -194,20 +194,15 @@
 
     /// Puts an attempt in the queue for a connection, one more than there are on their way; `false` where the table of
     /// sockets is full and none is on its way.
-    pub fn wait(
-        &mut self,
-        to: (ServerId, SocketAddr, ServerProtocol),
-        attempt: AttemptId,
-        now: Micros,
-    ) -> bool {
-        let queue = self.queues.entry(to.0).or_default();
+    pub fn wait(&mut self, target: ServerTarget, attempt: AttemptId, now: Micros) -> bool {
+        let queue = self.queues.entry(target.server).or_default();
         queue.waiting.push_back(attempt);
-        if queue.waiting.len() <= self.in_time(to.0, now) || self.open(to, now) {
+        if queue.waiting.len() <= self.in_time(target.server, now) || self.open(target, now) {
             return true;
         }
-        let hope = self.in_time(to.0, now) > 0;
+        let hope = self.in_time(target.server, now) > 0;
         if !hope {
-            self.leave(to.0, attempt);
+            self.leave(target.server, attempt);
         }
         hope
     }
@@ -225,11 +220,12 @@
     }
 
     /// Begins to open a connection; `false` where the table is full.
-    pub fn open(
-        &mut self,
-        (server, address, protocol): (ServerId, SocketAddr, ServerProtocol),
-        now: Micros,
-    ) -> bool {
+    pub fn open(&mut self, target: ServerTarget, now: Micros) -> bool {
+        let ServerTarget {
+            server,
+            address,
+            protocol,
+        } = target;
         if self.conns.len() >= self.limit {
             self.drop_one_spare(now);
         }
@@ -454,7 +450,7 @@
         };
         let _ = stream.set_nodelay(true);
         let mut buffer = BytesMut::new();
-        let mut event = ServerConnectionEvent::Up;
+        let mut event = ServerConnectionEvent::Established;
         loop {
             if self
                 .hub
@@ -480,11 +476,11 @@
             if now < job.by && now >= job.stale_at {
                 // What came meanwhile is taken in first.
                 tokio::task::yield_now().await;
-                event = ServerConnectionEvent::Stale;
+                event = ServerConnectionEvent::ConfirmWrite;
                 continue;
             }
             if now >= job.by || !job.progress.step(Progress::Handed, Progress::Writing) {
-                event = ServerConnectionEvent::Unsent;
+                event = ServerConnectionEvent::NotWritten;
                 continue;
             }
             if stream.write_all(&job.bytes).await.is_err() {
@@ -514,7 +510,7 @@
             // Bytes beyond the answer belong to no request: nothing after them could be matched.
             let keep = response.reusable && buffer.is_empty();
             buffer = BytesMut::new();
-            event = ServerConnectionEvent::Answer(ServerResponse {
+            event = ServerConnectionEvent::Response(ServerResponse {
                 reusable: keep,
                 ..response
             });
--- a/crates/cache-router/tests/parts/clients.rs
+++ b/crates/cache-router/tests/parts/clients.rs
@@ -128,8 +128,11 @@
     };
     tokio::time::sleep(Duration::from_secs(8)).await;
     asked
-        .answers
-        .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+        .replies
+        .send(ClientReply {
+            sequence: asked.sequence,
+            bytes: Bytes::from_static(b"$1\r\nv\r\n"),
+        })
         .await
         .unwrap();
     let mut answer = [0; 7];
@@ -264,8 +267,11 @@
         let value = Bytes::from(vec![b'v'; 1024 * 1024]);
         for asked in around.asked(PIPELINE).await {
             asked
-                .answers
-                .send((asked.slot, value.clone()))
+                .replies
+                .send(ClientReply {
+                    sequence: asked.sequence,
+                    bytes: value.clone(),
+                })
                 .await
                 .unwrap();
         }
@@ -309,7 +315,7 @@
     while around.front.hub.try_send(RouterEvent::Terminate).is_ok() {}
     drop(client);
     let left = Instant::now();
-    while !asked.answers.is_closed() {
+    while !asked.replies.is_closed() {
         tokio::time::sleep(Duration::from_millis(1)).await;
         assert!(left.elapsed() <= LEFT);
     }
@@ -335,13 +341,20 @@
     }
     for asked in first.iter().chain(&rest) {
         asked
-            .answers
-            .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+            .replies
+            .send(ClientReply {
+                sequence: asked.sequence,
+                bytes: Bytes::from_static(b"$1\r\nv\r\n"),
+            })
             .await
             .unwrap();
     }
     let last = around.asked(1).await.remove(0);
-    assert!(last.at <= came, "{} us after it came", last.at - came);
+    assert!(
+        last.received_at <= came,
+        "{} us after it came",
+        last.received_at - came
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -361,8 +374,11 @@
         }
         let asked = around.asked(1).await.remove(0);
         asked
-            .answers
-            .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+            .replies
+            .send(ClientReply {
+                sequence: asked.sequence,
+                bytes: Bytes::from_static(b"$1\r\nv\r\n"),
+            })
             .await
             .unwrap();
         let mut rest = Vec::new();
@@ -510,8 +526,11 @@
     tokio::time::sleep(Duration::from_millis(5)).await;
     for asked in asked.iter().chain(&third) {
         asked
-            .answers
-            .send((asked.slot, Bytes::from_static(b"$1\r\nv\r\n")))
+            .replies
+            .send(ClientReply {
+                sequence: asked.sequence,
+                bytes: Bytes::from_static(b"$1\r\nv\r\n"),
+            })
             .await
             .unwrap();
     }
@@ -535,7 +554,14 @@
     out.write_all(&get(1)).await.unwrap();
     let asked = around.asked(1).await.remove(0);
     let value = Bytes::from(vec![b'v'; 32 * 1024 * 1024]);
-    asked.answers.send((asked.slot, value)).await.unwrap();
+    asked
+        .replies
+        .send(ClientReply {
+            sequence: asked.sequence,
+            bytes: value,
+        })
+        .await
+        .unwrap();
     let since = Instant::now();
     let asks = tokio::spawn(async move {
         while out.write_all(PING).await.is_ok() {
--- a/crates/cache-router/tests/parts/discovery.rs
+++ b/crates/cache-router/tests/parts/discovery.rs
@@ -71,8 +71,13 @@
         let mut lists = Lists::default();
         let parts = text.as_bytes().chunks(step);
         let taken: Vec<_> = parts.flat_map(|part| lists.take(part).unwrap()).collect();
-        let found =
-            |list: &EndpointListing| (list.index, list.snapshot, list.endpoints[0].name.clone());
+        let found = |list: &EndpointListUpdate| {
+            (
+                list.version,
+                list.is_complete,
+                list.endpoints[0].name.clone(),
+            )
+        };
         let change = (8, false, "}{".to_owned());
         let expected = vec![(7, true, "s-1".to_owned()), change.clone(), change];
         assert_eq!(
@@ -126,7 +131,7 @@
     let Some(RouterEvent::EndpointList(_, list)) = inputs.recv().await else {
         panic!("no list")
     };
-    assert_eq!((list.index, asked.elapsed()), (7, Duration::ZERO));
+    assert_eq!((list.version, asked.elapsed()), (7, Duration::ZERO));
 }
 
 #[tokio::test(start_paused = true)]
@@ -263,10 +268,10 @@
 /// The operators' time after which a change counts as told; a quarter of it is to spare.
 const TOLD: Duration = Duration::from_millis(4_500);
 
-fn listing(index: u64, snapshot: bool) -> EndpointListing {
-    EndpointListing {
-        index,
-        snapshot,
+fn listing(index: u64, snapshot: bool) -> EndpointListUpdate {
+    EndpointListUpdate {
+        version: index,
+        is_complete: snapshot,
         endpoints: Vec::new(),
     }
 }
