Split the router's event loop by concern: lifecycle, timers, attempts, endpoints, policy

Need: node.rs was one struct of 1,080 lines for lifecycle, timers, requests, attempts, connections and lists, and its tests reached its private fields by #[path]. Change: event_loop (events and timers) over policy_driver (events in, actions out) over dispatcher (attempts over connections) over in_flight, endpoints and timers; lifecycle is the state machine that owns the deadlines of the shutdown; signals and startup are modules of the library, main.rs a call. The order of work inside an event, of policy events and of timers is as before. StartError is typed (thiserror, which the workspace has already). The test of overdue and silent connections became one test each; the others keep what they assert, over the library.

--- /dev/null
+++ b/crates/cache-router/src/event_loop/in_flight.rs
@@ -0,0 +1,318 @@
+//! The requests that are owed a reply and their attempts: who waits for what, until when, and what has become of it.
+//! It knows of no connection beyond its id; sending is left to the dispatcher.
+
+use std::collections::HashMap;
+
+use bytes::{Bytes, BytesMut};
+use routing_policy::{AttemptOutcome, AttemptStatus, Micros, Request, RequestId, ServerId};
+use tokio::sync::mpsc;
+use tracing::debug;
+
+use crate::clock::Clock;
+use crate::message::{
+    AttemptId, ClientCommand, ClientId, ClientReply, ClientRequest, ConnectionId, ServerResponse,
+};
+use crate::resp;
+use crate::trace::{self, Trace};
+
+/// The reply to a request that failed with no promise about what the servers did.
+pub const FAILED_REPLY: &[u8] = b"-ERR failed\r\n";
+/// The reply to a rejected request without a Retry-After time.
+pub const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
+/// How a reply begins that rejects a request.
+const BUSY_PREFIX: &[u8] = b"-BUSY";
+/// How a reply begins that carries a value.
+const VALUE_PREFIX: u8 = b'$';
+/// Bytes of a reply beside the value: its length and two line ends.
+const VALUE_REPLY_OVERHEAD: usize = 16;
+
+/// A request of a client that is owed a reply, or has attempts without an outcome.
+pub struct InFlightRequest {
+    command: ClientCommand,
+    client: ClientId,
+    sequence: u64,
+    replies: mpsc::Sender<ClientReply>,
+    deadline: Micros,
+    attempts_started: u16,
+    /// Attempts without an outcome.
+    attempts_running: u16,
+    /// Nothing is owed for it any more.
+    is_complete: bool,
+}
+
+impl InFlightRequest {
+    /// The command of the client.
+    pub fn command(&self) -> &ClientCommand {
+        &self.command
+    }
+
+    /// When the client's time is over.
+    pub fn deadline(&self) -> Micros {
+        self.deadline
+    }
+
+    /// How many attempts have been started.
+    pub fn attempts_started(&self) -> u16 {
+        self.attempts_started
+    }
+
+    /// Whether nothing is owed for it any more.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Whether an attempt may still be sent: the reply is owed, there is time left and the client is there.
+    pub fn may_send(&self, now: Micros) -> bool {
+        !self.is_complete && now < self.deadline && !self.replies.is_closed()
+    }
+}
+
+/// An attempt without an outcome.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt {
+    /// The server that it is for.
+    pub server: ServerId,
+    /// When the policy decided on it.
+    pub sent_at: Micros,
+    /// The connection that carries it; `None` while it waits for one.
+    pub connection: Option<ConnectionId>,
+    /// Since when it waits for a connection, or last waited.
+    pub waiting_since: Micros,
+}
+
+/// The requests in flight and their attempts.
+pub struct InFlight {
+    requests: HashMap<RequestId, InFlightRequest>,
+    attempts: HashMap<AttemptId, Attempt>,
+    next_request: RequestId,
+    clock: Clock,
+    trace: Trace,
+}
+
+impl InFlight {
+    /// Without requests.
+    pub fn new(clock: Clock, trace: Trace) -> Self {
+        InFlight {
+            requests: HashMap::new(),
+            attempts: HashMap::new(),
+            next_request: 1,
+            clock,
+            trace,
+        }
+    }
+
+    /// A request.
+    pub fn request(&self, id: RequestId) -> Option<&InFlightRequest> {
+        self.requests.get(&id)
+    }
+
+    /// An attempt.
+    pub fn attempt(&self, id: AttemptId) -> Option<&Attempt> {
+        self.attempts.get(&id)
+    }
+
+    /// An attempt, to be changed.
+    pub fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        self.attempts.get_mut(&id)
+    }
+
+    /// How many requests are kept, those included that only wait for the outcome of an attempt.
+    pub fn request_count(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// How many attempts have no outcome yet.
+    pub fn attempt_count(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Whether no request is owed a reply.
+    pub fn all_complete(&self) -> bool {
+        self.requests.values().all(|request| request.is_complete)
+    }
+
+    /// The requests of a client that are owed a reply.
+    pub fn incomplete_requests_of(&self, client: ClientId) -> Vec<RequestId> {
+        self.requests
+            .iter()
+            .filter(|(_, request)| request.client == client && !request.is_complete)
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Adds a request that has to have its reply by a deadline; the request as the policy sees it.
+    pub fn add(&mut self, received: ClientRequest, deadline: Micros) -> Request {
+        let ClientRequest {
+            command,
+            received_at,
+            client,
+            sequence,
+            replies,
+        } = received;
+        let id = self.next_request;
+        self.next_request += 1;
+        let request = Request {
+            id,
+            class: command.class,
+            tenant: command.tenant,
+            key: command.hashed_key(),
+            write: command.is_write,
+            is_retry: command.is_retry,
+            remaining_deadline: deadline.saturating_sub(self.clock.now()),
+            cost: command.cost,
+            value_size: command.value_size,
+        };
+        self.trace.line(
+            received_at,
+            format_args!(
+                "request {id} {:016x} {} {} {}",
+                request.key,
+                command.class,
+                command.remaining_deadline,
+                command.request_id.escape_ascii()
+            ),
+        );
+        let in_flight = InFlightRequest {
+            command,
+            client,
+            sequence,
+            replies,
+            deadline,
+            attempts_started: 0,
+            attempts_running: 0,
+            is_complete: false,
+        };
+        self.requests.insert(id, in_flight);
+        request
+    }
+
+    /// Sends the final reply to the client, unless there was one before.
+    pub fn reply(&mut self, id: RequestId, bytes: Bytes) {
+        let Some(request) = self
+            .requests
+            .get(&id)
+            .filter(|request| !request.is_complete)
+        else {
+            return;
+        };
+        let now = self.clock.now();
+        let result = match bytes.first() {
+            Some(&VALUE_PREFIX) => "served",
+            _ if bytes.starts_with(BUSY_PREFIX) => "refused",
+            _ => "failed",
+        };
+        self.trace.line(
+            now,
+            format_args!("end {id} {result} {}", now as i64 - request.deadline as i64),
+        );
+        debug!(
+            request = %request.command.request_id.escape_ascii(),
+            attempts = request.attempts_started,
+            result,
+            "request ended"
+        );
+        // There is capacity for every reply that a connection is owed; one that has ended takes none.
+        let _ = request.replies.try_send(ClientReply {
+            sequence: request.sequence,
+            bytes,
+        });
+        self.complete(id);
+    }
+
+    /// Nothing is owed for a request any more. It is kept until its running attempts have an outcome.
+    pub fn complete(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.is_complete = true;
+        request.command.value = None;
+        if request.attempts_running == 0 {
+            self.requests.remove(&id);
+        }
+    }
+
+    /// Completes a request whose client has disconnected, without a reply; returns how many attempts were started.
+    pub fn complete_without_client(&mut self, id: RequestId) -> u16 {
+        self.trace
+            .line(self.clock.now(), format_args!("end {id} gone 0"));
+        let attempts = self
+            .requests
+            .get(&id)
+            .map_or(0, |request| request.attempts_started);
+        self.complete(id);
+        attempts
+    }
+
+    /// Adds an attempt to a request, which has no connection yet; `None` if the request is unknown.
+    pub fn add_attempt(
+        &mut self,
+        request_id: RequestId,
+        server: ServerId,
+        now: Micros,
+    ) -> Option<AttemptId> {
+        let request = self.requests.get_mut(&request_id)?;
+        let id = AttemptId {
+            request: request_id,
+            number: request.attempts_started,
+        };
+        request.attempts_started += 1;
+        request.attempts_running += 1;
+        let attempt = Attempt {
+            server,
+            sent_at: now,
+            connection: None,
+            waiting_since: now,
+        };
+        self.attempts.insert(id, attempt);
+        Some(id)
+    }
+
+    /// Records the outcome of an attempt and reports it for the policy. The first response with a value is the reply to
+    /// the client.
+    pub fn end_attempt(
+        &mut self,
+        id: AttemptId,
+        response: ServerResponse,
+    ) -> Option<AttemptOutcome> {
+        let attempt = self.attempts.remove(&id)?;
+        let request = self.requests.get_mut(&id.request)?;
+        request.attempts_running -= 1;
+        let request_complete = request.is_complete || response.status == AttemptStatus::Served;
+        let (server, status) = (attempt.server, response.status);
+        self.trace.line(
+            self.clock.now(),
+            format_args!(
+                "outcome {} {} {server} {} {}",
+                id.request,
+                id.number,
+                trace::status_word(status),
+                trace::lookup_word(response.cache_lookup)
+            ),
+        );
+        debug!(
+            request = %request.command.request_id.escape_ascii(),
+            attempt = id.number,
+            server,
+            ?status,
+            "attempt ended"
+        );
+        if let Some(value) = &response.value {
+            let mut reply = BytesMut::with_capacity(value.len() + VALUE_REPLY_OVERHEAD);
+            resp::put_bulk(&mut reply, value);
+            self.reply(id.request, reply.freeze());
+        }
+        if request_complete {
+            self.complete(id.request);
+        }
+        Some(AttemptOutcome {
+            request: id.request,
+            attempt: id.number,
+            server,
+            status,
+            request_complete,
+            cache_lookup: response.cache_lookup,
+            elapsed: self.clock.now() - attempt.sent_at,
+            load: response.load,
+        })
+    }
+}
--- /dev/null
+++ b/crates/cache-router/src/startup.rs
@@ -0,0 +1,112 @@
+//! The start of the router: reads its configuration, shares out its sockets, and starts its tasks.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use router_config::{Layers, logging};
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, mpsc, watch};
+use tracing::info;
+
+use crate::clients::{self, Frontend};
+use crate::clock::Clock;
+use crate::config::{Config, ConfigError};
+use crate::event_loop::{EventLoop, EventLoopConfig};
+use crate::lifecycle::LifecyclePhase;
+use crate::signals::SignalHandler;
+use crate::trace::Trace;
+
+/// Events that wait between the other tasks and the event loop.
+const EVENT_CAPACITY: usize = 1024;
+/// Requests accepted and not yet replied to; each may hold a value of 64 KiB.
+const MAX_OPEN_REQUESTS: usize = 1024;
+/// Sockets reserved for the listener, discovery and the runtime, and for those that are just being closed.
+const RESERVED_SOCKETS: usize = 16;
+/// One in this many of the client connections is reserved for rejections.
+const CLIENTS_PER_REJECTION: usize = 8;
+
+/// Why the router does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings of the program can't be used.
+    #[error(transparent)]
+    Settings(#[from] router_config::ConfigError),
+    /// The log can't be set up.
+    #[error(transparent)]
+    Logging(#[from] logging::AlreadySet),
+    /// The configuration can't be used.
+    #[error("{0}")]
+    Config(ConfigError),
+    /// The address for clients can't be listened on, or the runtime is not to be had.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address for clients.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// Runs the router as the environment configures it, until it has shut down.
+///
+/// # Errors
+/// If the router can't start.
+pub fn run() -> Result<(), StartError> {
+    let settings = Layers::from_env().read()?;
+    let _flushes_log_when_dropped = logging::init(&settings.log)?;
+    let config = Config::from_env().map_err(StartError::Config)?;
+    let address = config.listen;
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .and_then(|runtime| runtime.block_on(serve(config, Trace::new(settings.node.trace))))
+        .map_err(|source| StartError::Listen { address, source })
+}
+
+/// Starts the router's tasks, and runs the event loop until the router has shut down.
+async fn serve(config: Config, trace: Trace) -> io::Result<()> {
+    let (events, received_events) = mpsc::channel(EVENT_CAPACITY);
+    let (phase, phase_of_clients) = watch::channel(LifecyclePhase::Starting);
+    let clock = Clock::start();
+    let max_connections = connections_per_side(config.sockets);
+    let client_capacity = Arc::new(Semaphore::new(max_connections));
+    let signals = SignalHandler::install(events.clone(), config.discovery)?;
+    let listener = TcpListener::bind(config.listen).await?;
+    // The address stays part of the message: whoever starts the router on port 0 reads the port from it.
+    info!("listening on {}", listener.local_addr()?);
+    let deployment = Arc::new(config.deployment);
+    let max_open_requests = deployment.max_open.min(MAX_OPEN_REQUESTS);
+    let frontend = Frontend {
+        deployment: deployment.clone(),
+        clock,
+        hub: events.clone(),
+        phase: phase_of_clients,
+        room: client_capacity.clone(),
+        refusals: (max_connections / CLIENTS_PER_REJECTION).max(1),
+        resting: Arc::default(),
+        open: Arc::new(Semaphore::new(max_open_requests)),
+    };
+    tokio::spawn(clients::listen(listener, Arc::new(frontend)));
+    tokio::spawn(signals.run());
+    let event_loop = EventLoop::new(EventLoopConfig {
+        deployment,
+        seed: config.seed,
+        discovery: config.discovery,
+        cached_list: config.known,
+        max_server_connections: max_connections,
+        events,
+        phase,
+        clock,
+        trace,
+    });
+    // All of the capacity, that of rejections included: their clients may have replies to be written.
+    let is_idle = move || client_capacity.available_permits() >= max_connections;
+    event_loop.run(received_events, is_idle).await;
+    Ok(())
+}
+
+/// The table of sockets is shared out beforehand: clients have one half, servers the other.
+fn connections_per_side(sockets: usize) -> usize {
+    (sockets - RESERVED_SOCKETS.min(sockets / 2)) / 2
+}
--- a/crates/cache-router/src/trace.rs
+++ b/crates/cache-router/src/trace.rs
@@ -1,33 +1,35 @@
-//! The record of a node for an audit of the rules: a line for each list, attempt and final answer, on standard
-//! error beside the log. Off unless the configuration has `node.trace`; `docs/FLEET.md` has the lines and their fields.
+//! The trace: a line for each endpoint list, attempt and final reply, on standard error beside the log, from which an
+//! audit can check the rules of the protocol. Off unless the configuration has `node.trace`; `docs/FLEET.md` describes
+//! the lines and their fields.
 
 use std::fmt::Arguments;
 use std::io::Write;
 
 use routing_policy::{AttemptStatus, CacheLookup, EndpointState, ListUpdate, Micros};
 
-/// Where the lines go, or nowhere.
+/// The writer of trace lines.
+#[derive(Clone, Copy)]
 pub struct Trace {
-    on: bool,
+    is_enabled: bool,
 }
 
 impl Trace {
-    /// On or off.
-    pub fn new(on: bool) -> Self {
-        Trace { on }
+    /// A trace that writes its lines, or one that drops them.
+    pub fn new(is_enabled: bool) -> Self {
+        Trace { is_enabled }
     }
 
-    /// Writes a line for something that happened at a time (Unix time in microseconds). Like the log, what can't
-    /// be written is no reason to stop. While it is off, the fields are not even formatted.
+    /// Writes a line for something that happened at a time (Unix time in microseconds). As with the log, a failed write
+    /// does not stop the router. If the trace is off, the fields are not even formatted.
     pub fn line(&self, at: Micros, fields: Arguments<'_>) {
-        if self.on {
+        if self.is_enabled {
             let _ = std::io::stderr().write_all(format!("trace {at} {fields}\n").as_bytes());
         }
     }
 }
 
-/// The word of a trace line for how an attempt ended. Trace files are read by other programs and outlive a renaming
-/// in the code, so the words are given here and not by `Debug`.
+/// How an attempt ended, as a word of a trace line. Trace files are read by other programs and outlive a renaming in
+/// the code, so the words are given here and not by `Debug`.
 pub fn status_word(status: AttemptStatus) -> &'static str {
     match status {
         AttemptStatus::Served => "Served",
@@ -42,7 +44,7 @@
     }
 }
 
-/// The word of a trace line for what a server said of the key.
+/// The cache lookup that a server reported, as a word of a trace line.
 pub fn lookup_word(lookup: CacheLookup) -> &'static str {
     match lookup {
         CacheLookup::Unknown => "None",
@@ -52,7 +54,7 @@
     }
 }
 
-/// The word of a trace line for the state of an endpoint.
+/// The state of an endpoint, as a word of a trace line.
 pub fn state_word(state: EndpointState) -> &'static str {
     match state {
         EndpointState::Ready => "Ready",
@@ -61,7 +63,7 @@
     }
 }
 
-/// The word of a trace line for how an endpoint list relates to the one in force.
+/// How an endpoint list relates to the one in force, as a word of a trace line.
 pub fn update_word(update: ListUpdate) -> &'static str {
     match update {
         ListUpdate::Full => "Full",
