--- a/crates/cache-router/src/event_loop/in_flight.rs
+++ b/crates/cache-router/src/event_loop/in_flight.rs
@@ -277,8 +277,15 @@
         let attempt = self.attempts.remove(&id)?;
         let request = self.requests.get_mut(&id.request)?;
         request.attempts_running -= 1;
-        let request_complete = request.is_complete || response.status == AttemptStatus::Served;
-        let (server, status) = (attempt.server, response.status);
+        let ServerResponse {
+            status,
+            cache_lookup,
+            load,
+            value,
+            reusable: _,
+        } = response;
+        let request_complete = request.is_complete || status == AttemptStatus::Served;
+        let server = attempt.server;
         self.trace.line(
             self.clock.now(),
             format_args!(
@@ -286,7 +293,7 @@
                 id.request,
                 id.number,
                 trace::status_word(status),
-                trace::lookup_word(response.cache_lookup)
+                trace::lookup_word(cache_lookup)
             ),
         );
         debug!(
@@ -296,9 +303,9 @@
             ?status,
             "attempt ended"
         );
-        if let Some(value) = &response.value {
+        if let Some(value) = value {
             let mut reply = BytesMut::with_capacity(value.len() + VALUE_REPLY_OVERHEAD);
-            resp::put_bulk(&mut reply, value);
+            resp::put_bulk(&mut reply, &value);
             self.reply(id.request, reply.freeze());
         }
         if request_complete {
@@ -310,9 +317,9 @@
             server,
             status,
             request_complete,
-            cache_lookup: response.cache_lookup,
+            cache_lookup,
             elapsed: self.clock.now() - attempt.sent_at,
-            load: response.load,
+            load,
         })
     }
 }
