Name the process tests after behaviour, and share their set-up

Need: tests/node held 34 tests in two files with set-up that stood in each, names in house words and bare tuples. Change: tests/router_process, one file for each concern (requests, server failures, endpoint lists, shutdown, connection limits, configuration), over support/ (fake servers, fake discovery, the process, its clients). Each test asserts what it asserted.

--- /dev/null
+++ b/crates/cache-router/tests/router_process/configuration.rs
@@ -0,0 +1,126 @@
+//! The configuration file: at the start, and when it changes.
+
+use std::net::TcpListener;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use crate::support::{
+    Behaviour, FakeDiscovery, PATIENCE, RouterProcess, cache_server, complete_list, config_file,
+    endpoint, endpoint_list, failing_origin, hit, read, settings, watch_with,
+};
+
+#[test]
+fn a_configuration_that_is_unusable_is_reported_in_one_line_with_exit_code_2() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let listening_on = |listen: &str| {
+        format!(
+            r#"{{"listen":"{listen}","discovery":"{address}","seed":"1","settings":{}}}"#,
+            settings()
+        )
+    };
+    let address_in_use = listening_on(&address.to_string());
+    let invalid_address = listening_on("nowhere");
+    let not_json = "{";
+    let wrong_type = r#"{"settings":{"classes":3}}"#;
+    for text in [
+        Some(not_json),
+        Some("{}"),
+        Some(wrong_type),
+        Some(&invalid_address),
+        Some(&address_in_use),
+        None,
+    ] {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_cache-router"));
+        program
+            .env_remove("ROUTER_CONFIG")
+            .env_remove("ROUTER_LISTEN")
+            .env_remove("ROUTER_DISCOVERY");
+        let path = text.map(config_file);
+        if let Some(path) = &path {
+            program.env("ROUTER_CONFIG", path);
+        }
+        let output = program.output().unwrap();
+        if let Some(path) = &path {
+            std::fs::remove_file(path).unwrap();
+        }
+        let report = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{text:?}: {report}");
+        assert_eq!(report.lines().count(), 1, "{text:?}: {report}");
+        assert!(!report.contains("panicked"), "{report}");
+        // What is no JSON of the right form is reported with the file and the position in it.
+        if text == Some(not_json) || text == Some(wrong_type) {
+            let file = path.as_ref().unwrap().display().to_string();
+            assert!(report.contains(&file), "{report}");
+            assert!(report.contains("line 1 column"), "{report}");
+        }
+    }
+}
+
+#[test]
+fn on_sighup_discovery_is_called_at_its_new_address_and_an_unusable_file_changes_nothing() {
+    let old = cache_server(|_| Behaviour::Respond(hit("old")));
+    let new = cache_server(|_| Behaviour::Respond(hit("new")));
+    let origin = failing_origin();
+    let old_discovery = FakeDiscovery::unchanging();
+    // Its versions begin anew: what it reports is no older for that.
+    let endpoints = [
+        endpoint("s-2", new.address, "std", "active"),
+        endpoint("o-1", origin.address, "origin", "active"),
+    ];
+    let list = endpoint_list(1, true, &endpoints) + "\n";
+    let new_discovery = FakeDiscovery::with_responses(vec![watch_with(&list)]);
+    let router = RouterProcess::start(old_discovery.address, &complete_list(&old, &origin));
+    let mut client = router.client();
+    assert_eq!(client.ask(&read("aa", "1")).unwrap(), "old");
+    assert!(old_discovery.next_call().contains("watch=1"));
+    router.reconfigure(r#""discovery":""#, r#""discovery":"nowhere"#);
+    assert!(router.logs(|line| line.contains("as it was")));
+    assert_eq!(client.ask(&read("aa", "2")).unwrap(), "old");
+    router.reconfigure(
+        &old_discovery.address.to_string(),
+        &new_discovery.address.to_string(),
+    );
+    let call = new_discovery.next_call();
+    let complete_list = "GET /v1/servers?watch=1 HTTP/1.1";
+    assert_eq!(call, complete_list);
+    let end = Instant::now() + PATIENCE;
+    while client.ask(&read("aa", "3")).unwrap() != "new" {
+        assert!(Instant::now() < end, "the new list is not in force");
+    }
+}
+
+#[test]
+fn a_configuration_read_while_it_is_being_replaced_is_read_again_without_another_signal() {
+    let old = cache_server(|_| Behaviour::Respond(hit("old")));
+    let new = cache_server(|_| Behaviour::Respond(hit("new")));
+    let origin = failing_origin();
+    let old_discovery = FakeDiscovery::unchanging();
+    let endpoints = [endpoint("s-2", new.address, "std", "active")];
+    let list = endpoint_list(1, true, &endpoints);
+    let new_discovery = FakeDiscovery::with_responses(vec![watch_with(&list)]);
+    let old_address = old_discovery.address.to_string();
+    let new_address = new_discovery.address.to_string();
+    // Cut off, empty, or as it was before: each time the signal comes before the new file.
+    for part in [0.5, 0.0, 1.0] {
+        let cached_list = complete_list(&old, &origin);
+        let router = RouterProcess::start(old_discovery.address, &cached_list);
+        let short_wait = Duration::from_millis(500);
+        let _ = old_discovery.calls.recv_timeout(short_wait);
+        router.write_config("", "", part);
+        router.signal("HUP");
+        std::thread::sleep(Duration::from_millis(30));
+        router.write_config(&old_address, &new_address, 1.0);
+        if part == 0.5 {
+            let call = new_discovery.next_call();
+            assert_eq!(call, "GET /v1/servers?watch=1 HTTP/1.1");
+        } else {
+            // The fake answers one call only; the log shows that the router calls it.
+            assert!(
+                router.logs(|line| {
+                    line.contains("discovery is at") && line.contains(&new_address)
+                })
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/cache-router/tests/router_process/support/client.rs
@@ -0,0 +1,80 @@
+//! A client of the router, which speaks RESP2.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use super::PATIENCE;
+use super::servers::read_line;
+
+/// The words of the health check.
+pub const PING: [&str; 1] = ["PING"];
+
+/// A client of the router.
+pub struct Client {
+    pub output: TcpStream,
+    pub input: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client {
+            output: stream.try_clone().unwrap(),
+            input: BufReader::new(stream),
+        }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.output.write_all(bytes).unwrap();
+    }
+
+    /// The next reply: a line as it is, a bulk string as its content; `None` if the connection is closed.
+    pub fn reply(&mut self) -> Option<String> {
+        let first = read_line(&mut self.input)?;
+        let Some(length) = first.strip_prefix('$') else {
+            return Some(first);
+        };
+        let mut bytes = vec![0; length.parse::<usize>().unwrap() + 2];
+        self.input.read_exact(&mut bytes).ok()?;
+        bytes.truncate(bytes.len() - 2);
+        Some(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    /// Sends a command and returns its reply.
+    pub fn ask(&mut self, bytes: &[u8]) -> Option<String> {
+        self.send(bytes);
+        self.reply()
+    }
+
+    /// Whether the router is ready to serve.
+    pub fn finds_router_ready(&mut self) -> bool {
+        self.ask(&command(&PING)).unwrap() == "+PONG"
+    }
+}
+
+/// A command, encoded.
+pub fn command(words: &[&str]) -> Vec<u8> {
+    let encoded = words
+        .iter()
+        .map(|word| format!("${}\r\n{word}\r\n", word.len()))
+        .collect::<String>();
+    let count = encoded.matches("\r\n$").count() + 1;
+    format!("*{count}\r\n{encoded}").into_bytes()
+}
+
+/// A read of a key, with the client's id of the request.
+pub fn read(key: &str, id: &str) -> Vec<u8> {
+    command(&["OBJ.GET", key, id, "c=read,t=acme,d=8000"])
+}
+
+/// A read of the key `aa` with a deadline in milliseconds.
+pub fn read_within(id: &str, deadline_ms: u32) -> Vec<u8> {
+    let fields = format!("c=read,t=acme,d={deadline_ms}");
+    command(&["OBJ.GET", "aa", id, &fields])
+}
+
+/// A write that is not idempotent, with the client's id of the request.
+pub fn write(key: &str, id: &str, value: &str) -> Vec<u8> {
+    command(&["OBJ.SET", key, id, "c=put,t=acme,d=8000,k=77", value])
+}
--- /dev/null
+++ b/crates/cache-router/tests/router_process/support/discovery.rs
@@ -0,0 +1,122 @@
+//! A fake of discovery, and the endpoint lists that it sends.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::Duration;
+
+use super::PATIENCE;
+use super::servers::read_http;
+
+/// How often a watch without news sends an empty line.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// The response that rejects a call.
+pub const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+
+/// A fake of discovery.
+pub struct FakeDiscovery {
+    pub address: SocketAddr,
+    /// What is sent through it goes to the last call.
+    pub updates: Sender<Vec<u8>>,
+    /// The first lines of the calls.
+    pub calls: Receiver<String>,
+}
+
+impl FakeDiscovery {
+    /// Opens a watch that brings nothing.
+    pub fn unchanging() -> FakeDiscovery {
+        FakeDiscovery::with_responses(vec![watch_head()])
+    }
+
+    /// Answers each call with the next of these responses. The last one stays open, and brings what is sent as updates.
+    pub fn with_responses(responses: Vec<Vec<u8>>) -> FakeDiscovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (updates, queued_updates) = channel();
+        let (report, calls) = channel();
+        std::thread::spawn(move || {
+            let count = responses.len();
+            let connections = listener.incoming().flatten();
+            for (number, (response, stream)) in responses.into_iter().zip(connections).enumerate() {
+                let output = answer_call(stream, &response, &report);
+                if number + 1 == count {
+                    send_updates(output, &queued_updates);
+                }
+            }
+        });
+        FakeDiscovery {
+            address,
+            updates,
+            calls,
+        }
+    }
+
+    /// The first line of the next call.
+    pub fn next_call(&self) -> String {
+        self.calls.recv_timeout(PATIENCE).unwrap()
+    }
+
+    /// Sends an endpoint list on the open watch.
+    pub fn send(&self, list: &str) {
+        self.updates.send(chunk(list)).unwrap();
+    }
+}
+
+fn answer_call(stream: TcpStream, response: &[u8], report: &Sender<String>) -> TcpStream {
+    let mut output = stream.try_clone().unwrap();
+    let request = read_http(&mut BufReader::new(stream)).unwrap_or_default();
+    let _ = report.send(request.first().cloned().unwrap_or_default());
+    let _ = output.write_all(response);
+    output
+}
+
+fn send_updates(mut output: TcpStream, updates: &Receiver<Vec<u8>>) {
+    loop {
+        let bytes = match updates.recv_timeout(KEEP_ALIVE_INTERVAL) {
+            Ok(bytes) => bytes,
+            Err(RecvTimeoutError::Timeout) => chunk("\n"),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        if output.write_all(&bytes).is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends a list on a watch, and keeps the watch open until the router closes it.
+pub fn serve_watch(mut stream: TcpStream, list: &str) {
+    let _ = stream.write_all(&watch_with(list));
+    while stream.write_all(&chunk("\n")).is_ok() {
+        std::thread::sleep(KEEP_ALIVE_INTERVAL);
+    }
+}
+
+/// The head of a watch.
+pub fn watch_head() -> Vec<u8> {
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec()
+}
+
+/// The head of a watch, and a list on it.
+pub fn watch_with(list: &str) -> Vec<u8> {
+    [watch_head(), chunk(list)].concat()
+}
+
+/// A chunk of a response.
+pub fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
+/// An endpoint of a list.
+pub fn endpoint(name: &str, address: SocketAddr, kind: &str, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"{kind}","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
+/// An endpoint list of a version, complete or a change.
+pub fn endpoint_list(version: u64, is_complete: bool, endpoints: &[String]) -> String {
+    format!(
+        r#"{{"index":{version},"snapshot":{is_complete},"endpoints":[{}]}}"#,
+        endpoints.join(",")
+    ) + "\n"
+}
