--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -131,15 +131,15 @@
                     self.handle_timer(timer, now);
                 }
             }
-            let next_due_at = self.timers_mut().next_due_at();
-            let wake_at = next_due_at.unwrap_or(now + SWEEP_INTERVAL);
+            let next_timer_at = self.timers_mut().next_due_at();
+            let next_turn_at = next_timer_at.unwrap_or(now + SWEEP_INTERVAL);
             tokio::select! {
                 biased;
                 event = events.recv() => match event {
                     Some(event) => received = Some(event),
                     None => return,
                 },
-                () = tokio::time::sleep_until(self.clock.instant(wake_at)) => {}
+                () = tokio::time::sleep_until(self.clock.instant(next_turn_at)) => {}
             }
         }
     }
@@ -346,7 +346,8 @@
         self.driver.dispatcher()
     }
 
-    /// The requests in flight and their connections, to be changed.
+    /// The requests in flight and their connections, to be changed; for tests.
+    #[doc(hidden)]
     pub fn dispatcher_mut(&mut self) -> &mut Dispatcher {
         self.driver.dispatcher_mut()
     }
--- a/crates/cache-router/src/event_loop/dispatcher.rs
+++ b/crates/cache-router/src/event_loop/dispatcher.rs
@@ -69,7 +69,8 @@
         &self.in_flight
     }
 
-    /// The requests in flight, to be changed.
+    /// The requests in flight, to be changed; for tests.
+    #[doc(hidden)]
     pub fn in_flight_mut(&mut self) -> &mut InFlight {
         &mut self.in_flight
     }
--- a/crates/cache-router/src/message.rs
+++ b/crates/cache-router/src/message.rs
@@ -132,7 +132,8 @@
 }
 
 /// A server sent something that violates its protocol; its connection can't be used further.
-#[derive(Debug, PartialEq, Clone, Copy)]
+#[derive(Debug, PartialEq, Clone, Copy, thiserror::Error)]
+#[error("the server sent bytes that violate its protocol; its connection has to be closed")]
 pub struct ProtocolError;
 
 /// The response of a server to an attempt.
--- /dev/null
+++ b/crates/cache-router/tests/timers.rs
@@ -0,0 +1,65 @@
+//! The timer queue of the event loop.
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
+
+use cache_router::event_loop::timers::{Timer, TimerQueue};
+use cache_router::lifecycle::ShutdownStep;
+use cache_router::message::AttemptId;
+
+#[test]
+fn timers_fire_in_the_order_of_their_times_and_not_before() {
+    let mut queue = TimerQueue::default();
+    queue.schedule(20, Timer::Policy(2));
+    queue.schedule(10, Timer::Policy(1));
+    assert_eq!(queue.next_due_at(), Some(10));
+    assert_eq!(queue.pop_due(9), None);
+    assert_eq!(queue.pop_due(20), Some(Timer::Policy(1)));
+    assert_eq!(queue.pop_due(20), Some(Timer::Policy(2)));
+    assert_eq!(queue.pop_due(20), None);
+    assert_eq!(queue.next_due_at(), None);
+}
+
+#[test]
+fn timers_due_at_the_same_time_fire_in_a_fixed_order() {
+    let attempt = AttemptId {
+        request: 1,
+        number: 0,
+    };
+    let waiting_since = 0;
+    let in_order = [
+        Timer::Policy(7),
+        Timer::AttemptTimeout(attempt),
+        Timer::AttemptTimeout(AttemptId {
+            number: 1,
+            ..attempt
+        }),
+        Timer::ExtraConnection {
+            attempt,
+            waiting_since,
+        },
+        Timer::ConnectTimeout {
+            attempt,
+            waiting_since,
+        },
+        Timer::AbandonedResponse {
+            connection: 1,
+            sent_at: 0,
+        },
+        Timer::RequestDeadline(1),
+        Timer::SweepConnections,
+        Timer::Shutdown(ShutdownStep::Drain),
+        Timer::Shutdown(ShutdownStep::Close),
+        Timer::Shutdown(ShutdownStep::CheckFinished),
+    ];
+    let mut queue = TimerQueue::default();
+    for timer in in_order.into_iter().rev() {
+        queue.schedule(10, timer);
+    }
+    for expected in in_order {
+        assert_eq!(queue.pop_due(10), Some(expected));
+    }
+}
