--- a/crates/cache-router/src/event_loop/dispatcher/connection_events.rs
+++ b/crates/cache-router/src/event_loop/dispatcher/connection_events.rs
@@ -45,7 +45,7 @@
             return;
         };
         self.release(connection);
-        // The policy was told of the attempts that waited for it in vain that they had no connection.
+        // The policy has been notified that the attempts which waited for it in vain had no connection.
         if self.pool.overdue(since, now) {
             self.push_policy_event(Event::HealthChecked {
                 server,
@@ -134,7 +134,7 @@
         if !matches!(state, State::Opening(_)) {
             return;
         }
-        // Refused, or the machine is gone: one connection less can come up for the attempts that wait.
+        // Refused, or the machine has vanished: one connection less can come up for the attempts that wait.
         if let Some(attempt) = self.pool.hopeless(server, now) {
             self.pool.leave(server, attempt);
             self.end_attempt(attempt, AttemptStatus::ConnectFailed);
--- a/crates/cache-router/src/event_loop/dispatcher/give_up.rs
+++ b/crates/cache-router/src/event_loop/dispatcher/give_up.rs
@@ -138,7 +138,7 @@
         self.pool.close(connection);
         // Against a machine that vanished: its idle connections stay open and silent, and each would cost a request its
         // whole time. A new one shows it within the connect timeout.
-        if self.endpoints.is_silent_since(server, sent_at) {
+        if self.endpoints.has_not_responded_since(server, sent_at) {
             self.pool.close_idle(server);
         }
     }
--- a/crates/cache-router/src/event_loop/endpoints.rs
+++ b/crates/cache-router/src/event_loop/endpoints.rs
@@ -110,7 +110,7 @@
     }
 
     /// Whether a server of the list has sent no response since a time.
-    pub fn is_silent_since(&self, server: ServerId, since: Micros) -> bool {
+    pub fn has_not_responded_since(&self, server: ServerId, since: Micros) -> bool {
         self.servers
             .get(&server)
             .is_some_and(|server| server.last_response_at < since)
--- a/crates/cache-router/src/event_loop/in_flight.rs
+++ b/crates/cache-router/src/event_loop/in_flight.rs
@@ -1,4 +1,4 @@
-//! The requests that are owed a reply and their attempts: who waits for what, until when, and what has become of it.
+//! The requests that are owed a reply and their attempts: who waits for what, until when, and how it ended.
 //! It knows of no connection beyond its id; sending is left to the dispatcher.
 
 use std::collections::HashMap;
