Keep the addresses of process tests to themselves, and time a retry from its request

An address that was to refuse connections, or of a fake discovery that had ended, could be given by the system to another test's server, which then received calls to discovery. And the deadline of a retry was compared with a time that began before the router had the request (7701 to 7715 of 7700). Change: a refusing address stays bound, a fake discovery keeps its listener and closes later calls, a router is dropped before what it calls; the time runs from when the cache server has the request, the bound of 7700 ms stays.

--- a/crates/cache-router/tests/router_process/endpoint_lists.rs
+++ b/crates/cache-router/tests/router_process/endpoint_lists.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{
-    Behaviour, FakeDiscovery, RouterProcess, StartOptions, TwoCaches, UNAVAILABLE, cache_server,
-    complete_list, endpoint, endpoint_list, failing_origin, hit, read, reads_served_by_first,
-    serve_watch, unused_address, wait_until, watch_head, watch_with,
+    Behaviour, FakeDiscovery, RefusingAddress, RouterProcess, StartOptions, TwoCaches, UNAVAILABLE,
+    cache_server, complete_list, endpoint, endpoint_list, failing_origin, hit, keep_watch_open,
+    read, reads_served_by_first, wait_until, watch_head, watch_with,
 };
 
 /// Nine of ten processes of a fleet that restart together have to be ready within this time.
@@ -127,6 +127,7 @@
     let origin = failing_origin();
     let cached_list = complete_list(&cache, &origin);
     let no_servers = endpoint_list(0, true, &[]);
+    let down = RefusingAddress::new();
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let slow = TcpListener::bind("127.0.0.1:0").unwrap();
     let slow_address = slow.local_addr().unwrap();
@@ -134,7 +135,7 @@
     std::thread::spawn(move || serve_slow_discovery(&slow, &list));
     for (discovery, list) in [
         // Down or silent: the cached list has to do.
-        (unused_address(), &cached_list),
+        (down.address, &cached_list),
         (silent.local_addr().unwrap(), &cached_list),
         (slow_address, &cached_list),
         (slow_address, &no_servers),
@@ -166,7 +167,8 @@
                 let _ = stream.write_all(UNAVAILABLE);
                 return;
             }
-            serve_watch(stream, &list);
+            let _ = stream.write_all(&watch_with(&list));
+            keep_watch_open(stream);
         });
     }
 }
@@ -187,12 +189,9 @@
                 let _ = stream.write_all(UNAVAILABLE);
                 continue;
             }
-            let list = draining.clone();
-            let report = report.clone();
-            std::thread::spawn(move || {
-                let _ = report.send(());
-                serve_watch(stream, &list);
-            });
+            let _ = stream.write_all(&watch_with(&draining));
+            let _ = report.send(());
+            std::thread::spawn(move || keep_watch_open(stream));
         }
     });
     // As few descriptors as the configuration says, and not one more.
--- a/crates/cache-router/tests/router_process/requests.rs
+++ b/crates/cache-router/tests/router_process/requests.rs
@@ -20,7 +20,7 @@
     words
         .iter()
         .find_map(|header| header.strip_prefix("X-Facts: "))
-        .expect("fields")
+        .unwrap_or_else(|| panic!("no fields in {words:?}"))
 }
 
 #[test]
@@ -60,11 +60,12 @@
     let origin = origin_server(|_| Behaviour::Respond(http(200, "", "made")));
     let cluster = Cluster::start(cache, origin);
     let mut client = cluster.client();
-    let sent_at = Instant::now();
     client.send(&read("aa", "1"));
     cluster.cache.next_request();
-    // The time between the two attempts does not remain at the second.
-    while sent_at.elapsed() < Duration::from_millis(300) {
+    // The time between the two attempts does not remain at the second. It is measured from when the router has surely
+    // received the request.
+    let first_attempt_at = Instant::now();
+    while first_attempt_at.elapsed() < Duration::from_millis(300) {
         std::thread::yield_now();
     }
     open.send(()).unwrap();
--- a/crates/cache-router/tests/router_process/server_failures.rs
+++ b/crates/cache-router/tests/router_process/server_failures.rs
@@ -95,7 +95,8 @@
         let next = client.ask(&write("next", "2", "v")).unwrap();
         assert_eq!(next, "ok", "after {kind}");
         let received = cluster.origin.next_request().words;
-        assert!(received[0].contains("/next "), "{kind} was sent once");
+        let is_next = received[0].contains("/next ");
+        assert!(is_next, "{kind} was sent once, then {received:?}");
     }
 }
 
--- a/crates/cache-router/tests/router_process/shutdown.rs
+++ b/crates/cache-router/tests/router_process/shutdown.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use crate::support::{
-    Behaviour, Cluster, FakeDiscovery, Gate, PATIENCE, PING, RouterProcess, StartOptions,
-    cache_server, command, complete_list, endpoint, endpoint_list, failing_origin, hit, http, miss,
-    origin_server, read, read_within, unused_address, wait_until, watch_with, write,
+    Behaviour, Cluster, FakeDiscovery, Gate, PATIENCE, PING, RefusingAddress, RouterProcess,
+    StartOptions, cache_server, command, complete_list, endpoint, endpoint_list, failing_origin,
+    hit, http, miss, origin_server, read, read_within, wait_until, watch_with, write,
 };
 
 #[test]
@@ -68,7 +68,8 @@
 fn a_router_without_an_endpoint_list_ends_on_sigterm_whatever_signals_follow() {
     let no_servers = endpoint_list(0, true, &[]);
     let options = StartOptions::with_short_deadline();
-    let mut router = RouterProcess::start_with(unused_address(), &no_servers, options);
+    let discovery = RefusingAddress::new();
+    let mut router = RouterProcess::start_with(discovery.address, &no_servers, options);
     let reply = router.client().ask(&command(&PING)).unwrap();
     assert!(reply.starts_with("-LOADING"), "{reply}");
     for signal in ["TERM", "HUP", "TERM", "INT"] {
--- a/crates/cache-router/tests/router_process/support/discovery.rs
+++ b/crates/cache-router/tests/router_process/support/discovery.rs
@@ -43,6 +43,11 @@
                     send_updates(output, &queued_updates);
                 }
             }
+            // Later calls are closed at once. The address stays taken: the system would give a free one to another test's
+            // server, which a router that still calls discovery would then reach.
+            for connection in listener.incoming() {
+                drop(connection);
+            }
         });
         FakeDiscovery {
             address,
@@ -83,9 +88,8 @@
     }
 }
 
-/// Sends a list on a watch, and keeps the watch open until the router closes it.
-pub fn serve_watch(mut stream: TcpStream, list: &str) {
-    let _ = stream.write_all(&watch_with(list));
+/// Keeps a watch open until the router closes it.
+pub fn keep_watch_open(mut stream: TcpStream) {
     while stream.write_all(&chunk("\n")).is_ok() {
         std::thread::sleep(KEEP_ALIVE_INTERVAL);
     }
--- a/crates/cache-router/tests/router_process/support/mod.rs
+++ b/crates/cache-router/tests/router_process/support/mod.rs
@@ -5,12 +5,14 @@
 mod process;
 mod servers;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 pub use client::{Client, PING, command, read, read_within, write};
 pub use discovery::{
-    FakeDiscovery, UNAVAILABLE, endpoint, endpoint_list, serve_watch, watch_head, watch_with,
+    FakeDiscovery, UNAVAILABLE, endpoint, endpoint_list, keep_watch_open, watch_head, watch_with,
 };
 pub use process::{RouterProcess, StartOptions, config_file, settings};
 pub use servers::{
@@ -22,11 +24,12 @@
 
 /// A router between a cache server, an origin and discovery, all of them fakes.
 pub struct Cluster {
+    /// First, so that it is dropped before what it calls.
+    pub router: RouterProcess,
     pub cache: FakeServer,
     pub origin: FakeServer,
     #[expect(dead_code, reason = "its watch is open for as long as it is kept")]
     discovery: FakeDiscovery,
-    pub router: RouterProcess,
 }
 
 impl Cluster {
@@ -50,10 +53,10 @@
         let cached_list = complete_list(&cache, &origin);
         let router = RouterProcess::start_with(discovery.address, &cached_list, options);
         Cluster {
+            router,
             cache,
             origin,
             discovery,
-            router,
         }
     }
 
@@ -104,12 +107,23 @@
     endpoint_list(5, true, &endpoints)
 }
 
-/// An address that refuses connections, as a machine without the service does.
-pub fn unused_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// An address that refuses connections, as a machine without the service does. It is reserved for as long as it is kept:
+/// the system would give a free one to another test's server.
+pub struct RefusingAddress {
+    pub address: SocketAddr,
+    #[expect(dead_code, reason = "held for its drop")]
+    socket: Socket,
+}
+
+impl RefusingAddress {
+    pub fn new() -> RefusingAddress {
+        // Bound, but not listened on.
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any_port.into()).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        RefusingAddress { address, socket }
+    }
 }
 
 /// Waits until a condition holds.
