--- /dev/null
+++ b/crates/cache-router/src/client_connection/reply_queue.rs
@@ -0,0 +1,75 @@
+//! The replies that a client is owed, in the order of its commands.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use tokio::sync::OwnedSemaphorePermit;
+
+use crate::message::ClientReply;
+
+/// The place of one reply.
+struct ReplySlot {
+    /// `None` while the reply is owed.
+    reply: Option<Bytes>,
+    /// Counts a request among the open ones until its reply is passed on.
+    _request_permit: Option<OwnedSemaphorePermit>,
+}
+
+/// The replies that a client is owed, in the order of its commands.
+#[derive(Default)]
+pub struct ReplyQueue {
+    slots: VecDeque<ReplySlot>,
+    /// Sequence number of the first slot.
+    first_sequence: u64,
+}
+
+impl ReplyQueue {
+    /// Appends the slot of a request that is still to be answered. Returns its sequence number.
+    pub fn reserve(&mut self, request_permit: OwnedSemaphorePermit) -> u64 {
+        let sequence = self.first_sequence + self.slots.len() as u64;
+        self.slots.push_back(ReplySlot {
+            reply: None,
+            _request_permit: Some(request_permit),
+        });
+        sequence
+    }
+
+    /// Appends a reply that is there already.
+    pub fn push_ready(&mut self, reply: impl Into<Bytes>) {
+        self.slots.push_back(ReplySlot {
+            reply: Some(reply.into()),
+            _request_permit: None,
+        });
+    }
+
+    /// Puts a reply in its slot.
+    pub fn fill(&mut self, reply: ClientReply) {
+        let position = reply.sequence.saturating_sub(self.first_sequence) as usize;
+        if let Some(slot) = self.slots.get_mut(position) {
+            slot.reply = Some(reply.bytes);
+        }
+    }
+
+    /// Takes the first reply, if it is there.
+    pub fn pop_ready(&mut self) -> Option<Bytes> {
+        self.slots.front()?.reply.as_ref()?;
+        let slot = self.slots.pop_front()?;
+        self.first_sequence += 1;
+        slot.reply
+    }
+
+    /// How many replies are queued or owed.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether no reply is queued or owed.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Whether no reply was taken yet.
+    pub fn is_unused(&self) -> bool {
+        self.first_sequence == 0
+    }
+}
--- /dev/null
+++ b/crates/cache-router/src/discovery/list_decoder.rs
@@ -0,0 +1,95 @@
+//! Decodes a stream of endpoint lists: JSON values one after another, on however many lines each.
+
+use bytes::{Buf, BytesMut};
+use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::message::EndpointListUpdate;
+
+/// The longest list, in bytes: a bound on what a stream that never ends a list makes the router hold.
+pub const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
+
+/// A stream that does not consist of endpoint lists.
+#[derive(Debug, Error)]
+pub enum ListError {
+    /// Not JSON, or not in the form of an endpoint list.
+    #[error("{0}; the list in force stays in use")]
+    Invalid(#[from] serde_json::Error),
+    /// A list that does not end within the limit.
+    #[error("more than {max} bytes without the end of a list", max = MAX_LIST_BYTES)]
+    TooLong,
+    /// The stream ended in the middle of a list.
+    #[error("the stream ended with {unread_bytes} bytes of an incomplete list")]
+    CutOff {
+        /// Bytes of the incomplete list.
+        unread_bytes: usize,
+    },
+}
+
+/// Takes endpoint lists off a stream, however its bytes are cut.
+#[derive(Default)]
+pub struct EndpointListDecoder {
+    pending: BytesMut,
+    incomplete_since: Option<Instant>,
+}
+
+impl EndpointListDecoder {
+    /// When the incomplete list at the end of what was received began; `None` if there is none.
+    pub fn incomplete_since(&self) -> Option<Instant> {
+        self.incomplete_since
+    }
+
+    /// Adds bytes of the stream and returns the lists that are complete now.
+    ///
+    /// # Errors
+    ///
+    /// If the stream is not one of endpoint lists, or a list is too long.
+    pub fn decode(&mut self, data: &[u8]) -> Result<Vec<EndpointListUpdate>, ListError> {
+        self.pending.extend_from_slice(data);
+        // A list ends with a brace: without one among the new bytes none has become complete, and one that comes in
+        // small pieces is not parsed from its start for each of them.
+        let may_complete = data.contains(&b'}') || self.pending.trim_ascii().is_empty();
+        let updates = if may_complete {
+            self.take_complete()?
+        } else {
+            Vec::new()
+        };
+        if self.pending.len() > MAX_LIST_BYTES {
+            return Err(ListError::TooLong);
+        }
+        let same_list_since = self.incomplete_since.filter(|_| updates.is_empty());
+        self.incomplete_since = match self.pending.is_empty() {
+            true => None,
+            false => same_list_since.or_else(|| Some(Instant::now())),
+        };
+        Ok(updates)
+    }
+
+    /// Parses the complete lists and removes them from what is pending.
+    fn take_complete(&mut self) -> Result<Vec<EndpointListUpdate>, ListError> {
+        let mut updates = Vec::new();
+        let mut values = serde_json::Deserializer::from_slice(&self.pending).into_iter();
+        let consumed = loop {
+            match values.next() {
+                Some(Ok(update)) => updates.push(update),
+                Some(Err(error)) if error.is_eof() => break values.byte_offset(),
+                Some(Err(error)) => return Err(error.into()),
+                None => break self.pending.len(),
+            }
+        };
+        self.pending.advance(consumed);
+        Ok(updates)
+    }
+
+    /// Checks that the stream did not end in the middle of a list.
+    ///
+    /// # Errors
+    ///
+    /// [`ListError::CutOff`] if it did.
+    pub fn finish(&self) -> Result<(), ListError> {
+        match self.pending.len() {
+            0 => Ok(()),
+            unread_bytes => Err(ListError::CutOff { unread_bytes }),
+        }
+    }
+}
--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -18,11 +18,11 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
-use crate::discovery::{Discovery, Verdict};
+use crate::connection_pool::ConnectionPool;
+use crate::discovery::{DiscoveryClient, UpdateFreshness};
 use crate::lifecycle::{Lifecycle, LifecyclePhase, ScheduledStep, ShutdownStep};
 use crate::message::{ClientId, ClientRequest, DiscoveryCall, EndpointListUpdate, RouterEvent};
 use crate::trace::Trace;
-use crate::upstreams::Pool;
 
 use dispatcher::Dispatcher;
 use policy_driver::PolicyDriver;
@@ -83,7 +83,7 @@
             clock,
             trace,
         } = config;
-        let pool = Pool::new(
+        let pool = ConnectionPool::new(
             max_server_connections,
             deployment.clone(),
             clock,
@@ -91,7 +91,7 @@
         );
         let dispatcher = Dispatcher::new(deployment.clone(), pool, clock, trace);
         let policy = Policy::new(deployment.settings.clone(), seed);
-        let discovery = Discovery::new(discovery, cached_list.version, events);
+        let discovery = DiscoveryClient::new(discovery, cached_list.version, events);
         EventLoop {
             driver: PolicyDriver::new(policy, dispatcher, discovery, clock, trace),
             lifecycle: Lifecycle::new(phase, longest_deadline(&deployment)),
@@ -151,7 +151,7 @@
             self.apply_endpoint_list(&cached_list, ListUpdate::Cached);
         }
         if !self.deployment.settings.poll_discovery {
-            self.driver.discovery_mut().follow();
+            self.driver.discovery_mut().watch_agent();
         }
         let first_sweep = self.clock.now() + SWEEP_INTERVAL;
         self.timers_mut()
@@ -212,7 +212,9 @@
             RouterEvent::WatchStalled(call) => {
                 self.handle_failed_call(&call, ListUpdate::WatchSilent);
             }
-            RouterEvent::DiscoveryMoved(address) => self.driver.discovery_mut().moved(address),
+            RouterEvent::DiscoveryMoved(address) => {
+                self.driver.discovery_mut().set_address(address)
+            }
             RouterEvent::Terminate => self.begin_shutdown(),
         }
     }
@@ -238,20 +240,20 @@
     }
 
     fn handle_endpoint_list(&mut self, call: &DiscoveryCall, update: &EndpointListUpdate) {
-        let verdict = self.driver.discovery().judge(call, update);
-        if verdict == Verdict::Stale {
+        let verdict = self.driver.discovery().freshness(call, update);
+        if verdict == UpdateFreshness::Stale {
             return;
         }
         self.apply_endpoint_list(update, endpoints::list_update(update));
-        if verdict == Verdict::WentBack {
+        if verdict == UpdateFreshness::VersionRegressed {
             // The change is in force all the same; what else is different there only the complete list shows.
-            self.driver.discovery_mut().begin_anew();
+            self.driver.discovery_mut().restart_watch();
         }
     }
 
     /// Puts an endpoint list, or a change of it, into force.
     pub fn apply_endpoint_list(&mut self, update: &EndpointListUpdate, kind: ListUpdate) {
-        self.driver.discovery().held(update.version);
+        self.driver.discovery().set_held_version(update.version);
         self.driver
             .dispatcher_mut()
             .apply_endpoint_update(update, kind);
@@ -260,7 +262,7 @@
 
     /// A call to discovery brought nothing more: the list in force stays. One that was replaced is of no interest.
     fn handle_failed_call(&mut self, call: &DiscoveryCall, kind: ListUpdate) {
-        if !self.driver.discovery_mut().ended(call) {
+        if !self.driver.discovery_mut().watch_ended(call) {
             return;
         }
         self.trace.line(self.clock.now(), format_args!("unheard"));
@@ -299,7 +301,7 @@
             } => dispatcher.close_overdue(connection, sent_at),
             Timer::RequestDeadline(request) => dispatcher.fail_at_deadline(request),
             Timer::SweepConnections => {
-                dispatcher.pool_mut().sweep(now);
+                dispatcher.pool_mut().close_expired(now);
                 dispatcher
                     .timers_mut()
                     .schedule(now + SWEEP_INTERVAL, Timer::SweepConnections);
--- a/crates/cache-router/src/event_loop/dispatcher.rs
+++ b/crates/cache-router/src/event_loop/dispatcher.rs
@@ -17,12 +17,12 @@
 use super::in_flight::{BUSY_REPLY, FAILED_REPLY, InFlight};
 use super::timers::{Timer, TimerQueue};
 use crate::clock::Clock;
+use crate::connection_pool::ConnectionPool;
 use crate::message::{
     AttemptId, ClientRequest, ConnectionId, ServerProtocol, ServerResponse, ServerTarget,
 };
 use crate::trace::Trace;
-use crate::upstreams::Pool;
-use crate::{caches, origin};
+use crate::{cache_protocol, origin_protocol};
 
 /// The shortest time that an attempt waits for a connection.
 const MIN_CONNECT_TIMEOUT: Micros = 1_000;
@@ -33,7 +33,7 @@
 pub struct Dispatcher {
     in_flight: InFlight,
     endpoints: EndpointTable,
-    pool: Pool,
+    pool: ConnectionPool,
     timers: TimerQueue,
     policy_events: VecDeque<Event>,
     clock: Clock,
@@ -51,7 +51,12 @@
 
 impl Dispatcher {
     /// Without requests, servers or timers.
-    pub fn new(deployment: Arc<Deployment>, pool: Pool, clock: Clock, trace: Trace) -> Self {
+    pub fn new(
+        deployment: Arc<Deployment>,
+        pool: ConnectionPool,
+        clock: Clock,
+        trace: Trace,
+    ) -> Self {
         Dispatcher {
             in_flight: InFlight::new(clock, trace),
             endpoints: EndpointTable::new(deployment.clone()),
@@ -81,12 +86,12 @@
     }
 
     /// The connections to servers.
-    pub fn pool(&self) -> &Pool {
+    pub fn pool(&self) -> &ConnectionPool {
         &self.pool
     }
 
     /// The connections to servers, to be changed.
-    pub fn pool_mut(&mut self) -> &mut Pool {
+    pub fn pool_mut(&mut self) -> &mut ConnectionPool {
         &mut self.pool
     }
 
@@ -138,7 +143,7 @@
         let (Some(deadline), Some(target)) = (deadline, self.endpoints.target(server)) else {
             return self.end_attempt(attempt, AttemptStatus::NotSent);
         };
-        let connection = self.pool.reuse(server, attempt, now);
+        let connection = self.pool.take_idle(server, attempt, now);
         if let Some(attempt) = self.in_flight.attempt_mut(attempt) {
             attempt.connection = connection;
         }
@@ -172,7 +177,7 @@
     fn wait_for_connection(&mut self, attempt: AttemptId, target: ServerTarget) {
         let now = self.clock.now();
         let timeout = self.deployment.connect_timeout.max(MIN_CONNECT_TIMEOUT);
-        if !self.pool.wait(target, attempt, now) {
+        if !self.pool.enqueue(target, attempt, now) {
             // Forced by the limit on sockets: there is no connection to send this on.
             return self.end_attempt(attempt, AttemptStatus::NotSent);
         }
@@ -212,7 +217,10 @@
             .endpoints
             .ready_target(server)
             .map(|target| target.address);
-        while let Some(attempt) = self.pool.hand_on(connection, address, self.clock.now()) {
+        while let Some(attempt) = self
+            .pool
+            .assign_to_waiting(connection, address, self.clock.now())
+        {
             if self.write(attempt, connection, WriteKind::First) {
                 return;
             }
@@ -239,16 +247,21 @@
         // Rounded down: no attempt states more time than is left.
         let remaining_ms = ((deadline - now) / MICROS_PER_MILLISECOND).max(1);
         let bytes = match target.protocol {
-            ServerProtocol::Resp => caches::encode(request.command(), remaining_ms),
-            ServerProtocol::Http => {
-                origin::encode(request.command(), &target.address.to_string(), remaining_ms)
-            }
+            ServerProtocol::Resp => cache_protocol::encode(request.command(), remaining_ms),
+            ServerProtocol::Http => origin_protocol::encode(
+                request.command(),
+                &target.address.to_string(),
+                remaining_ms,
+            ),
         };
         if let Some(attempt) = self.in_flight.attempt_mut(id) {
             attempt.connection = Some(connection);
         }
         let is_confirmed = kind == WriteKind::Confirmed;
-        if !self.pool.start(connection, bytes, deadline, is_confirmed) {
+        if !self
+            .pool
+            .start_write(connection, bytes, deadline, is_confirmed)
+        {
             self.handle_lost_attempt(id, connection, false);
             return true;
         }
--- a/crates/cache-router/src/event_loop/dispatcher/connection_events.rs
+++ b/crates/cache-router/src/event_loop/dispatcher/connection_events.rs
@@ -3,8 +3,8 @@
 use routing_policy::{AttemptStatus, Event, LoadReport, Micros, ServerId};
 
 use super::{Dispatcher, WriteKind};
+use crate::connection_pool::ConnectionState;
 use crate::message::{AttemptId, ConnectionId, ServerConnectionEvent, ServerResponse};
-use crate::upstreams::State;
 
 impl Dispatcher {
     /// Handles an event of a connection; one that was closed meanwhile is of no interest.
@@ -28,7 +28,9 @@
             ServerConnectionEvent::NotWritten => self.handle_not_written(connection, state),
             ServerConnectionEvent::ConfirmWrite => self.confirm_write(connection, state),
             ServerConnectionEvent::Lost { written } => match state {
-                State::Busy(attempt) => self.handle_lost_attempt(attempt, connection, written),
+                ConnectionState::Busy(attempt) => {
+                    self.handle_lost_attempt(attempt, connection, written)
+                }
                 _ => self.handle_lost_unused(connection, server, state, now),
             },
         }
@@ -38,15 +40,15 @@
         &mut self,
         connection: ConnectionId,
         server: ServerId,
-        state: State,
+        state: ConnectionState,
         now: Micros,
     ) {
-        let State::Opening(since) = state else {
+        let ConnectionState::Connecting(since) = state else {
             return;
         };
         self.release(connection);
         // The policy has been notified that the attempts which waited for it in vain had no connection.
-        if self.pool.overdue(since, now) {
+        if self.pool.is_overdue(since, now) {
             self.push_policy_event(Event::HealthChecked {
                 server,
                 healthy: true,
@@ -59,7 +61,7 @@
     fn handle_response(
         &mut self,
         connection: ConnectionId,
-        state: State,
+        state: ConnectionState,
         response: ServerResponse,
     ) {
         if response.reusable {
@@ -68,32 +70,32 @@
             self.pool.close(connection);
         }
         // The late response to an abandoned attempt only shows that the server is there.
-        if let State::Busy(attempt) = state {
+        if let ConnectionState::Busy(attempt) = state {
             self.end_attempt_with(attempt, response);
         }
     }
 
-    fn handle_not_written(&mut self, connection: ConnectionId, state: State) {
+    fn handle_not_written(&mut self, connection: ConnectionId, state: ConnectionState) {
         match state {
-            State::Busy(attempt) => {
+            ConnectionState::Busy(attempt) => {
                 self.end_attempt(attempt, AttemptStatus::NotSent);
                 self.release(connection);
             }
-            State::Late(_) => self.release(connection),
-            State::Opening(_) | State::Idle(_) => {}
+            ConnectionState::Abandoned(_) => self.release(connection),
+            ConnectionState::Connecting(_) | ConnectionState::Idle(_) => {}
         }
     }
 
-    fn confirm_write(&mut self, connection: ConnectionId, state: State) {
+    fn confirm_write(&mut self, connection: ConnectionId, state: ConnectionState) {
         match state {
-            State::Busy(attempt) => {
+            ConnectionState::Busy(attempt) => {
                 if !self.write(attempt, connection, WriteKind::Confirmed) {
                     self.end_attempt(attempt, AttemptStatus::NotSent);
                     self.release(connection);
                 }
             }
-            State::Late(_) => self.release(connection),
-            State::Opening(_) | State::Idle(_) => {}
+            ConnectionState::Abandoned(_) => self.release(connection),
+            ConnectionState::Connecting(_) | ConnectionState::Idle(_) => {}
         }
     }
 
@@ -104,7 +106,7 @@
         connection: ConnectionId,
         written: bool,
     ) {
-        let was_reused = self.pool.carried(connection) > 1;
+        let was_reused = self.pool.request_count(connection) > 1;
         self.pool.close(connection);
         if written {
             return self.end_attempt(id, AttemptStatus::Reset);
@@ -127,16 +129,16 @@
         &mut self,
         connection: ConnectionId,
         server: ServerId,
-        state: State,
+        state: ConnectionState,
         now: Micros,
     ) {
         self.pool.close(connection);
-        if !matches!(state, State::Opening(_)) {
+        if !matches!(state, ConnectionState::Connecting(_)) {
             return;
         }
         // Refused, or the machine has vanished: one connection less can come up for the attempts that wait.
-        if let Some(attempt) = self.pool.hopeless(server, now) {
-            self.pool.leave(server, attempt);
+        if let Some(attempt) = self.pool.excess_waiting_attempt(server, now) {
+            self.pool.cancel_wait(server, attempt);
             self.end_attempt(attempt, AttemptStatus::ConnectFailed);
         }
     }
--- a/crates/cache-router/src/event_loop/dispatcher/endpoint_update.rs
+++ b/crates/cache-router/src/event_loop/dispatcher/endpoint_update.rs
@@ -36,7 +36,7 @@
         }
         if is_ready && change.has_moved {
             // The connections that are being opened to the old address are of no use to the attempts that wait.
-            let waiting = self.pool.waiting(server).len();
+            let waiting = self.pool.waiting_attempts(server).len();
             for _ in 0..waiting {
                 let _ = self.pool.open(change.target, now);
             }
@@ -71,8 +71,8 @@
 
     /// Attempts that wait for a connection to a server that accepts no new request need not wait for it.
     fn end_waiting_attempts(&mut self, server: ServerId) {
-        for attempt in self.pool.waiting(server) {
-            self.pool.leave(server, attempt);
+        for attempt in self.pool.waiting_attempts(server) {
+            self.pool.cancel_wait(server, attempt);
             self.end_attempt(attempt, AttemptStatus::NotSent);
         }
     }
--- a/crates/cache-router/src/event_loop/dispatcher/give_up.rs
+++ b/crates/cache-router/src/event_loop/dispatcher/give_up.rs
@@ -3,10 +3,10 @@
 use routing_policy::{AttemptStatus, Event, Micros, RequestId, ServerId};
 
 use super::Dispatcher;
+use crate::connection_pool::{ConnectionState, WriteProgress};
 use crate::event_loop::in_flight::Attempt;
 use crate::event_loop::timers::Timer;
 use crate::message::{AttemptId, ConnectionId};
-use crate::upstreams::{Progress, State};
 
 impl Dispatcher {
     /// Stops waiting for an attempt. Its connection is closed, unless the response is hardly due yet: a client with a
@@ -54,18 +54,18 @@
         };
         let Some(connection) = connection else {
             // It was never sent, and the connection that is being opened may serve the next.
-            self.pool.leave(server, id);
+            self.pool.cancel_wait(server, id);
             self.end_attempt(id, AttemptStatus::NotSent);
             return true;
         };
         match self.pool.withdraw(connection) {
             // The connection reports when it has seen that, and is free then.
-            Progress::Handed | Progress::Withdrawn => {
+            WriteProgress::NotStarted | WriteProgress::Withdrawn => {
                 let _ = self.pool.abandon(connection, sent_at);
             }
             // The server has part of it, and must not get the rest.
-            Progress::Writing => self.pool.close(connection),
-            Progress::Written => return false,
+            WriteProgress::Writing => self.pool.close(connection),
+            WriteProgress::Written => return false,
         }
         self.end_attempt(id, AttemptStatus::NotSent);
         true
@@ -111,7 +111,7 @@
     /// Fails an attempt, if it still waits for a connection since a time.
     pub fn fail_unconnected(&mut self, attempt: AttemptId, waiting_since: Micros) {
         if let Some(server) = self.server_waited_for(attempt, waiting_since) {
-            self.pool.leave(server, attempt);
+            self.pool.cancel_wait(server, attempt);
             self.end_attempt(attempt, AttemptStatus::ConnectFailed);
         }
     }
@@ -126,7 +126,8 @@
     /// Closes a connection whose abandoned attempt, sent at a time, still has no response.
     pub fn close_overdue(&mut self, connection: ConnectionId, sent_at: Micros) {
         // The time of another attempt that was abandoned on this connection since is not over.
-        if let Some((server, State::Late(abandoned_sent_at))) = self.pool.state(connection)
+        if let Some((server, ConnectionState::Abandoned(abandoned_sent_at))) =
+            self.pool.state(connection)
             && abandoned_sent_at == sent_at
         {
             self.close_unresponsive(connection, server, sent_at);
--- a/crates/cache-router/src/event_loop/in_flight.rs
+++ b/crates/cache-router/src/event_loop/in_flight.rs
@@ -305,7 +305,7 @@
         );
         if let Some(value) = value {
             let mut reply = BytesMut::with_capacity(value.len() + VALUE_REPLY_OVERHEAD);
-            resp::put_bulk(&mut reply, &value);
+            resp::put_bulk_string(&mut reply, &value);
             self.reply(id.request, reply.freeze());
         }
         if request_complete {
--- a/crates/cache-router/src/event_loop/policy_driver.rs
+++ b/crates/cache-router/src/event_loop/policy_driver.rs
@@ -7,7 +7,7 @@
 use super::dispatcher::Dispatcher;
 use super::timers::Timer;
 use crate::clock::Clock;
-use crate::discovery::Discovery;
+use crate::discovery::DiscoveryClient;
 use crate::message::AttemptId;
 use crate::trace::Trace;
 
@@ -18,7 +18,7 @@
 pub struct PolicyDriver {
     policy: Policy,
     dispatcher: Dispatcher,
-    discovery: Discovery,
+    discovery: DiscoveryClient,
     clock: Clock,
     trace: Trace,
 }
@@ -28,7 +28,7 @@
     pub fn new(
         policy: Policy,
         dispatcher: Dispatcher,
-        discovery: Discovery,
+        discovery: DiscoveryClient,
         clock: Clock,
         trace: Trace,
     ) -> Self {
@@ -52,12 +52,12 @@
     }
 
     /// The calls to discovery.
-    pub fn discovery(&self) -> &Discovery {
+    pub fn discovery(&self) -> &DiscoveryClient {
         &self.discovery
     }
 
     /// The calls to discovery, to be changed.
-    pub fn discovery_mut(&mut self) -> &mut Discovery {
+    pub fn discovery_mut(&mut self) -> &mut DiscoveryClient {
         &mut self.discovery
     }
 
--- a/crates/cache-router/src/http.rs
+++ b/crates/cache-router/src/http.rs
@@ -1,138 +1,194 @@
-//! What the node needs of HTTP/1.1 as a client: the head of an answer and chunked bodies.
+//! The parts of HTTP/1.1 that a client of the origin needs: response heads and chunked bodies.
+//!
+//! It parses bytes and does no I/O. What a response means for an attempt is decided by
+//! [`origin_protocol`](crate::origin_protocol).
 
 use bytes::{Buf, BytesMut};
+use thiserror::Error;
 
-/// An answer that can't be understood.
-#[derive(Debug, PartialEq, Clone, Copy)]
-pub struct Malformed;
-
-/// The longest head, and the longest line that states a chunk's size.
-const MAX_HEAD: usize = 16 * 1024;
+/// The longest response head and the longest chunk-size line, in bytes: ample for the few headers of the origin, and a
+/// bound on what a peer that never ends its head makes the router hold.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The most headers of a response head: the parser's table is on the stack.
 const MAX_HEADERS: usize = 48;
 
-/// The head of an answer.
+/// A response that breaks the framing of HTTP/1.1; the connection that brought it has to be closed.
+#[derive(Debug, PartialEq, Eq, Clone, Copy, Error)]
+pub enum HttpError {
+    /// The head is not HTTP, has too many headers, or does not end.
+    #[error(
+        "the response head is not HTTP/1.1, or exceeds {max_bytes} bytes or {max_headers} headers; close the connection",
+        max_bytes = MAX_HEAD_BYTES,
+        max_headers = MAX_HEADERS
+    )]
+    InvalidHead,
+    /// A `Content-Length` that is not a plain decimal number.
+    #[error("the response has a Content-Length that is no number; close the connection")]
+    InvalidContentLength,
+    /// Two `Content-Length` headers that differ: where the body ends can't be told.
+    #[error(
+        "the response has two Content-Length headers of different values; close the connection"
+    )]
+    ConflictingContentLength,
+    /// `Content-Length` together with `Transfer-Encoding`: where the body ends can't be told.
+    #[error("the response has both Content-Length and Transfer-Encoding; close the connection")]
+    LengthAndTransferEncoding,
+    /// A chunk without a valid size, or longer than its size.
+    #[error("the response has a chunk without a valid size or end; close the connection")]
+    InvalidChunk,
+}
+
+/// The head of a response, reduced to what the router uses.
 #[derive(Debug, Default, PartialEq)]
-pub struct Head {
-    /// Its bytes.
-    pub length: usize,
-    /// Its status code.
+pub struct ResponseHead {
+    /// Length of the head itself, in bytes.
+    pub head_length: usize,
+    /// The status code.
     pub status: u16,
-    /// The stated length of the body.
+    /// The stated length of the body, in bytes.
     pub content_length: Option<usize>,
-    /// Whether the body comes in chunks.
+    /// Whether the body is sent in chunks.
     pub chunked: bool,
-    /// Whether the connection ends after this answer.
+    /// Whether the connection ends after this response.
     pub close: bool,
-    /// Whether the server says that it did not run the request (`X-Unprocessed: 1`).
+    /// Whether the server states that it did not process the request (`X-Unprocessed: 1`).
     pub unprocessed: bool,
     /// The load report (`X-Backend-Load`).
     pub load: Option<String>,
-    /// How a read went (`X-Lookup`).
-    pub note: Option<String>,
+    /// The result of the cache lookup (`X-Lookup`).
+    pub lookup: Option<String>,
 }
 
-/// Reads a head at the front of a buffer; `None` while it is not all there.
-pub fn head(buffer: &[u8]) -> Result<Option<Head>, Malformed> {
+/// Parses a response head at the front of a buffer; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// If the head is malformed or too long, or leaves the end of its body in doubt.
+pub fn parse_head(buffer: &[u8]) -> Result<Option<ResponseHead>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
-    let length = match response.parse(buffer) {
+    let head_length = match response.parse(buffer) {
         Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) if buffer.len() <= MAX_HEAD => return Ok(None),
-        _ => return Err(Malformed),
+        Ok(httparse::Status::Partial) if buffer.len() <= MAX_HEAD_BYTES => return Ok(None),
+        _ => return Err(HttpError::InvalidHead),
     };
-    let status = response.code.unwrap_or(0);
-    let mut head = Head {
-        length,
-        status,
+    let mut head = ResponseHead {
+        head_length,
+        status: response.code.unwrap_or(0),
         close: response.version == Some(0),
-        ..Head::default()
+        ..ResponseHead::default()
     };
-    let mut encoded = false;
+    let mut has_transfer_encoding = false;
     for header in response.headers.iter() {
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
         match header.name.to_ascii_lowercase().as_str() {
-            "content-length" => {
-                let stated = digits(value).ok_or(Malformed)?;
-                // Two lengths: where the body ends, and with it what the next answer is, can't be told.
-                if head.content_length.is_some_and(|before| before != stated) {
-                    return Err(Malformed);
-                }
-                head.content_length = Some(stated);
-            }
+            "content-length" => head.set_content_length(value)?,
             "transfer-encoding" => {
-                encoded = true;
+                has_transfer_encoding = true;
                 head.chunked = value.to_ascii_lowercase().ends_with("chunked");
             }
             "connection" => head.close |= value.eq_ignore_ascii_case("close"),
             "x-unprocessed" => head.unprocessed = value == "1",
             "x-backend-load" => head.load = Some(value.into()),
-            "x-lookup" => head.note = Some(value.into()),
+            "x-lookup" => head.lookup = Some(value.into()),
             _ => {}
         }
     }
-    // The same doubt about the body's end.
-    if encoded && head.content_length.is_some() {
-        Err(Malformed)
-    } else {
-        Ok(Some(head))
+    if has_transfer_encoding && head.content_length.is_some() {
+        return Err(HttpError::LengthAndTransferEncoding);
+    }
+    Ok(Some(head))
+}
+
+impl ResponseHead {
+    fn set_content_length(&mut self, value: &str) -> Result<(), HttpError> {
+        let length = parse_decimal(value).ok_or(HttpError::InvalidContentLength)?;
+        if self.content_length.is_some_and(|before| before != length) {
+            return Err(HttpError::ConflictingContentLength);
+        }
+        self.content_length = Some(length);
+        Ok(())
     }
 }
 
 /// A length as HTTP writes it: digits and nothing else.
-fn digits(text: &str) -> Option<usize> {
-    text.bytes()
-        .all(|byte| byte.is_ascii_digit())
-        .then(|| text.parse().ok())?
+fn parse_decimal(text: &str) -> Option<usize> {
+    if !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    text.parse().ok()
 }
 
-/// Takes chunks apart as they come.
+/// Decodes a chunked body, however the bytes of the stream are cut.
 #[derive(Default)]
-pub struct Chunks {
-    left: usize,
-    /// The line end after a chunk's content is still to come.
-    line_end: bool,
-    ended: bool,
+pub struct ChunkDecoder {
+    /// Bytes of the current chunk's content that are still to come.
+    remaining: usize,
+    /// Whether the line end after a chunk's content is still to come.
+    expects_line_end: bool,
+    finished: bool,
 }
 
-impl Chunks {
-    /// Moves what is there of the body's content from one buffer to the other; `true` at the body's end.
-    pub fn take(&mut self, from: &mut BytesMut, to: &mut BytesMut) -> Result<bool, Malformed> {
-        while !self.ended {
-            if self.left > 0 {
-                let part = self.left.min(from.len());
-                to.extend_from_slice(&from[..part]);
-                from.advance(part);
-                self.left -= part;
-                self.line_end = self.left == 0;
-                if self.left > 0 {
-                    return Ok(false);
-                }
+impl ChunkDecoder {
+    /// Moves the body's content from `input` to `body`; `true` once the body has ended.
+    ///
+    /// # Errors
+    ///
+    /// If a chunk has no valid size or does not end where its size says.
+    pub fn decode(&mut self, input: &mut BytesMut, body: &mut BytesMut) -> Result<bool, HttpError> {
+        while !self.finished {
+            self.copy_content(input, body);
+            if self.remaining > 0 {
+                return Ok(false);
             }
-            if self.line_end {
-                if from.len() < 2 {
-                    return Ok(false);
-                }
-                if !from.starts_with(b"\r\n") {
-                    return Err(Malformed);
-                }
-                from.advance(2);
-                self.line_end = false;
+            if self.expects_line_end && !self.skip_line_end(input)? {
+                return Ok(false);
             }
-            match httparse::parse_chunk_size(from) {
-                Ok(httparse::Status::Complete((length, size))) => {
-                    from.advance(length);
-                    self.left = usize::try_from(size).map_err(|_| Malformed)?;
-                    // Trailers are not read: what follows the last chunk ends the use of the connection.
-                    self.ended = size == 0;
-                }
-                Ok(httparse::Status::Partial) if from.len() <= MAX_HEAD => return Ok(false),
-                _ => return Err(Malformed),
+            if !self.read_size(input)? {
+                return Ok(false);
             }
         }
         Ok(true)
     }
-}
 
-#[cfg(test)]
-#[path = "../tests/parts/http.rs"]
-mod tests;
+    /// Moves what is there of the current chunk's content.
+    fn copy_content(&mut self, input: &mut BytesMut, body: &mut BytesMut) {
+        if self.remaining == 0 {
+            return;
+        }
+        let part = self.remaining.min(input.len());
+        body.extend_from_slice(&input[..part]);
+        input.advance(part);
+        self.remaining -= part;
+        self.expects_line_end = self.remaining == 0;
+    }
+
+    /// Skips the line end after a chunk's content; `false` while it is not there.
+    fn skip_line_end(&mut self, input: &mut BytesMut) -> Result<bool, HttpError> {
+        const LINE_END: &[u8] = b"\r\n";
+        if input.len() < LINE_END.len() {
+            return Ok(false);
+        }
+        if !input.starts_with(LINE_END) {
+            return Err(HttpError::InvalidChunk);
+        }
+        input.advance(LINE_END.len());
+        self.expects_line_end = false;
+        Ok(true)
+    }
+
+    /// Reads the size line of the next chunk; `false` while it is incomplete.
+    fn read_size(&mut self, input: &mut BytesMut) -> Result<bool, HttpError> {
+        match httparse::parse_chunk_size(input) {
+            Ok(httparse::Status::Complete((line_length, size))) => {
+                input.advance(line_length);
+                self.remaining = usize::try_from(size).map_err(|_| HttpError::InvalidChunk)?;
+                // Trailers are not read: the connection is closed after a chunked body.
+                self.finished = size == 0;
+                Ok(true)
+            }
+            Ok(httparse::Status::Partial) if input.len() <= MAX_HEAD_BYTES => Ok(false),
+            _ => Err(HttpError::InvalidChunk),
+        }
+    }
+}
--- a/crates/cache-router/src/lib.rs
+++ b/crates/cache-router/src/lib.rs
@@ -1,18 +1,23 @@
 //! The router in service as a library: `main.rs` is a thin program over it, and tests reach each part.
 
-pub mod caches;
-pub mod clients;
+pub mod cache_protocol;
+pub mod client_command;
+pub mod client_connection;
+pub mod client_context;
 pub mod clock;
 pub mod config;
+pub mod connection_pool;
 pub mod discovery;
 pub mod event_loop;
 pub mod http;
+pub mod idle_connections;
 pub mod lifecycle;
+pub mod listener;
 pub mod message;
-pub mod origin;
+pub mod origin_protocol;
 pub mod resp;
-pub mod resting;
+pub mod server_connection;
 pub mod signals;
 pub mod startup;
 pub mod trace;
-pub mod upstreams;
+pub mod write_progress;
--- /dev/null
+++ b/crates/cache-router/src/origin_protocol.rs
@@ -0,0 +1,125 @@
+//! The protocol of the origin, over HTTP/1.1: the requests that the router sends and what the responses mean.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use routing_policy::AttemptStatus;
+
+use crate::cache_protocol;
+use crate::http::{self, ChunkDecoder, ResponseHead};
+use crate::message::{ClientCommand, ProtocolError, ServerResponse};
+use crate::resp::MAX_VALUE_BYTES;
+
+/// A chunked body may hold so many bytes before its end, framing included: ample for a value of the longest size.
+const MAX_CHUNKED_BODY_BYTES: usize = 2 * MAX_VALUE_BYTES;
+/// First size of the buffer for a request, in bytes: a read fits in it.
+const REQUEST_CAPACITY: usize = 512;
+
+const STATUS_OK: u16 = 200;
+const STATUS_SERVICE_UNAVAILABLE: u16 = 503;
+const STATUS_GATEWAY_TIMEOUT: u16 = 504;
+
+/// Encodes a client's command as a request. Like a cache server, the origin is told the time that remains, in
+/// milliseconds.
+pub fn encode(command: &ClientCommand, host: &str, remaining_ms: u64) -> Bytes {
+    let mut out = BytesMut::with_capacity(REQUEST_CAPACITY);
+    out.put_slice(if command.is_write { b"PUT /" } else { b"GET /" });
+    out.put_slice(&command.key);
+    out.put_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nX-Correlation-Id: ").as_bytes());
+    out.put_slice(&command.request_id);
+    let fields = cache_protocol::forwarded_fields(command, remaining_ms);
+    out.put_slice(format!("\r\nX-Facts: {fields}\r\n").as_bytes());
+    let body: &[u8] = command.value.as_deref().unwrap_or(b"");
+    if command.is_write {
+        out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    out.put_slice(b"\r\n");
+    out.put_slice(body);
+    out.freeze()
+}
+
+/// Takes a response off the front of the bytes that a connection brought; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// If the bytes are no response of this protocol, or its value is too long.
+pub fn decode(
+    buffer: &mut BytesMut,
+    load_names: &[String],
+) -> Result<Option<ServerResponse>, ProtocolError> {
+    let Some(head) = http::parse_head(buffer).map_err(|_| ProtocolError)? else {
+        return Ok(None);
+    };
+    if (100..200).contains(&head.status) {
+        // An interim response: the final one follows it.
+        let _ = buffer.split_to(head.head_length);
+        return decode(buffer, load_names);
+    }
+    let body = if head.chunked {
+        decode_chunked_body(buffer, &head)?
+    } else {
+        take_sized_body(buffer, &head)?
+    };
+    Ok(body.map(|body| response(&head, body, load_names)))
+}
+
+/// The body of a response, and whether the connection can carry another request after it.
+struct Body {
+    content: Bytes,
+    reusable: bool,
+}
+
+/// Decodes a chunked body from its start each time; `None` while it is incomplete. It stays in the buffer, since its
+/// connection is closed.
+fn decode_chunked_body(buffer: &[u8], head: &ResponseHead) -> Result<Option<Body>, ProtocolError> {
+    let mut input = BytesMut::from(&buffer[head.head_length..]);
+    let mut content = BytesMut::new();
+    let complete = ChunkDecoder::default()
+        .decode(&mut input, &mut content)
+        .map_err(|_| ProtocolError)?;
+    if complete {
+        return Ok(Some(Body {
+            content: content.freeze(),
+            reusable: false,
+        }));
+    }
+    if input.len() + content.len() > MAX_CHUNKED_BODY_BYTES {
+        return Err(ProtocolError);
+    }
+    Ok(None)
+}
+
+/// Takes a response with a body of a stated length off the buffer; `None` while it is incomplete.
+fn take_sized_body(
+    buffer: &mut BytesMut,
+    head: &ResponseHead,
+) -> Result<Option<Body>, ProtocolError> {
+    let (length, reusable) = match head.content_length {
+        Some(length) if length <= MAX_VALUE_BYTES => (length, !head.close),
+        // Of a response without a value, the head tells all.
+        None if head.status != STATUS_OK => (0, false),
+        // A value that ends with its connection can't be told from one that was cut off.
+        _ => return Err(ProtocolError),
+    };
+    if buffer.len() < head.head_length + length {
+        return Ok(None);
+    }
+    let _ = buffer.split_to(head.head_length);
+    let content = buffer.split_to(length).freeze();
+    Ok(Some(Body { content, reusable }))
+}
+
+fn response(head: &ResponseHead, body: Body, load_names: &[String]) -> ServerResponse {
+    let status = match head.status {
+        STATUS_OK => AttemptStatus::Served,
+        STATUS_SERVICE_UNAVAILABLE | STATUS_GATEWAY_TIMEOUT if head.unprocessed => {
+            AttemptStatus::Rejected
+        }
+        _ => AttemptStatus::Error,
+    };
+    ServerResponse {
+        status,
+        cache_lookup: cache_protocol::parse_lookup(head.lookup.as_deref().unwrap_or("")),
+        load: cache_protocol::parse_load(head.load.as_deref().unwrap_or(""), load_names),
+        value: (status == AttemptStatus::Served).then_some(body.content),
+        reusable: body.reusable,
+    }
+}
--- a/crates/cache-router/src/resp.rs
+++ b/crates/cache-router/src/resp.rs
@@ -1,215 +1,280 @@
-//! RESP2, both directions. Written here since the decoders at hand recurse without a bound on depth and
-//! take any stated length: what a peer sends must neither overflow the stack nor reserve memory.
+//! A codec for RESP2, both directions: the commands of clients and the replies of cache servers.
+//!
+//! Written here because the decoders at hand recurse without a bound on depth and accept any stated length: what a peer
+//! sends must neither overflow the stack nor reserve memory.
+
+use std::ops::Range;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use thiserror::Error;
 
-/// The longest value.
-pub const MAX_VALUE: usize = 64 * 1024;
-/// The longest command: a value, and beside it more than its other words may take. Without it a client could
-/// have the node hold a value for each word of a command that is refused in the end.
-pub const MAX_COMMAND: usize = MAX_VALUE + 4 * 1024;
-/// Words in a command, and elements in an answer, at most.
-const MAX_WORDS: usize = 16;
-/// The longest line that states a length.
-const MAX_LENGTH_LINE: usize = 24;
-/// The longest plain or error line of an answer.
-const MAX_LINE: usize = 4096;
-/// How deep arrays of an answer may be nested.
+/// The longest value, in bytes.
+pub const MAX_VALUE_BYTES: usize = 64 * 1024;
+/// The longest command, in bytes: a value, and beside it more than its other words may take. Without it a client could
+/// make the router hold a value for each word of a command that is rejected in the end.
+pub const MAX_COMMAND_BYTES: usize = MAX_VALUE_BYTES + 4 * 1024;
+/// The most words of a command, and the most elements of an array in a reply.
+const MAX_ELEMENTS: usize = 16;
+/// The longest line that states a length, in bytes: more than any number below the limits needs.
+const MAX_LENGTH_LINE_BYTES: usize = 24;
+/// The longest simple string, error or integer of a reply, in bytes.
+const MAX_LINE_BYTES: usize = 4096;
+/// How deep arrays of a reply may be nested: a reply of a cache server is one flat array.
 const MAX_DEPTH: u8 = 3;
 
-/// Input that can't be understood: from here on its framing is lost.
-#[derive(Debug, PartialEq, Clone, Copy)]
-pub struct Malformed(pub &'static str);
+const LINE_END: &[u8] = b"\r\n";
+
+/// Input that is not RESP2, or exceeds a limit: the framing is lost and the connection has to be closed. The texts are
+/// part of the protocol, since clients are sent them.
+#[derive(Debug, PartialEq, Eq, Clone, Copy, Error)]
+pub enum RespError {
+    /// A command of more than [`MAX_COMMAND_BYTES`].
+    #[error("command too long")]
+    CommandTooLong,
+    /// A line without an end within its limit.
+    #[error("line too long")]
+    LineTooLong,
+    /// A type that does not belong here, or an array nested too deep.
+    #[error("unexpected type")]
+    UnexpectedType,
+    /// A length that is not a plain decimal number.
+    #[error("invalid length")]
+    InvalidLength,
+    /// A stated length or count above its limit.
+    #[error("value or command too long")]
+    LengthTooLarge,
+    /// A bulk string that is not followed by a line end.
+    #[error("bulk string not ended")]
+    UnterminatedBulkString,
+    /// A null among the words of a command.
+    #[error("null in a command")]
+    NullInCommand,
+    /// An integer that is none, or does not fit.
+    #[error("invalid number")]
+    InvalidInteger,
+}
 
-/// An answer of a cache server.
+/// A reply of a cache server.
 #[derive(Debug, PartialEq, Clone)]
 pub enum Value {
     /// A bulk string, or null.
-    Bulk(Option<Bytes>),
-    /// An array; null counts as empty.
+    BulkString(Option<Bytes>),
+    /// An array; a null array counts as empty.
     Array(Vec<Value>),
-    /// A plain line.
-    Line(Bytes),
-    /// An error line.
+    /// A simple string.
+    SimpleString(Bytes),
+    /// An error.
     Error(Bytes),
-    /// A number.
-    Number(i64),
+    /// An integer.
+    Integer(i64),
 }
 
-/// Takes one whole command, an array of bulk strings, off the front; `None` while it is not all there.
-pub fn take_command(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, Malformed> {
-    let mut scan = Scan {
-        bytes: buffer,
-        at: 0,
-    };
-    let Some(words) = scan.command()? else {
-        return if buffer.len() > MAX_COMMAND {
-            Err(Malformed("command too long"))
-        } else {
-            Ok(None)
-        };
+/// Takes one complete command, an array of bulk strings, off the front of a buffer; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// If the input is not a command or exceeds a limit. The buffer is then left as it is.
+pub fn take_command(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
+    let mut scanner = Scanner::new(buffer);
+    let words = match scanner.command() {
+        Ok(words) => words,
+        Err(ScanError::Malformed(error)) => return Err(error),
+        Err(ScanError::Incomplete) if buffer.len() > MAX_COMMAND_BYTES => {
+            return Err(RespError::CommandTooLong);
+        }
+        Err(ScanError::Incomplete) => return Ok(None),
     };
-    let end = scan.at;
-    let whole = buffer.split_to(end).freeze();
+    let end = scanner.position;
+    let command = buffer.split_to(end).freeze();
     Ok(Some(
-        words
-            .into_iter()
-            .map(|(from, to)| whole.slice(from..to))
-            .collect(),
+        words.into_iter().map(|word| command.slice(word)).collect(),
     ))
 }
 
-/// Takes one whole answer off the front; `None` while it is not all there.
-pub fn take_value(buffer: &mut BytesMut) -> Result<Option<Value>, Malformed> {
-    let mut scan = Scan {
-        bytes: buffer,
-        at: 0,
-    };
-    let Some(value) = scan.value(0)? else {
-        return Ok(None);
+/// Takes one complete reply off the front of a buffer; `None` while it is incomplete.
+///
+/// # Errors
+///
+/// If the input is not a reply or exceeds a limit. The buffer is then left as it is.
+pub fn take_value(buffer: &mut BytesMut) -> Result<Option<Value>, RespError> {
+    let mut scanner = Scanner::new(buffer);
+    let value = match scanner.value(0) {
+        Ok(value) => value,
+        Err(ScanError::Malformed(error)) => return Err(error),
+        Err(ScanError::Incomplete) => return Ok(None),
     };
-    let end = scan.at;
+    let end = scanner.position;
     let _ = buffer.split_to(end);
     Ok(Some(value))
 }
 
-struct Scan<'a> {
+/// Why a scan stopped before the end of what it scans.
+enum ScanError {
+    /// More bytes are needed.
+    Incomplete,
+    /// No further bytes can make it valid.
+    Malformed(RespError),
+}
+
+impl From<RespError> for ScanError {
+    fn from(error: RespError) -> Self {
+        ScanError::Malformed(error)
+    }
+}
+
+/// Reads elements at the front of a buffer without taking them off: an incomplete one is read anew when more is there.
+struct Scanner<'a> {
     bytes: &'a [u8],
-    at: usize,
+    position: usize,
 }
 
-impl<'a> Scan<'a> {
-    fn line(&mut self, longest: usize) -> Result<Option<&'a [u8]>, Malformed> {
-        let rest = &self.bytes[self.at..];
-        match rest
-            .windows(2)
-            .take(longest + 1)
-            .position(|pair| pair == b"\r\n")
-        {
+impl<'a> Scanner<'a> {
+    fn new(bytes: &'a [u8]) -> Self {
+        Scanner { bytes, position: 0 }
+    }
+
+    /// The type of the next element, by its first byte.
+    fn peek_type(&self) -> Result<u8, ScanError> {
+        self.bytes
+            .get(self.position)
+            .copied()
+            .ok_or(ScanError::Incomplete)
+    }
+
+    /// A line without its end.
+    fn line(&mut self, max_length: usize) -> Result<&'a [u8], ScanError> {
+        let rest = &self.bytes[self.position..];
+        let end = rest
+            .windows(LINE_END.len())
+            .take(max_length + 1)
+            .position(|pair| pair == LINE_END);
+        match end {
             Some(end) => {
-                self.at += end + 2;
-                Ok(Some(&rest[..end]))
+                self.position += end + LINE_END.len();
+                Ok(&rest[..end])
             }
-            None if rest.len() > longest + 1 => Err(Malformed("line too long")),
-            None => Ok(None),
+            None if rest.len() > max_length + 1 => Err(RespError::LineTooLong.into()),
+            None => Err(ScanError::Incomplete),
         }
     }
 
-    /// A line of a mark and a length; `None` inside stands for a null.
-    fn length(&mut self, mark: u8, most: usize) -> Result<Option<Option<usize>>, Malformed> {
-        match self.bytes.get(self.at) {
-            None => return Ok(None),
-            Some(found) if *found != mark => return Err(Malformed("unexpected type")),
-            Some(_) => {}
+    /// A line of a type and a length; `None` stands for a null.
+    fn length(&mut self, expected_type: u8, limit: usize) -> Result<Option<usize>, ScanError> {
+        if self.peek_type()? != expected_type {
+            return Err(RespError::UnexpectedType.into());
         }
-        let Some(line) = self.line(MAX_LENGTH_LINE)? else {
+        let text = &self.line(MAX_LENGTH_LINE_BYTES)?[1..];
+        if text == b"-1" {
             return Ok(None);
-        };
-        if &line[1..] == b"-1" {
-            return Ok(Some(None));
         }
-        let digits = line.len() > 1 && line[1..].iter().all(u8::is_ascii_digit);
-        let number = std::str::from_utf8(&line[1..])
-            .ok()
-            .filter(|_| digits)
-            .and_then(|text| text.parse().ok());
-        let number: usize = number.ok_or(Malformed("invalid length"))?;
-        if number > most {
-            Err(Malformed("value or command too long"))
-        } else {
-            Ok(Some(Some(number)))
+        let length = parse_length(text).ok_or(RespError::InvalidLength)?;
+        if length > limit {
+            return Err(RespError::LengthTooLarge.into());
         }
+        Ok(Some(length))
     }
 
-    /// Bounds of the content of a bulk string.
-    fn bulk(&mut self) -> Result<Option<Option<(usize, usize)>>, Malformed> {
-        let length = match self.length(b'$', MAX_VALUE)? {
-            None => return Ok(None),
-            Some(None) => return Ok(Some(None)),
-            Some(Some(length)) => length,
-        };
-        let (from, to) = (self.at, self.at + length);
-        let Some(end) = self.bytes.get(to..to + 2) else {
+    /// The bounds of the content of a bulk string; `None` stands for a null.
+    fn bulk_string(&mut self) -> Result<Option<Range<usize>>, ScanError> {
+        let Some(length) = self.length(b'$', MAX_VALUE_BYTES)? else {
             return Ok(None);
         };
-        if end != b"\r\n" {
-            return Err(Malformed("bulk string not ended"));
+        let start = self.position;
+        let end = start + length;
+        let terminator = self
+            .bytes
+            .get(end..end + LINE_END.len())
+            .ok_or(ScanError::Incomplete)?;
+        if terminator != LINE_END {
+            return Err(RespError::UnterminatedBulkString.into());
         }
-        self.at = to + 2;
-        Ok(Some(Some((from, to))))
+        self.position = end + LINE_END.len();
+        Ok(Some(start..end))
     }
 
-    fn command(&mut self) -> Result<Option<Vec<(usize, usize)>>, Malformed> {
-        let count = match self.length(b'*', MAX_WORDS)? {
-            None => return Ok(None),
-            Some(count) => count.unwrap_or(0),
-        };
+    /// The bounds of the words of a command.
+    fn command(&mut self) -> Result<Vec<Range<usize>>, ScanError> {
+        let count = self.length(b'*', MAX_ELEMENTS)?.unwrap_or(0);
         let mut words = Vec::with_capacity(count);
         for _ in 0..count {
-            match self.bulk()? {
-                None => return Ok(None),
-                Some(word) => words.push(word.ok_or(Malformed("null in a command"))?),
-            }
+            words.push(self.bulk_string()?.ok_or(RespError::NullInCommand)?);
         }
-        Ok(Some(words))
+        Ok(words)
     }
 
-    fn value(&mut self, depth: u8) -> Result<Option<Value>, Malformed> {
-        let Some(mark) = self.bytes.get(self.at) else {
-            return Ok(None);
-        };
-        match mark {
-            b'$' => Ok(self.bulk()?.map(|bounds| {
-                Value::Bulk(bounds.map(|(from, to)| Bytes::copy_from_slice(&self.bytes[from..to])))
-            })),
-            b'*' if depth < MAX_DEPTH => {
-                let Some(count) = self.length(b'*', MAX_WORDS)? else {
-                    return Ok(None);
-                };
-                let mut items = Vec::new();
-                for _ in 0..count.unwrap_or(0) {
-                    match self.value(depth + 1)? {
-                        None => return Ok(None),
-                        Some(item) => items.push(item),
-                    }
-                }
-                Ok(Some(Value::Array(items)))
+    /// A reply, inside `depth` arrays.
+    fn value(&mut self, depth: u8) -> Result<Value, ScanError> {
+        match self.peek_type()? {
+            b'$' => {
+                let content = self.bulk_string()?;
+                let copy = |bounds| Bytes::copy_from_slice(&self.bytes[bounds]);
+                Ok(Value::BulkString(content.map(copy)))
+            }
+            b'*' if depth < MAX_DEPTH => self.array(depth),
+            b'+' => {
+                let text = self.line_content()?;
+                Ok(Value::SimpleString(Bytes::copy_from_slice(text)))
+            }
+            b'-' => {
+                let text = self.line_content()?;
+                Ok(Value::Error(Bytes::copy_from_slice(text)))
             }
-            b'+' | b'-' | b':' => {
-                let Some(line) = self.line(MAX_LINE)? else {
-                    return Ok(None);
-                };
-                let text = &line[1..];
-                Ok(Some(match mark {
-                    b'+' => Value::Line(Bytes::copy_from_slice(text)),
-                    b'-' => Value::Error(Bytes::copy_from_slice(text)),
-                    _ => {
-                        let number = std::str::from_utf8(text).ok().and_then(|t| t.parse().ok());
-                        Value::Number(number.ok_or(Malformed("invalid number"))?)
-                    }
-                }))
+            b':' => {
+                let text = self.line_content()?;
+                let number = parse_integer(text).ok_or(RespError::InvalidInteger)?;
+                Ok(Value::Integer(number))
             }
-            _ => Err(Malformed("unexpected type")),
+            _ => Err(RespError::UnexpectedType.into()),
+        }
+    }
+
+    fn array(&mut self, depth: u8) -> Result<Value, ScanError> {
+        let count = self.length(b'*', MAX_ELEMENTS)?.unwrap_or(0);
+        // Grown as elements come: a stated count alone must not reserve memory.
+        let mut elements = Vec::new();
+        for _ in 0..count {
+            elements.push(self.value(depth + 1)?);
         }
+        Ok(Value::Array(elements))
     }
+
+    /// What follows the type on a line.
+    fn line_content(&mut self) -> Result<&'a [u8], ScanError> {
+        Ok(&self.line(MAX_LINE_BYTES)?[1..])
+    }
+}
+
+/// A length as RESP2 writes it: digits and nothing else.
+fn parse_length(text: &[u8]) -> Option<usize> {
+    if text.is_empty() || !text.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(text).ok()?.parse().ok()
 }
 
-/// Adds a bulk string.
-pub fn put_bulk(out: &mut BytesMut, value: &[u8]) {
+fn parse_integer(text: &[u8]) -> Option<i64> {
+    std::str::from_utf8(text).ok()?.parse().ok()
+}
+
+/// Appends a bulk string.
+pub fn put_bulk_string(out: &mut BytesMut, value: &[u8]) {
     out.put_slice(format!("${}\r\n", value.len()).as_bytes());
     out.put_slice(value);
-    out.put_slice(b"\r\n");
+    out.put_slice(LINE_END);
 }
 
-/// A command of some words.
-pub fn command(words: &[&[u8]]) -> Bytes {
-    let size = words.iter().map(|word| word.len() + 16).sum::<usize>() + 16;
-    let mut out = BytesMut::with_capacity(size);
+/// Encodes a command of the given words.
+pub fn encode_command(words: &[&[u8]]) -> Bytes {
+    /// The most that a length line and a line end add to a word, in bytes.
+    const FRAMING_BYTES: usize = 16;
+    let content_size = words
+        .iter()
+        .map(|word| word.len() + FRAMING_BYTES)
+        .sum::<usize>();
+    let mut out = BytesMut::with_capacity(content_size + FRAMING_BYTES);
     out.put_slice(format!("*{}\r\n", words.len()).as_bytes());
-    words.iter().for_each(|word| put_bulk(&mut out, word));
+    for word in words {
+        put_bulk_string(&mut out, word);
+    }
     out.freeze()
 }
-
-#[cfg(test)]
-#[path = "../tests/parts/resp.rs"]
-mod tests;
--- /dev/null
+++ b/crates/cache-router/src/server_connection.rs
@@ -0,0 +1,234 @@
+//! The task of one connection to a cache server or the origin: it owns the socket and its buffer, and carries one
+//! request at a time, since a connection answers in order and a slow response would delay those behind it.
+//!
+//! The [connection pool](crate::connection_pool) spawns the task and ends it by aborting it; it also ends by itself when
+//! its connection is lost. It reports to the event loop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use routing_policy::Micros;
+use routing_policy::settings::Deployment;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::clock::Clock;
+use crate::message::{
+    ConnectionId, ProtocolError, RouterEvent, ServerConnectionEvent, ServerProtocol,
+    ServerResponse, ServerTarget,
+};
+use crate::write_progress::{SharedWriteProgress, WriteProgress};
+use crate::{cache_protocol, origin_protocol};
+
+/// Free space in the buffer before each read, in bytes: most responses come in one.
+const READ_CAPACITY: usize = 2048;
+
+/// A request for a connection to carry.
+pub struct OutgoingRequest {
+    /// The encoded request.
+    pub bytes: Bytes,
+    /// It may not be written from this time on: the process may have been suspended since the event loop decided to.
+    pub write_by: Micros,
+    /// From this time on the event loop has to confirm the write first.
+    pub confirm_from: Micros,
+    /// How far its write has come.
+    pub progress: Arc<SharedWriteProgress>,
+}
+
+/// What all connections to servers share.
+#[derive(Clone)]
+pub struct ServerConnectionContext {
+    /// The settings of the deployment.
+    pub deployment: Arc<Deployment>,
+    /// The router's clock.
+    pub clock: Clock,
+    /// The event loop.
+    pub events: mpsc::Sender<RouterEvent>,
+}
+
+/// The pool's side of a connection. Dropping it aborts the task and so closes the connection.
+pub struct ServerConnectionHandle {
+    /// Takes one request at a time.
+    requests: mpsc::Sender<OutgoingRequest>,
+    task: AbortHandle,
+}
+
+impl ServerConnectionHandle {
+    /// Hands a request to the connection; `false` if its task has ended or it carries another.
+    pub fn send(&self, request: OutgoingRequest) -> bool {
+        self.requests.try_send(request).is_ok()
+    }
+
+    /// Whether the connection's task has ended.
+    pub fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+}
+
+impl Drop for ServerConnectionHandle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Spawns the task of a connection, which opens it first.
+pub fn spawn(
+    id: ConnectionId,
+    target: ServerTarget,
+    connect_timeout: Duration,
+    context: ServerConnectionContext,
+) -> ServerConnectionHandle {
+    let (requests, receiver) = mpsc::channel(1);
+    let connection = ServerConnection {
+        id,
+        protocol: target.protocol,
+        requests: receiver,
+        context,
+    };
+    let task = tokio::spawn(connection.run(target.address, connect_timeout));
+    ServerConnectionHandle {
+        requests,
+        task: task.abort_handle(),
+    }
+}
+
+/// A connection, in its task.
+struct ServerConnection {
+    id: ConnectionId,
+    protocol: ServerProtocol,
+    requests: mpsc::Receiver<OutgoingRequest>,
+    context: ServerConnectionContext,
+}
+
+impl ServerConnection {
+    async fn run(mut self, address: SocketAddr, connect_timeout: Duration) {
+        let last_event = self.carry_requests(address, connect_timeout).await;
+        let _ = self.report(last_event).await;
+    }
+
+    /// Opens the connection and carries one request after the other. Returns its last event, after which it is closed.
+    async fn carry_requests(
+        &mut self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> ServerConnectionEvent {
+        const LOST: ServerConnectionEvent = ServerConnectionEvent::Lost { written: false };
+        // A machine that vanished answers nothing, so connecting has a time-out of its own. It is longer than that of
+        // the attempts that wait for it: a connection that comes up late shows that the server is there.
+        let connected = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await;
+        let Ok(Ok(mut stream)) = connected else {
+            return LOST;
+        };
+        // Without it requests are only slower.
+        let _ = stream.set_nodelay(true);
+        let mut buffer = BytesMut::new();
+        let mut event = ServerConnectionEvent::Established;
+        loop {
+            if !self.report(event).await {
+                return LOST;
+            }
+            buffer.reserve(READ_CAPACITY);
+            let next_request = tokio::select! {
+                // Reads come first: a connection that the server has closed is not written to, so that its request
+                // surely never ran.
+                biased;
+                _ = stream.read_buf(&mut buffer) => return LOST,
+                request = self.requests.recv() => request,
+            };
+            let Some(request) = next_request else {
+                return LOST;
+            };
+            event = self.carry(request, &mut stream, &mut buffer).await;
+            if closes_connection(&event) {
+                return event;
+            }
+        }
+    }
+
+    /// Reports to the event loop; `false` if there is none any more.
+    async fn report(&self, event: ServerConnectionEvent) -> bool {
+        let event = RouterEvent::ServerConnection(self.id, event);
+        self.context.events.send(event).await.is_ok()
+    }
+
+    /// Carries one request, unless its time is up, it was withdrawn, or the write has to be confirmed.
+    async fn carry(
+        &self,
+        request: OutgoingRequest,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+    ) -> ServerConnectionEvent {
+        // The process may have been suspended since the event loop decided to write: a request must not be written
+        // after its end.
+        let now = self.context.clock.now();
+        if now < request.write_by && now >= request.confirm_from {
+            // The event loop takes in first what arrived meanwhile.
+            tokio::task::yield_now().await;
+            return ServerConnectionEvent::ConfirmWrite;
+        }
+        let progress = &request.progress;
+        if now >= request.write_by
+            || !progress.advance(WriteProgress::NotStarted, WriteProgress::Writing)
+        {
+            return ServerConnectionEvent::NotWritten;
+        }
+        if stream.write_all(&request.bytes).await.is_err() {
+            return ServerConnectionEvent::Lost { written: false };
+        }
+        progress.advance(WriteProgress::Writing, WriteProgress::Written);
+        // The memory of a large value is not held while its response is waited for.
+        drop(request);
+        match self.read_response(stream, buffer).await {
+            Some(response) => ServerConnectionEvent::Response(response),
+            None => ServerConnectionEvent::Lost { written: true },
+        }
+    }
+
+    /// Reads a response; `None` if the connection is lost or breaks its protocol.
+    async fn read_response(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+    ) -> Option<ServerResponse> {
+        let response = loop {
+            if let Some(response) = self.decode(buffer).ok()? {
+                break response;
+            }
+            buffer.reserve(READ_CAPACITY);
+            if !matches!(stream.read_buf(buffer).await, Ok(count) if count > 0) {
+                return None;
+            }
+        };
+        // Bytes beyond the response belong to no request: nothing after them could be matched.
+        let reusable = response.reusable && buffer.is_empty();
+        // Gives back the memory that a large response took.
+        *buffer = BytesMut::new();
+        Some(ServerResponse {
+            reusable,
+            ..response
+        })
+    }
+
+    fn decode(&self, buffer: &mut BytesMut) -> Result<Option<ServerResponse>, ProtocolError> {
+        let load_names = &self.context.deployment.load_names;
+        match self.protocol {
+            ServerProtocol::Resp => cache_protocol::decode(buffer, load_names),
+            ServerProtocol::Http => origin_protocol::decode(buffer, load_names),
+        }
+    }
+}
+
+/// Whether a connection can carry no request after an event.
+fn closes_connection(event: &ServerConnectionEvent) -> bool {
+    match event {
+        ServerConnectionEvent::Lost { .. } => true,
+        ServerConnectionEvent::Response(response) => !response.reusable,
+        ServerConnectionEvent::Established
+        | ServerConnectionEvent::NotWritten
+        | ServerConnectionEvent::ConfirmWrite => false,
+    }
+}
--- a/crates/cache-router/src/signals.rs
+++ b/crates/cache-router/src/signals.rs
@@ -88,7 +88,7 @@
             at: Instant::now() + *pause,
             reads_before: reads_before + 1,
         });
-        match config::discovery() {
+        match config::read_discovery_address() {
             Ok(address) if address != self.discovery => {
                 info!(%address, "discovery is at a new address");
                 self.discovery = address;
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -9,11 +9,11 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 use tracing::info;
 
-use crate::clients::{self, Frontend};
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError};
 use crate::event_loop::{EventLoop, EventLoopConfig};
 use crate::lifecycle::LifecyclePhase;
+use crate::listener::{self, ClientContext};
 use crate::signals::SignalHandler;
 use crate::trace::Trace;
 
@@ -69,7 +69,7 @@
     let (events, received_events) = mpsc::channel(EVENT_CAPACITY);
     let (phase, phase_of_clients) = watch::channel(LifecyclePhase::Starting);
     let clock = Clock::start();
-    let max_connections = connections_per_side(config.sockets);
+    let max_connections = connections_per_side(config.max_sockets);
     let client_capacity = Arc::new(Semaphore::new(max_connections));
     let signals = SignalHandler::install(events.clone(), config.discovery)?;
     let listener = TcpListener::bind(config.listen).await?;
@@ -77,23 +77,23 @@
     info!("listening on {}", listener.local_addr()?);
     let deployment = Arc::new(config.deployment);
     let max_open_requests = deployment.max_open.min(MAX_OPEN_REQUESTS);
-    let frontend = Frontend {
+    let frontend = ClientContext {
         deployment: deployment.clone(),
         clock,
-        hub: events.clone(),
-        phase: phase_of_clients,
-        room: client_capacity.clone(),
-        refusals: (max_connections / CLIENTS_PER_REJECTION).max(1),
-        resting: Arc::default(),
-        open: Arc::new(Semaphore::new(max_open_requests)),
+        events: events.clone(),
+        lifecycle: phase_of_clients,
+        connection_slots: client_capacity.clone(),
+        reserved_slots: (max_connections / CLIENTS_PER_REJECTION).max(1),
+        idle_connections: Arc::default(),
+        request_slots: Arc::new(Semaphore::new(max_open_requests)),
     };
-    tokio::spawn(clients::listen(listener, Arc::new(frontend)));
+    tokio::spawn(listener::listen(listener, Arc::new(frontend)));
     tokio::spawn(signals.run());
     let event_loop = EventLoop::new(EventLoopConfig {
         deployment,
         seed: config.seed,
         discovery: config.discovery,
-        cached_list: config.known,
+        cached_list: config.cached_list,
         max_server_connections: max_connections,
         events,
         phase,
--- a/crates/cache-router/tests/event_loop/harness.rs
+++ b/crates/cache-router/tests/event_loop/harness.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cache_router::clock::Clock;
+use cache_router::connection_pool::{ConnectionPool, ConnectionState};
 use cache_router::event_loop::in_flight::InFlight;
 use cache_router::event_loop::timers::Timer;
 use cache_router::event_loop::{EventLoop, EventLoopConfig, STALL_THRESHOLD};
@@ -14,7 +15,6 @@
     DiscoveredEndpoint, EndpointListUpdate, RouterEvent,
 };
 use cache_router::trace::Trace;
-use cache_router::upstreams::{Pool, State};
 use routing_policy::{AttemptStatus, ListUpdate, Micros, RequestId, ServerId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -211,17 +211,17 @@
     }
 
     /// The connections to the cache server.
-    pub fn pool(&self) -> &Pool {
+    pub fn pool(&self) -> &ConnectionPool {
         self.event_loop.dispatcher().pool()
     }
 
     /// The connections to the cache server, to be changed.
-    pub fn pool_mut(&mut self) -> &mut Pool {
+    pub fn pool_mut(&mut self) -> &mut ConnectionPool {
         self.event_loop.dispatcher_mut().pool_mut()
     }
 
     /// The state of the first connection.
-    pub fn first_connection_state(&self) -> Option<State> {
+    pub fn first_connection_state(&self) -> Option<ConnectionState> {
         let state = self.pool().state(FIRST_CONNECTION);
         state.map(|(_, state)| state)
     }
--- a/crates/cache-router/tests/event_loop/main.rs
+++ b/crates/cache-router/tests/event_loop/main.rs
@@ -11,10 +11,10 @@
 mod revoked_sends;
 
 use bytes::Bytes;
+use cache_router::connection_pool::ConnectionState;
 use cache_router::event_loop::timers::Timer;
 use cache_router::lifecycle::{FINAL_WRITE_TIME, KILL_LONGEST_DEADLINE, KILL_SLACK};
 use cache_router::message::{ClientReply, DiscoveredEndpoint, RouterEvent};
-use cache_router::upstreams::State;
 use routing_policy::AttemptStatus;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -69,8 +69,10 @@
         harness.serve(&mut stream, "1d").await;
         let server = harness.server();
         let later = harness.clock.now() + idle_for;
-        harness.pool_mut().sweep(later);
-        let reused = harness.pool_mut().reuse(server, first_attempt(9), later);
+        harness.pool_mut().close_expired(later);
+        let reused = harness
+            .pool_mut()
+            .take_idle(server, first_attempt(9), later);
         assert_eq!(reused.is_some(), is_kept);
     }
 }
@@ -89,7 +91,7 @@
     harness.respond(&mut stream).await;
     harness.assert_reply_to(first);
     harness.assert_reply_to(second);
-    assert!(harness.pool().waiting(harness.server()).is_empty());
+    assert!(harness.pool().waiting_attempts(harness.server()).is_empty());
     assert_eq!(harness.in_flight().attempt_count(), 0);
 }
 
@@ -128,8 +130,8 @@
     let server = harness.server();
     let now = harness.clock.now();
     let pool = harness.pool_mut();
-    let connection = pool.reuse(server, first_attempt(9), now).unwrap();
-    assert!(pool.start(connection, Bytes::from_static(b"too late"), now, false));
+    let connection = pool.take_idle(server, first_attempt(9), now).unwrap();
+    assert!(pool.start_write(connection, Bytes::from_static(b"too late"), now, false));
     harness.step().await;
     let next = harness.request("2d");
     harness.serve(&mut stream, "2d").await;
@@ -183,7 +185,7 @@
     harness.give_up(abandoned, AttemptStatus::TimedOut);
     assert_eq!(
         harness.pool().state(FIRST_CONNECTION),
-        Some((harness.server(), State::Late(sent_at)))
+        Some((harness.server(), ConnectionState::Abandoned(sent_at)))
     );
     let timer = Timer::AbandonedResponse {
         connection: FIRST_CONNECTION,
@@ -208,7 +210,7 @@
     harness.give_up(second, AttemptStatus::Cancelled);
     assert_eq!(
         harness.first_connection_state(),
-        Some(State::Late(sent_at + 1))
+        Some(ConnectionState::Abandoned(sent_at + 1))
     );
     let timer_of_first = Timer::AbandonedResponse {
         connection: FIRST_CONNECTION,
--- a/crates/cache-router/tests/event_loop/revoked_sends.rs
+++ b/crates/cache-router/tests/event_loop/revoked_sends.rs
@@ -2,8 +2,8 @@
 //! the attempt is cancelled, or the process is suspended meanwhile.
 
 use bytes::Bytes;
+use cache_router::connection_pool::WriteProgress;
 use cache_router::message::{ClientCommand, ClientRequest, DiscoveryCall, RouterEvent};
-use cache_router::upstreams::Progress;
 use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 
@@ -18,7 +18,7 @@
     let mut stream = harness.accept().await;
     harness.handle(RouterEvent::ClientDisconnected(CLIENT));
     harness.assert_nothing_in_flight();
-    assert!(harness.pool().waiting(harness.server()).is_empty());
+    assert!(harness.pool().waiting_attempts(harness.server()).is_empty());
     harness.step().await; // The connection is established.
     harness.request_and_serve(&mut stream, "2d").await;
 }
@@ -141,7 +141,7 @@
     });
     let attempt = harness.in_flight().attempt(first_attempt(request));
     let connection = attempt.unwrap().connection.unwrap();
-    while harness.pool().progress(connection) != Progress::Writing {
+    while harness.pool().write_progress(connection) != WriteProgress::Writing {
         tokio::task::yield_now().await;
     }
     harness.handle(RouterEvent::ClientDisconnected(CLIENT));
--- /dev/null
+++ b/crates/cache-router/tests/resp.rs
@@ -0,0 +1,80 @@
+//! Commands and replies of RESP2.
+#![allow(
+    missing_docs,
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "test code"
+)]
+
+use bytes::{Bytes, BytesMut};
+use cache_router::resp::{MAX_VALUE_BYTES, Value, encode_command, take_command, take_value};
+
+#[test]
+fn a_command_is_taken_only_once_it_is_complete() {
+    let command = encode_command(&[b"OBJ.GET", b"k", b"i", b"c=read"]);
+    for cut in 0..command.len() {
+        let mut incomplete = BytesMut::from(&command[..cut]);
+        assert_eq!(take_command(&mut incomplete), Ok(None), "{cut} bytes");
+        assert_eq!(incomplete.len(), cut);
+    }
+    let mut both = BytesMut::from(&[&command[..], &command[..]].concat()[..]);
+    for _ in 0..2 {
+        let words = take_command(&mut both).unwrap().unwrap();
+        assert_eq!(words, [&b"OBJ.GET"[..], b"k", b"i", b"c=read"]);
+    }
+    assert!(both.is_empty());
+}
+
+#[test]
+fn malformed_or_too_long_input_is_an_error_at_once() {
+    for invalid in [
+        "GET k\r\n",
+        "*17\r\n",
+        "*1\r\n$65537\r\n",
+        "*1\r\n$-1\r\n",
+        "*1\r\n$+3\r\nabc\r\n",
+        "*1\r\n$3\r\nabcde",
+        "*99999999999999999999999\r\n",
+        "*11111111111111111111111111111",
+        "*\r\n",
+    ] {
+        assert!(
+            take_command(&mut BytesMut::from(invalid)).is_err(),
+            "{invalid:?}"
+        );
+    }
+}
+
+#[test]
+fn a_command_of_many_long_words_is_rejected_before_it_is_complete() {
+    let value = vec![b'v'; MAX_VALUE_BYTES];
+    let longest = encode_command(&[b"OBJ.SET", &[b'k'; 512], &[b'i'; 512], &[b'f'; 512], &value]);
+    assert_eq!(
+        take_command(&mut BytesMut::from(&longest[..longest.len() - 1])),
+        Ok(None)
+    );
+    assert_eq!(
+        take_command(&mut BytesMut::from(&longest[..]))
+            .unwrap()
+            .unwrap()
+            .len(),
+        5
+    );
+    let many = encode_command(&[&value[..]; 16]);
+    assert!(take_command(&mut BytesMut::from(&many[..2 * MAX_VALUE_BYTES])).is_err());
+}
+
+#[test]
+fn replies_are_read_and_deep_nesting_is_an_error() {
+    let mut replies = BytesMut::from("*3\r\n$2\r\nab\r\n$-1\r\n$3\r\nhit\r\n-BUSY\r\n:7\r\n");
+    let bulk = |text: &'static str| Value::BulkString(Some(Bytes::from_static(text.as_bytes())));
+    let array = Value::Array(vec![bulk("ab"), Value::BulkString(None), bulk("hit")]);
+    assert_eq!(take_value(&mut replies), Ok(Some(array)));
+    assert_eq!(
+        take_value(&mut replies),
+        Ok(Some(Value::Error("BUSY".into())))
+    );
+    assert_eq!(take_value(&mut replies), Ok(Some(Value::Integer(7))));
+    assert_eq!(take_value(&mut replies), Ok(None));
+    assert!(take_value(&mut BytesMut::from(&b"*1\r\n".repeat(9000)[..])).is_err());
+}
