--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -240,12 +240,12 @@
     }
 
     fn handle_endpoint_list(&mut self, call: &DiscoveryCall, update: &EndpointListUpdate) {
-        let verdict = self.driver.discovery().freshness(call, update);
-        if verdict == UpdateFreshness::Stale {
+        let freshness = self.driver.discovery().freshness(call, update);
+        if freshness == UpdateFreshness::Stale {
             return;
         }
         self.apply_endpoint_list(update, endpoints::list_update(update));
-        if verdict == UpdateFreshness::VersionRegressed {
+        if freshness == UpdateFreshness::VersionRegressed {
             // The change is in force all the same; what else is different there only the complete list shows.
             self.driver.discovery_mut().restart_watch();
         }
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -77,7 +77,7 @@
     info!("listening on {}", listener.local_addr()?);
     let deployment = Arc::new(config.deployment);
     let max_open_requests = deployment.max_open.min(MAX_OPEN_REQUESTS);
-    let frontend = ClientContext {
+    let client_context = ClientContext {
         deployment: deployment.clone(),
         clock,
         events: events.clone(),
@@ -87,7 +87,7 @@
         idle_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(max_open_requests)),
     };
-    tokio::spawn(listener::listen(listener, Arc::new(frontend)));
+    tokio::spawn(listener::listen(listener, Arc::new(client_context)));
     tokio::spawn(signals.run());
     let event_loop = EventLoop::new(EventLoopConfig {
         deployment,
--- /dev/null
+++ b/crates/routing-policy/src/identifiers.rs
@@ -0,0 +1,10 @@
+//! What identifies a request, a server and a key, and the unit of time. A leaf module.
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
+/// Identifies a client request at this router; never used twice.
+pub type RequestId = u64;
+/// Identifies a server (or the origin); the same after a restart of its process.
+pub type ServerId = u32;
+/// The key that a request reads or writes; 0 for none.
+pub type Key = u64;
--- a/crates/routing-policy/src/interface.rs
+++ b/crates/routing-policy/src/interface.rs
@@ -2,17 +2,9 @@
 //!
 //! Times are microseconds of the caller's clock, which may start anywhere and only advances.
 
+pub use crate::identifiers::{Key, Micros, RequestId, ServerId};
 use crate::log_event::LogEvent;
 
-/// A point in time or a span, in microseconds.
-pub type Micros = u64;
-/// Identifies a client request at this router; never used twice.
-pub type RequestId = u64;
-/// Identifies a server (or the origin); the same after a restart of its process.
-pub type ServerId = u32;
-/// The key that a request reads or writes; 0 for none.
-pub type Key = u64;
-
 /// What a router is configured with at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
--- a/crates/routing-policy/src/lib.rs
+++ b/crates/routing-policy/src/lib.rs
@@ -29,6 +29,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, server: 7 | 9, .. })));
 //! ```
 
+mod identifiers;
 pub mod interface;
 mod log_event;
 mod policy;
--- a/crates/routing-policy/src/log_event.rs
+++ b/crates/routing-policy/src/log_event.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::interface::{Micros, ServerId};
+use crate::identifiers::{Micros, ServerId};
 
 /// An event for the log. Its `Display` is one line: a constant message and key=value fields.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/testbed/src/html_report/mod.rs
+++ b/crates/testbed/src/html_report/mod.rs
@@ -3,6 +3,7 @@
 
 mod page;
 mod plot;
+mod variant;
 
 use std::collections::BTreeMap;
 use std::path::Path;
--- a/crates/testbed/src/html_report/page.rs
+++ b/crates/testbed/src/html_report/page.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::plot;
+use super::variant::{VariantReports, escape};
 use crate::compare::Difference;
 use crate::experiment::{Experiment, Run};
 use crate::report::Report;
@@ -17,20 +18,6 @@
 const TABLE_HEAD: &str = "<table><tr><th>variant</th><th>of</th><th>plays</th><th>service</th><th>difference</th>\
      <th>95% interval</th><th>rules broken</th></tr>\n";
 
-/// The reports of a variant under one scenario, by seed.
-pub(super) struct VariantReports<'a> {
-    pub(super) variant: &'a str,
-    pub(super) reports: Vec<&'a Report>,
-}
-
-/// Escapes text for HTML.
-pub(super) fn escape(text: &str) -> String {
-    text.replace('&', "&amp;")
-        .replace('<', "&lt;")
-        .replace('>', "&gt;")
-        .replace('"', "&quot;")
-}
-
 /// The page of an experiment.
 pub(super) fn render(
     experiment: &Experiment,
--- a/crates/testbed/src/html_report/plot.rs
+++ b/crates/testbed/src/html_report/plot.rs
@@ -4,7 +4,7 @@
 
 use plotters::prelude::*;
 
-use super::page::{VariantReports, escape};
+use super::variant::{VariantReports, escape};
 use crate::report::{Counts, LatencyPercentiles, Report, WINDOW};
 
 /// Width and height of a plot in pixels.
