--- a/crates/cache-router/src/event_loop/dispatcher.rs
+++ b/crates/cache-router/src/event_loop/dispatcher.rs
@@ -231,18 +231,17 @@
     /// Hands an attempt to its connection to be written; `false` if it may not be sent any more.
     fn write(&mut self, id: AttemptId, connection: ConnectionId, kind: WriteKind) -> bool {
         let now = self.clock.now();
-        let Some(attempt) = self.in_flight.attempt(id) else {
+        let Some((attempt, request)) = self.in_flight.attempt_with_request(id) else {
             return false;
         };
         let server = attempt.server;
-        let is_first_connection = attempt.connection.is_none();
         // Against a send after a drain or a disconnect: between the policy's decision and the first byte the attempt
         // waited for its connection, and meanwhile its server may drain or its client may have disconnected.
-        let request = self.in_flight.request(id.request);
-        let request = request.filter(|request| request.may_send(now));
-        let (Some(target), Some(request)) = (self.endpoints.ready_target(server), request) else {
+        let target = self.endpoints.ready_target(server);
+        let Some(target) = target.filter(|_| request.may_send(now)) else {
             return false;
         };
+        let is_first_connection = attempt.connection.replace(connection).is_none();
         let deadline = request.deadline();
         // Rounded down: no attempt states more time than is left.
         let remaining_ms = ((deadline - now) / MICROS_PER_MILLISECOND).max(1);
@@ -254,9 +253,6 @@
                 remaining_ms,
             ),
         };
-        if let Some(attempt) = self.in_flight.attempt_mut(id) {
-            attempt.connection = Some(connection);
-        }
         let is_confirmed = kind == WriteKind::Confirmed;
         if !self
             .pool
--- a/crates/cache-router/src/event_loop/endpoints.rs
+++ b/crates/cache-router/src/event_loop/endpoints.rs
@@ -26,6 +26,16 @@
     last_response_at: Micros,
 }
 
+impl Server {
+    fn target(&self, server: ServerId) -> ServerTarget {
+        ServerTarget {
+            server,
+            address: self.address,
+            protocol: self.protocol,
+        }
+    }
+}
+
 /// What an update changes for the connections to one server.
 #[derive(Debug, Clone, Copy)]
 pub struct EndpointChange {
@@ -82,17 +92,13 @@
     /// Where a server is reached.
     pub fn target(&self, server: ServerId) -> Option<ServerTarget> {
         let found = self.servers.get(&server)?;
-        Some(ServerTarget {
-            server,
-            address: found.address,
-            protocol: found.protocol,
-        })
+        Some(found.target(server))
     }
 
     /// Where a server is reached, if it accepts new requests.
     pub fn ready_target(&self, server: ServerId) -> Option<ServerTarget> {
-        let is_ready = self.servers.get(&server)?.state == EndpointState::Ready;
-        self.target(server).filter(|_| is_ready)
+        let found = self.servers.get(&server)?;
+        (found.state == EndpointState::Ready).then(|| found.target(server))
     }
 
     /// Whether any server accepts requests.
--- a/crates/cache-router/src/event_loop/in_flight.rs
+++ b/crates/cache-router/src/event_loop/in_flight.rs
@@ -111,6 +111,16 @@
         self.attempts.get(&id)
     }
 
+    /// An attempt, to be changed, with its request.
+    pub fn attempt_with_request(
+        &mut self,
+        id: AttemptId,
+    ) -> Option<(&mut Attempt, &InFlightRequest)> {
+        let attempt = self.attempts.get_mut(&id)?;
+        let request = self.requests.get(&id.request)?;
+        Some((attempt, request))
+    }
+
     /// An attempt, to be changed.
     pub fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut Attempt> {
         self.attempts.get_mut(&id)
