--- a/crates/cache-router/tests/client_connection.rs
+++ b/crates/cache-router/tests/client_connection.rs
@@ -466,14 +466,21 @@
     }
 }
 
-#[tokio::test(start_paused = true)]
-async fn with_all_slots_taken_the_connection_that_was_idle_for_longest_closes_and_no_other_later() {
-    let (first, _surroundings) = connected().await;
+/// The first client and as many more as take all slots.
+async fn take_all_slots(first: TcpStream) -> Vec<TcpStream> {
     let address = first.peer_addr().unwrap();
     let mut clients = vec![first];
     for _ in 1..4 {
         clients.push(TcpStream::connect(address).await.unwrap());
     }
+    clients
+}
+
+#[tokio::test(start_paused = true)]
+async fn with_all_slots_taken_the_connection_that_was_idle_for_longest_closes_and_no_other_later() {
+    let (first, _surroundings) = connected().await;
+    let address = first.peer_addr().unwrap();
+    let mut clients = take_all_slots(first).await;
     // The second is idle for longest, the first has been busy since.
     for number in [1, 0, 2, 3, 0] {
         clients[number].write_all(PING).await.unwrap();
@@ -509,10 +516,7 @@
 async fn idle_clients_in_all_slots_keep_no_new_client_waiting_during_a_shutdown() {
     let (first, surroundings) = connected().await;
     let address = first.peer_addr().unwrap();
-    let mut idle_clients = vec![first];
-    for _ in 1..4 {
-        idle_clients.push(TcpStream::connect(address).await.unwrap());
-    }
+    let mut idle_clients = take_all_slots(first).await;
     for client in &mut idle_clients {
         client.write_all(PING).await.unwrap();
         client.read_exact(&mut [0; 7]).await.unwrap();
