Review case 1: a second answer that comes late is served to another request

Cause: a connection to a cache server or the origin is given to the next attempt as soon as the first answer is whole, and the connection used last comes first. Bytes after an answer are noticed only in the same read or while the connection rests, so a second answer that comes some milliseconds late is taken for the answer to the request that is out by then.

The case: five nodes started with the command of the deploy file, 15 cache servers, an origin and discovery as stand-ins, 280 requests a second with the site's classes, 90 s. One answer in 20 comes a second time, 2 to 9 ms late. Clients compare each value and receipt with the request that it was made for; the origin counts how often each write has run.

--- /dev/null
+++ b/review/rig/src/cases.rs
@@ -0,0 +1,31 @@
+//! The cases.
+
+mod drain;
+mod memory;
+mod second_answer;
+
+use std::path::PathBuf;
+
+/// Where a case runs, and whether its disruption happens.
+pub struct Context {
+    pub root: PathBuf,
+    pub folder: PathBuf,
+    pub tmp: PathBuf,
+    pub trouble: bool,
+}
+
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+pub type Outcome = Result<Verdict, Box<dyn std::error::Error>>;
+
+pub fn run(case: &str, context: &Context) -> Outcome {
+    match case {
+        "second-answer" => second_answer::run(context),
+        "drain" => drain::run(context),
+        "memory" => memory::run(context),
+        _ => Err(format!("no case {case}").into()),
+    }
+}
