--- a/review/rig/src/client.rs
+++ b/review/rig/src/client.rs
@@ -1,5 +1,6 @@
 //! Clients: they keep their connections, open more when all are busy, and send one request at a time on each.
 
+use std::collections::HashSet;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -51,6 +52,8 @@
     idle: Arc<Mutex<Vec<BufReader<TcpStream>>>>,
     record: Record,
     name: String,
+    /// Requests that a client has sent once more, since the node had closed the connection.
+    pub resent: Arc<Mutex<HashSet<String>>>,
 }
 
 impl Clients {
@@ -60,6 +63,7 @@
             idle: Arc::default(),
             record,
             name: name.into(),
+            resent: Arc::default(),
         }
     }
 
@@ -76,6 +80,7 @@
         if was_kept && matches!(seen, Seen::Closed) {
             self.record
                 .line(&format!("client asks {name} {id} once more"));
+            self.resent.lock().unwrap().insert(id.clone());
             seen = self.ask_on(None, request);
         }
         let text = match &seen {
