Divide the router's thread fairly among client connections

Cause: all tasks share one thread, and a client connection yields only when the runtime's budget of 128 iterations is used up. An iteration parses and answers up to 64 commands, rejects up to 64 KiB of commands and reads up to 2 MiB, so what a task does in a turn is up to the client. A request takes about ten steps through several tasks and waits for such a turn of each of these clients at each.

Evidence, from a scratch copy that timed each poll: while they send, client connections use 500 ms of each 500 ms in turns of 2 to 8 ms on average and 230 ms at most; the event loop is polled 5 to 10 times, and a request lies up to 545 ms between read and event loop (40 us before). Ruled out by the same figures: many short turns, a full event queue (those commands cause no event), the policy (under 1 ms), slots (these answer or close), the machine (without the five, one of 2,204 requests is rejected and none lost).

Fix: the work of a connection is counted in bytes, commands and requests. Beyond a quantum it queues for a turn; one connection has a turn at a time, and the sockets are polled before each. So a request waits for at most one turn at each step, whatever is sent and by however many. It holds in each state of a connection: serving, rejecting, flushing rejections, discarding, half closed, lingering.

Tests with twenty clients for 3 s, debug build, longest answer before and after: unknown commands, unread 3.0 s, 20 ms; read 3.0 s, 28 ms; empty commands, read late 2.4 s, 27 ms; PING 2.4 s, 22 ms; half closed 2.8 s, 24 ms; requests 8.2 s, 33 ms; all six failed before (bound: deadline and 0.5 s, 980 ms). Two more passed before too: no command 111 and 10 ms, long values of an unknown class 910 and 13 ms.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::client_context::ClientContext;
+use crate::fair_share::{FairShare, Work};
 use crate::idle_connections::IdleGuard;
 use crate::lifecycle::LifecyclePhase;
 use crate::message::{ClientId, ClientReply, DisconnectCause};
@@ -88,6 +89,8 @@
     input: ClientInput,
     replies: ReplyQueue,
     output: ClientOutput,
+    /// Limits the work that is done before other tasks run.
+    share: FairShare,
     opened_at: Instant,
     /// How long the connection stays open for its first command if the router shuts down.
     first_command_until: Instant,
@@ -109,6 +112,7 @@
         // Capacity for every reply that can be pending, so that the event loop never waits for a client.
         let (reply_sender, reply_receiver) = mpsc::channel(MAX_PIPELINED + 1);
         let now = Instant::now();
+        let share = FairShare::new(client, context.bulk_turns.clone());
         ClientConnection {
             stream,
             client,
@@ -118,6 +122,7 @@
             input: ClientInput::default(),
             replies: ReplyQueue::default(),
             output: ClientOutput::default(),
+            share,
             opened_at: now,
             first_command_until: now + FIRST_COMMAND_GRACE,
             reject_until: None,
@@ -136,14 +141,12 @@
     async fn serve_commands(&mut self) -> CloseReason {
         let mut lifecycle = self.context.lifecycle.clone();
         loop {
-            // Yields regularly, so that a client that never stops sending does not starve other tasks.
-            tokio::task::coop::consume_budget().await;
+            self.share.wait_for_more().await;
             let phase = *lifecycle.borrow_and_update();
             if phase == LifecyclePhase::Closing {
                 self.start_rejecting();
             }
-            self.take_commands().await;
-            self.reject_excess_commands();
+            let is_interrupted = self.take_commands().await || self.reject_excess_commands();
             self.output.take_ready(&mut self.replies);
             if self.is_ready_to_close() {
                 match self.close_when_answered().await {
@@ -151,8 +154,9 @@
                     ControlFlow::Break(end) => return end,
                 }
             }
-            match self.output.write(|bytes| self.stream.try_write(bytes)) {
+            match self.write() {
                 Ok(true) => continue,
+                Ok(false) if is_interrupted => continue,
                 Ok(false) => {}
                 Err(Disconnected) => return CloseReason::ClosedByClient,
             }
@@ -162,7 +166,9 @@
                 return CloseReason::ClosedByClient;
             }
             self.update_idle_guard();
+            self.share.end_turn();
             let wake_up = self.wait(&mut lifecycle, phase, is_reading).await;
+            self.share.resume();
             if let ControlFlow::Break(end) = self.handle_wake_up(wake_up).await {
                 return end;
             }
@@ -175,11 +181,25 @@
             return Ok(());
         }
         let takes_commands = self.can_take_commands();
-        let try_read = |buffer: &mut BytesMut| self.stream.try_read_buf(buffer);
+        let try_read = |buffer: &mut BytesMut| {
+            let count = self.stream.try_read_buf(buffer)?;
+            self.share.charge(Work::Input(count));
+            Ok(count)
+        };
         self.input
             .read(try_read, self.context.clock, takes_commands)
     }
 
+    /// Writes as much output as the kernel accepts. Returns `true` if something was written.
+    fn write(&mut self) -> Result<bool, Disconnected> {
+        let try_write = |bytes: &[u8]| {
+            let count = self.stream.try_write(bytes)?;
+            self.share.charge(Work::Output(count));
+            Ok(count)
+        };
+        self.output.write(try_write)
+    }
+
     /// Whether a reply is pending or not completely written.
     fn has_unsent_replies(&self) -> bool {
         !self.replies.is_empty() || !self.output.is_empty()
--- a/crates/cache-router/src/client_connection/close.rs
+++ b/crates/cache-router/src/client_connection/close.rs
@@ -12,8 +12,8 @@
 use super::input::InputMode;
 use super::local_failures::Disconnected;
 use crate::event_loop::in_flight::{BUSY_REPLY, FAILED_REPLY};
+use crate::fair_share::Work;
 use crate::message::{ClientDisconnect, DisconnectCause, RouterEvent};
-use crate::socket::SocketStream;
 use crate::socket::errors::{classify, is_not_ready};
 use crate::socket::stream::LOCAL_RETRY_PAUSE;
 
@@ -133,16 +133,20 @@
         self.replies.fill_pending(FAILED_REPLY);
         self.input.reject();
         loop {
-            tokio::task::coop::consume_budget().await;
+            self.share.wait_for_more().await;
             // Reads up to the end of the stream, which has been seen already; nothing follows it.
             let _ = self.read();
             self.take_commands().await;
             self.output.take_ready(&mut self.replies);
-            match self.output.write(|bytes| self.stream.try_write(bytes)) {
+            match self.write() {
                 Ok(true) => continue,
                 Ok(false) if self.has_unsent_replies() => {}
+                Ok(false) if self.input.mode() == InputMode::Discard => {
+                    return self.discard_input().await;
+                }
                 Ok(false) | Err(Disconnected) => return,
             }
+            self.share.end_turn();
             let wait_until_writable = self.output.wait_until_writable(&self.stream);
             if tokio::time::timeout(LINGER_AFTER_ERROR, wait_until_writable)
                 .await
@@ -163,25 +167,30 @@
         };
         // It fails only if the connection has ended already.
         let _ = self.stream.shutdown_write();
-        let _ = tokio::time::timeout(timeout, discard_input(&self.stream)).await;
+        let _ = tokio::time::timeout(timeout, self.discard_input()).await;
     }
-}
 
-/// Reads and discards input until the client has closed its side.
-async fn discard_input(stream: &SocketStream) {
-    let mut buffer = BytesMut::with_capacity(LINGER_READ_BYTES);
-    for _ in 0..MAX_LINGER_READS {
-        if stream.readable().await.is_err() {
-            return;
-        }
-        match stream.try_read_buf(&mut buffer) {
-            Ok(0) => return,
-            Ok(_) => buffer.clear(),
-            Err(error) if is_not_ready(&error) => {}
-            Err(error) if classify(&error).is_transient() => {
-                tokio::time::sleep(LOCAL_RETRY_PAUSE).await;
+    /// Reads and discards input until the client has closed its side.
+    async fn discard_input(&mut self) {
+        let mut buffer = BytesMut::with_capacity(LINGER_READ_BYTES);
+        for _ in 0..MAX_LINGER_READS {
+            self.share.wait_for_more().await;
+            self.share.end_turn();
+            if self.stream.readable().await.is_err() {
+                return;
+            }
+            match self.stream.try_read_buf(&mut buffer) {
+                Ok(0) => return,
+                Ok(count) => {
+                    self.share.charge(Work::Input(count));
+                    buffer.clear();
+                }
+                Err(error) if is_not_ready(&error) => {}
+                Err(error) if classify(&error).is_transient() => {
+                    tokio::time::sleep(LOCAL_RETRY_PAUSE).await;
+                }
+                Err(_) => return,
             }
-            Err(_) => return,
         }
     }
 }
--- a/crates/cache-router/src/client_connection/commands.rs
+++ b/crates/cache-router/src/client_connection/commands.rs
@@ -7,6 +7,7 @@
 use super::input::{InputMode, ReceivedCommand};
 use crate::client_command::{self, Command};
 use crate::event_loop::in_flight::BUSY_REPLY;
+use crate::fair_share::Work;
 use crate::lifecycle::LifecyclePhase;
 use crate::message::{ClientCommand, ClientRequest, RouterEvent};
 use crate::resp::RespError;
@@ -18,36 +19,49 @@
 pub(super) const INCOMPLETE_REPLY: &[u8] = b"-ERR command not complete in time\r\n";
 
 impl ClientConnection {
-    /// Takes all complete commands from the input and handles them.
-    pub(super) async fn take_commands(&mut self) {
+    /// Takes complete commands from the input and handles them, at least one and at most as many as the connection's
+    /// share allows. Returns whether it stopped at the end of the share.
+    pub(super) async fn take_commands(&mut self) -> bool {
         while self.can_take_commands() {
             match self.input.take_command() {
                 Ok(Some(ReceivedCommand {
                     arguments,
                     arrived_at,
                 })) => {
+                    self.share.charge(Work::Command);
                     let received_at = arrived_at.unwrap_or_else(|| self.context.clock.now());
                     self.handle_command(&arguments, received_at).await;
                 }
-                Ok(None) => break,
+                Ok(None) => return false,
                 Err(error) => self.push_protocol_error(error),
             }
+            if self.share.is_used_up() {
+                return true;
+            }
         }
+        false
     }
 
     /// Rejects commands if too many have been read ahead. The client's close may follow the input that it has sent, and
-    /// is only seen once that input has been read.
-    pub(super) fn reject_excess_commands(&mut self) {
+    /// is only seen once that input has been read. Returns whether it stopped at the end of the connection's share.
+    pub(super) fn reject_excess_commands(&mut self) -> bool {
         if self.can_take_commands() || !self.input.is_full() {
-            return;
+            return false;
         }
         while self.input.has_excess() {
             match self.input.take_command() {
-                Ok(Some(_)) => self.replies.push_repeated(BUSY_REPLY),
-                Ok(None) => return,
+                Ok(Some(_)) => {
+                    self.share.charge(Work::Command);
+                    self.replies.push_repeated(BUSY_REPLY);
+                }
+                Ok(None) => return false,
                 Err(error) => self.push_protocol_error(error),
             }
+            if self.share.is_used_up() {
+                return true;
+            }
         }
+        false
     }
 
     /// Queues the error reply to input that is not a command.
@@ -97,6 +111,7 @@
             self.replies.push_ready(BUSY_REPLY);
             return;
         };
+        self.share.charge(Work::Request);
         let request = ClientRequest {
             command,
             received_at,
--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -140,30 +140,33 @@
         &self.failures
     }
 
-    /// Reads what has arrived, unless the pause after a failed read is not over. `try_read` reads from the socket.
+    /// Reads what has arrived, up to [`MAX_READ_AHEAD_BYTES`], unless the pause after a failed read is not over.
+    /// `try_read` reads from the socket.
     ///
     /// # Errors
     ///
     /// If the client has closed its sending side or the connection is lost, even if commands have been read before it.
     pub fn read(
         &mut self,
-        try_read: impl Fn(&mut BytesMut) -> io::Result<usize>,
+        mut try_read: impl FnMut(&mut BytesMut) -> io::Result<usize>,
         clock: Clock,
         takes_commands: bool,
     ) -> Result<(), Disconnected> {
         if self.failures.is_paused() {
             return Ok(());
         }
-        while self.can_read(takes_commands) {
+        let mut bytes_read = 0;
+        while self.can_read(takes_commands) && bytes_read < MAX_READ_AHEAD_BYTES {
             self.buffer.reserve(READ_CAPACITY);
             let result = try_read(&mut self.buffer);
             if result.is_ok() {
                 self.failures.record_success();
             }
-            if let Ok(count) = result
-                && !takes_commands
-            {
-                self.throttled_bytes += count;
+            if let Ok(count) = result {
+                bytes_read += count;
+                if !takes_commands {
+                    self.throttled_bytes += count;
+                }
             }
             match result {
                 Ok(0) => return Err(Disconnected),
--- a/crates/cache-router/src/client_context.rs
+++ b/crates/cache-router/src/client_context.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use crate::clock::Clock;
+use crate::fair_share::BulkTurns;
 use crate::idle_connections::IdleConnections;
 use crate::lifecycle::LifecyclePhase;
 use crate::message::RouterEvent;
@@ -30,6 +31,8 @@
     /// One permit for each request that may still be accepted. A request holds its permit until its reply is moved to
     /// the output, which bounds memory.
     pub request_slots: Arc<Semaphore>,
+    /// The queue of the connections that have more to do than their share.
+    pub bulk_turns: Arc<BulkTurns>,
 }
 
 impl ClientContext {
--- a/crates/cache-router/src/lib.rs
+++ b/crates/cache-router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod connection_pool;
 pub mod discovery;
 pub mod event_loop;
+pub mod fair_share;
 pub mod http;
 pub mod idle_connections;
 pub mod lifecycle;
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -170,6 +170,7 @@
         reserved_slots: (max_connections / CLIENTS_PER_REJECTION).max(1),
         idle_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(max_open_requests)),
+        bulk_turns: Arc::default(),
     };
     tokio::spawn(listener::listen(router.listener, Arc::new(client_context)));
     let signal_handler = SignalHandler {
--- a/crates/cache-router/tests/client_connection/support.rs
+++ b/crates/cache-router/tests/client_connection/support.rs
@@ -76,6 +76,7 @@
         reserved_slots: 1,
         idle_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(1_024)),
+        bulk_turns: Arc::default(),
     });
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
--- a/crates/cache-router/tests/listener.rs
+++ b/crates/cache-router/tests/listener.rs
@@ -63,6 +63,7 @@
         reserved_slots: 1,
         idle_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(16)),
+        bulk_turns: Arc::default(),
     };
     (Arc::new(context), phase_sender)
 }
--- a/crates/cache-router/tests/router_process/main.rs
+++ b/crates/cache-router/tests/router_process/main.rs
@@ -6,6 +6,7 @@
     reason = "test code"
 )]
 
+mod bulk_clients;
 mod configuration;
 mod connection_limits;
 mod endpoint_lists;
