--- a/crates/cache-router/tests/router_process/bulk_clients.rs
+++ b/crates/cache-router/tests/router_process/bulk_clients.rs
@@ -11,7 +11,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use crate::support::{Behaviour, Cluster, PING, cache_server, command, hit, read_with_deadline};
+use crate::support::{
+    Behaviour, Client, Cluster, PING, cache_server, command, hit, read, read_with_deadline,
+};
 
 /// The deadline of the requests of the other clients, in milliseconds: the shortest that a client of the site has.
 const DEADLINE_MS: u32 = 480;
@@ -31,6 +33,9 @@
 /// A bulk client whose reads and writes block checks this often whether the test is over.
 const BULK_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// The platform may kill a router this long after SIGTERM: the longest deadline, counted as 3 s, and 0.7 s.
+const TIME_TO_KILL: Duration = Duration::from_millis(3_700);
+
 /// What a bulk client does beside sending.
 #[derive(Clone, Copy, PartialEq)]
 enum Reading {
@@ -164,11 +169,19 @@
     Ok(())
 }
 
+/// Sends a request and returns its reply; `None` if the connection is closed without one.
+fn execute(client: &mut Client, request: &[u8]) -> Option<String> {
+    client.output.write_all(request).ok()?;
+    client.reply()
+}
+
 /// The replies to the requests of another client while bulk clients send.
 #[derive(Debug, Default)]
 struct OtherClient {
     served: usize,
     rejected: usize,
+    /// Requests whose connection the router closed instead of reading them, also once more on a new connection.
+    unread: usize,
     longest: Duration,
 }
 
@@ -184,14 +197,20 @@
             }
             let request = read_with_deadline(&format!("r{number}"), DEADLINE_MS);
             let sent_at = Instant::now();
-            let reply = match number % 2 {
-                0 => kept.execute(&request),
-                _ => cluster.client().execute(&request),
+            let mut reply = match number % 2 {
+                0 => execute(&mut kept, &request),
+                _ => execute(&mut cluster.client(), &request),
             };
+            if reply.is_none() && number % 2 == 0 {
+                // The router has closed the connection between two requests: the request is sent once more.
+                kept = cluster.client();
+                reply = execute(&mut kept, &request);
+            }
             result.longest = result.longest.max(sent_at.elapsed());
-            match reply.expect("a reply") {
-                reply if reply.starts_with('-') => result.rejected += 1,
-                _ => result.served += 1,
+            match reply {
+                Some(reply) if reply.starts_with('-') => result.rejected += 1,
+                Some(_) => result.served += 1,
+                None => result.unread += 1,
             }
             thread::sleep(PAUSE);
         }
@@ -264,3 +283,28 @@
     };
     assert_others_are_answered(bulk);
 }
+
+#[test]
+fn in_a_shutdown_open_requests_have_their_replies_before_the_kill_beside_bulk_clients() {
+    const OPEN_REQUESTS: usize = 20;
+    let mut cluster = Cluster::with_cache(cache_server(|_| Behaviour::Hang));
+    let mut clients: Vec<Client> = (0..OPEN_REQUESTS).map(|_| cluster.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&read("aa", &format!("r{number}")));
+        cluster.cache.next_request();
+    }
+    let bulk = Bulk::of(command(&["FOO"]), Reading::Everything);
+    let running_bulk = RunningBulk::start(cluster.router.address, bulk);
+    thread::sleep(HEAD_START);
+    let terminated_at = Instant::now();
+    cluster.router.terminate();
+    for client in &mut clients {
+        let reply = client.reply();
+        assert!(reply.is_some(), "closed without a reply");
+    }
+    let last_reply_after = terminated_at.elapsed();
+    println!("the last reply came {last_reply_after:?} after SIGTERM");
+    assert!(last_reply_after <= TIME_TO_KILL, "{last_reply_after:?}");
+    drop(running_bulk);
+    cluster.router.assert_exits_with_success();
+}
