Close a bulk connection that sends no requests when a new client needs its slot

Cause: only idle connections give up their slot, and a connection with more input is never idle, so the listener waits for a slot while the kernel holds the new client's request.

One that ever sent a request is never closed so. The registry holds more than idle connections now: ClosableConnections.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -24,8 +24,8 @@
 use tokio::time::Instant;
 
 use crate::client_context::ClientContext;
+use crate::closable_connections::{Closable, CloseGuard};
 use crate::fair_share::{FairShare, Work};
-use crate::idle_connections::IdleGuard;
 use crate::lifecycle::LifecyclePhase;
 use crate::message::{ClientId, ClientReply, DisconnectCause};
 use crate::socket::SocketStream;
@@ -76,6 +76,7 @@
                 .await
         }
         CloseReason::ClosedByRouter => connection.linger().await,
+        CloseReason::SlotReclaimed => {}
     }
 }
 
@@ -97,7 +98,13 @@
     /// Set once the connection is about to close: commands are read and rejected until then.
     reject_until: Option<Instant>,
     /// Held while the connection is idle.
-    idle_guard: Option<IdleGuard>,
+    idle_guard: Option<CloseGuard>,
+    /// Held while the connection is a bulk connection that sends no requests.
+    bulk_guard: Option<CloseGuard>,
+    /// Whether the client has ever sent a request.
+    has_sent_request: bool,
+    /// How many commands have been answered that are not requests.
+    other_commands: usize,
     /// Whether the connection has a reserved slot and no request of it has been accepted yet.
     uses_reserved_slot: bool,
 }
@@ -127,6 +134,9 @@
             first_command_until: now + FIRST_COMMAND_GRACE,
             reject_until: None,
             idle_guard: None,
+            bulk_guard: None,
+            has_sent_request: false,
+            other_commands: 0,
             uses_reserved_slot,
         }
     }
@@ -141,7 +151,9 @@
     async fn serve_commands(&mut self) -> CloseReason {
         let mut lifecycle = self.context.lifecycle.clone();
         loop {
-            self.share.wait_for_more().await;
+            if let ControlFlow::Break(end) = self.wait_for_share().await {
+                return end;
+            }
             let phase = *lifecycle.borrow_and_update();
             if phase == LifecyclePhase::Closing {
                 self.start_rejecting();
@@ -250,13 +262,36 @@
         waiting_since.map(|since| since + COMMAND_TIMEOUT)
     }
 
+    /// Whether the client has sent more commands than can be pipelined and no request among them.
+    fn sends_no_requests(&self) -> bool {
+        !self.has_sent_request && self.other_commands > MAX_PIPELINED
+    }
+
+    /// Waits until the connection may do more work, or has to give its slot to a new client.
+    async fn wait_for_share(&mut self) -> ControlFlow<CloseReason> {
+        if self.bulk_guard.is_none() && self.share.is_used_up() && self.sends_no_requests() {
+            let guard = self.context.closable_connections.register(Closable::Bulk);
+            self.bulk_guard = Some(guard);
+        }
+        let is_bulk = self.bulk_guard.is_some();
+        tokio::select! {
+            biased;
+            () = wait::close_requested(&mut self.bulk_guard), if is_bulk => self.reclaim_slot(),
+            () = self.share.wait_for_more() => ControlFlow::Continue(()),
+        }
+    }
+
     /// Registers the connection as idle, or removes its registration.
     fn update_idle_guard(&mut self) {
         let is_idle = self.is_between_requests() && !self.replies.is_unused();
         if !is_idle {
             self.idle_guard = None;
-        } else if self.idle_guard.is_none() {
-            self.idle_guard = Some(self.context.idle_connections.register());
+            return;
+        }
+        self.bulk_guard = None;
+        if self.idle_guard.is_none() {
+            let guard = self.context.closable_connections.register(Closable::Idle);
+            self.idle_guard = Some(guard);
         }
     }
 }
--- a/crates/cache-router/src/client_connection/close.rs
+++ b/crates/cache-router/src/client_connection/close.rs
@@ -36,6 +36,8 @@
     OutputStalled,
     /// The router closes it: between requests, after input that is not a command, or after an incomplete command.
     ClosedByRouter,
+    /// A new client needs the slot of a bulk connection, which has no request that is owed a reply.
+    SlotReclaimed,
 }
 
 impl ClientConnection {
@@ -53,6 +55,14 @@
         ControlFlow::Break(CloseReason::ClosedByRouter)
     }
 
+    /// Closes a bulk connection at once: its client may go on sending, and a new client waits for the slot.
+    pub(super) fn reclaim_slot(&mut self) -> ControlFlow<CloseReason> {
+        if let Some(bulk_guard) = self.bulk_guard.take() {
+            bulk_guard.close();
+        }
+        ControlFlow::Break(CloseReason::SlotReclaimed)
+    }
+
     /// Closes the connection if its command deadline has passed and the command is still not complete. An incomplete
     /// command is answered with an error after all pending replies. A client that has sent nothing gets no reply.
     pub(super) async fn handle_overdue_command(&mut self) -> ControlFlow<CloseReason> {
--- a/crates/cache-router/src/client_connection/commands.rs
+++ b/crates/cache-router/src/client_connection/commands.rs
@@ -83,22 +83,30 @@
 
     async fn handle_command(&mut self, arguments: &[Bytes], received_at: Micros) {
         match client_command::parse(arguments, &self.context.deployment) {
+            Ok(Command::Request(command)) => self.handle_request(command, received_at).await,
             Ok(Command::Ping) => {
                 let phase = *self.context.lifecycle.borrow();
                 let reply = match phase {
                     LifecyclePhase::Starting => LOADING_REPLY,
                     _ => PONG_REPLY,
                 };
-                self.replies.push_ready(reply);
+                self.answer_other_command(reply);
             }
-            Ok(Command::Request(command)) => self.handle_request(command, received_at).await,
-            Err(error) => self.replies.push_ready(format!("-ERR {error}\r\n")),
+            Err(error) => self.answer_other_command(format!("-ERR {error}\r\n")),
         }
     }
 
+    /// Queues the reply to a command that is not a request.
+    fn answer_other_command(&mut self, reply: impl Into<Bytes>) {
+        self.other_commands += 1;
+        self.replies.push_ready(reply);
+    }
+
     /// Sends a request to the event loop. If the connection is about to close or no request slot is free, it is
     /// rejected without asking the routing policy, which is safe because it was never sent to a server.
     async fn handle_request(&mut self, command: ClientCommand, received_at: Micros) {
+        self.has_sent_request = true;
+        self.bulk_guard = None;
         if self.uses_reserved_slot && self.context.only_reserved_slots_left() {
             self.start_rejecting();
         }
--- a/crates/cache-router/src/client_connection/wait.rs
+++ b/crates/cache-router/src/client_connection/wait.rs
@@ -9,7 +9,7 @@
 
 use super::input::THROTTLE_INTERVAL;
 use super::{ClientConnection, CloseReason};
-use crate::idle_connections::IdleGuard;
+use crate::closable_connections::CloseGuard;
 use crate::lifecycle::LifecyclePhase;
 use crate::message::ClientReply;
 
@@ -36,6 +36,8 @@
     IdleInShutdown,
     /// A new client needs the slot of this idle connection.
     CloseRequested,
+    /// A new client needs the slot of this bulk connection.
+    SlotReclaimed,
     /// The client has read none of its replies for too long.
     OutputStalled,
     /// It is time to check whether the client has closed a connection that is not being read.
@@ -56,6 +58,7 @@
         let read_retry_at = self.input.failures().retry_at().filter(|_| is_reading);
         let write_retry_at = self.output.failures().retry_at().filter(|_| has_output);
         let is_idle = self.idle_guard.is_some();
+        let is_bulk = self.bulk_guard.is_some();
         let is_shutting_down = phase.is_shutting_down();
         let awaits_first_command = self.is_between_requests() && self.replies.is_unused();
         let command_deadline = self.command_deadline();
@@ -75,6 +78,7 @@
                 if is_shutting_down && awaits_first_command => WakeUp::FirstCommandOverdue,
             () = std::future::ready(()), if is_shutting_down && is_idle => WakeUp::IdleInShutdown,
             () = close_requested(&mut self.idle_guard), if is_idle => WakeUp::CloseRequested,
+            () = close_requested(&mut self.bulk_guard), if is_bulk => WakeUp::SlotReclaimed,
             () = tokio::time::sleep_until(self.output.stall_deadline()),
                 if has_output => WakeUp::OutputStalled,
             () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !is_reading => WakeUp::CloseCheckDue,
@@ -98,6 +102,7 @@
             WakeUp::FirstCommandOverdue | WakeUp::IdleInShutdown | WakeUp::CloseRequested => {
                 self.close_if_idle().await
             }
+            WakeUp::SlotReclaimed => self.reclaim_slot(),
             WakeUp::OutputStalled => ControlFlow::Break(CloseReason::OutputStalled),
             WakeUp::CommandOverdue => self.handle_overdue_command().await,
         }
@@ -134,9 +139,9 @@
     }
 }
 
-/// Waits until an idle connection is asked to close.
-async fn close_requested(idle_guard: &mut Option<IdleGuard>) {
-    if let Some(idle_guard) = idle_guard {
-        idle_guard.close_requested().await;
+/// Waits until a connection is asked to close.
+pub(super) async fn close_requested(guard: &mut Option<CloseGuard>) {
+    if let Some(guard) = guard {
+        guard.close_requested().await;
     }
 }
--- a/crates/cache-router/src/client_context.rs
+++ b/crates/cache-router/src/client_context.rs
@@ -6,8 +6,8 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use crate::clock::Clock;
+use crate::closable_connections::ClosableConnections;
 use crate::fair_share::BulkTurns;
-use crate::idle_connections::IdleConnections;
 use crate::lifecycle::LifecyclePhase;
 use crate::message::RouterEvent;
 
@@ -26,8 +26,8 @@
     /// How many of the slots are reserved for connections whose requests are rejected, so that clients get a reply
     /// instead of waiting when all other slots are taken.
     pub reserved_slots: usize,
-    /// The idle connections, one of which is closed if a new client needs its slot.
-    pub idle_connections: Arc<IdleConnections>,
+    /// The connections that can be closed, one of which is if a new client needs its slot.
+    pub closable_connections: Arc<ClosableConnections>,
     /// One permit for each request that may still be accepted. A request holds its permit until its reply is moved to
     /// the output, which bounds memory.
     pub request_slots: Arc<Semaphore>,
--- a/crates/cache-router/src/listener.rs
+++ b/crates/cache-router/src/listener.rs
@@ -68,7 +68,7 @@
         // The kernel may have received the new client's request already, so the client must not wait for nothing: an
         // idle connection is closed to free a slot. If none is idle, the request is rejected at once.
         let uses_reserved_slot =
-            context.only_reserved_slots_left() && !context.idle_connections.request_close();
+            context.only_reserved_slots_left() && !context.closable_connections.request_close();
         tokio::spawn(client_connection::serve(
             stream,
             context.clone(),
@@ -99,10 +99,10 @@
         return Some(slot);
     }
     loop {
-        context.idle_connections.request_close_now_or_next();
+        context.closable_connections.request_close_now_or_next();
         let free_slot = slots.clone().acquire_owned();
         if let Ok(slot) = tokio::time::timeout(SLOT_RETRY_DELAY, free_slot).await {
-            context.idle_connections.cancel_close_of_next();
+            context.closable_connections.cancel_close_of_next();
             return slot.ok();
         }
     }
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -168,7 +168,7 @@
         lifecycle: phase_receiver,
         connection_slots: client_capacity.clone(),
         reserved_slots: (max_connections / CLIENTS_PER_REJECTION).max(1),
-        idle_connections: Arc::default(),
+        closable_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(max_open_requests)),
         bulk_turns: Arc::default(),
     };
--- a/crates/cache-router/tests/client_connection/closes.rs
+++ b/crates/cache-router/tests/client_connection/closes.rs
@@ -35,12 +35,12 @@
     for by_new_client in [false, true] {
         let (mut client, harness) = connected().await;
         client.write_all(PING).await.unwrap();
-        while harness.context.idle_connections.count() == 0 {
+        while harness.context.closable_connections.count() == 0 {
             tokio::task::yield_now().await;
         }
         // The client has not read the reply yet.
         match by_new_client {
-            true => assert!(harness.context.idle_connections.request_close()),
+            true => assert!(harness.context.closable_connections.request_close()),
             false => harness.lifecycle.send(LifecyclePhase::Draining).unwrap(),
         }
         let mut first = [0; 7];
@@ -71,7 +71,7 @@
         // The close is requested and the bytes are written before the connection's task runs again.
         let client = client.into_std().unwrap();
         match by_new_client {
-            true => assert!(harness.context.idle_connections.request_close()),
+            true => assert!(harness.context.closable_connections.request_close()),
             false => harness.lifecycle.send(LifecyclePhase::Draining).unwrap(),
         }
         std::io::Write::write_all(&mut &client, &get(1)).unwrap();
--- a/crates/cache-router/tests/client_connection/support.rs
+++ b/crates/cache-router/tests/client_connection/support.rs
@@ -74,7 +74,7 @@
         lifecycle,
         connection_slots: Arc::new(Semaphore::new(slots)),
         reserved_slots: 1,
-        idle_connections: Arc::default(),
+        closable_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(1_024)),
         bulk_turns: Arc::default(),
     });
--- a/crates/cache-router/tests/idle_connections.rs
+++ b/crates/cache-router/tests/closable_connections.rs
@@ -1,4 +1,4 @@
-//! Which idle connections are asked to close.
+//! Which connections are asked to close.
 #![allow(
     missing_docs,
     clippy::unwrap_used,
@@ -11,9 +11,9 @@
 use std::sync::Arc;
 use std::task::{Context, Waker};
 
-use cache_router::idle_connections::{IdleConnections, IdleGuard};
+use cache_router::closable_connections::{Closable, ClosableConnections, CloseGuard};
 
-fn is_asked_to_close(guard: &mut IdleGuard) -> bool {
+fn is_asked_to_close(guard: &mut CloseGuard) -> bool {
     let close_requested = pin!(guard.close_requested());
     let mut context = Context::from_waker(Waker::noop());
     close_requested.poll(&mut context).is_ready()
@@ -21,11 +21,11 @@
 
 #[test]
 fn a_request_for_a_place_goes_to_whoever_is_idle_first_and_ends_with_the_new_clients_wait() {
-    let connections = Arc::new(IdleConnections::default());
+    let connections = Arc::new(ClosableConnections::default());
     // No connection is idle: only the next one that becomes idle is asked.
     connections.request_close_now_or_next();
-    let mut first = connections.register();
-    let mut second = connections.register();
+    let mut first = connections.register(Closable::Idle);
+    let mut second = connections.register(Closable::Idle);
     assert!(is_asked_to_close(&mut first) && !is_asked_to_close(&mut second));
     // The first is busy again although it was asked: the close request goes to the second.
     drop(first);
@@ -34,6 +34,17 @@
     // Once the new client has a slot, no close request remains.
     connections.request_close_now_or_next();
     connections.cancel_close_of_next();
-    assert!(!is_asked_to_close(&mut connections.register()));
+    assert!(!is_asked_to_close(
+        &mut connections.register(Closable::Idle)
+    ));
     assert!(!connections.request_close(), "no connection is idle");
 }
+
+#[test]
+fn a_bulk_connection_is_asked_before_any_idle_one() {
+    let connections = Arc::new(ClosableConnections::default());
+    let mut idle = connections.register(Closable::Idle);
+    let mut bulk = connections.register(Closable::Bulk);
+    assert!(connections.request_close());
+    assert!(is_asked_to_close(&mut bulk) && !is_asked_to_close(&mut idle));
+}
--- a/crates/cache-router/tests/listener.rs
+++ b/crates/cache-router/tests/listener.rs
@@ -61,7 +61,7 @@
         lifecycle,
         connection_slots: Arc::new(Semaphore::new(SLOTS)),
         reserved_slots: 1,
-        idle_connections: Arc::default(),
+        closable_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(16)),
         bulk_turns: Arc::default(),
     };
--- a/crates/cache-router/tests/router_process/bulk_clients.rs
+++ b/crates/cache-router/tests/router_process/bulk_clients.rs
@@ -56,6 +56,7 @@
     /// How much it sends on a connection, in bytes.
     bytes_per_connection: usize,
     reading: Reading,
+    clients: usize,
 }
 
 impl Bulk {
@@ -64,6 +65,7 @@
             command,
             bytes_per_connection: MAX_BULK_BYTES,
             reading,
+            clients: BULK_CLIENTS,
         }
     }
 }
@@ -78,6 +80,7 @@
     fn start(router: SocketAddr, bulk: Bulk) -> RunningBulk {
         let bulk = Arc::new(bulk);
         let is_over = Arc::new(AtomicBool::new(false));
+        let clients = bulk.clients;
         let client = |_| {
             let (bulk, is_over) = (bulk.clone(), is_over.clone());
             thread::spawn(move || {
@@ -88,7 +91,7 @@
             })
         };
         RunningBulk {
-            threads: (0..BULK_CLIENTS).map(client).collect(),
+            threads: (0..clients).map(client).collect(),
             is_over,
         }
     }
@@ -284,6 +287,16 @@
     assert_others_are_answered(bulk);
 }
 
+#[test]
+fn others_are_answered_though_bulk_clients_have_taken_all_slots() {
+    // The router has 120 slots for clients.
+    let bulk = Bulk {
+        clients: 160,
+        ..Bulk::of(command(&["FOO"]), Reading::Nothing)
+    };
+    assert_others_are_answered(bulk);
+}
+
 #[test]
 fn in_a_shutdown_open_requests_have_their_replies_before_the_kill_beside_bulk_clients() {
     const OPEN_REQUESTS: usize = 20;
