Decode a list of endpoints in time proportional to its bytes, however small its pieces

While a long list arrives in small pieces, the thread is busy for seconds and no request is answered. Found by reading, shown by the decoder alone; no client was seen to lose a request by it.

Fix: the ends of the objects are found as the bytes come, and a list is parsed when it is complete. A list that is invalid in the middle is still an error before its end: pending bytes are parsed again when they have doubled.

--- a/crates/cache-router/src/discovery/list_decoder.rs
+++ b/crates/cache-router/src/discovery/list_decoder.rs
@@ -26,11 +26,16 @@
     },
 }
 
-/// Decodes endpoint lists from a stream, at whatever points its bytes are split.
+/// Decodes endpoint lists from a stream, at whatever points its bytes are split. The time that this takes is
+/// proportional to the number of bytes, however small the pieces are in which they arrive.
 #[derive(Default)]
 pub struct EndpointListDecoder {
     pending: BytesMut,
     incomplete_since: Option<Instant>,
+    value_ends: ValueEnds,
+    /// Pending bytes that were found to be incomplete are parsed again from their start only when there are at least
+    /// this many, in case they are invalid.
+    next_check_at: usize,
 }
 
 impl EndpointListDecoder {
@@ -46,9 +51,9 @@
     /// If the stream is not a sequence of endpoint lists, or a list is too long.
     pub fn decode(&mut self, data: &[u8]) -> Result<Vec<EndpointListUpdate>, ListError> {
         self.pending.extend_from_slice(data);
-        // A list ends with a brace, so without one in the new bytes no list has become complete. A list that arrives in
-        // small pieces is thus not parsed from its start for each piece.
-        let may_complete = data.contains(&b'}') || self.pending.trim_ascii().is_empty();
+        let has_value_end = self.value_ends.scan(data);
+        let is_check_due = self.pending.len() >= self.next_check_at && data.contains(&b'}');
+        let may_complete = has_value_end || is_check_due || self.pending.trim_ascii().is_empty();
         let updates = if may_complete {
             self.take_complete()?
         } else {
@@ -78,6 +83,7 @@
             }
         };
         self.pending.advance(consumed);
+        self.next_check_at = self.pending.len() * 2;
         Ok(updates)
     }
 
@@ -93,3 +99,45 @@
         }
     }
 }
+
+/// Finds the ends of the JSON objects in a stream without parsing them.
+#[derive(Default)]
+struct ValueEnds {
+    /// How many objects and arrays are open.
+    depth: usize,
+    is_in_string: bool,
+    /// Whether the next character of the string is escaped.
+    is_escaped: bool,
+}
+
+impl ValueEnds {
+    /// Scans the next bytes of the stream. Returns whether an object that is not part of another one ends among them.
+    fn scan(&mut self, bytes: &[u8]) -> bool {
+        let mut has_end = false;
+        for byte in bytes {
+            if self.is_in_string {
+                self.scan_in_string(*byte);
+                continue;
+            }
+            match byte {
+                b'"' => self.is_in_string = true,
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => {
+                    self.depth = self.depth.saturating_sub(1);
+                    has_end |= self.depth == 0;
+                }
+                _ => {}
+            }
+        }
+        has_end
+    }
+
+    fn scan_in_string(&mut self, byte: u8) {
+        match byte {
+            _ if self.is_escaped => self.is_escaped = false,
+            b'\\' => self.is_escaped = true,
+            b'"' => self.is_in_string = false,
+            _ => {}
+        }
+    }
+}
--- a/crates/cache-router/tests/discovery.rs
+++ b/crates/cache-router/tests/discovery.rs
@@ -128,6 +128,44 @@
     }
 }
 
+#[test]
+fn a_long_list_in_small_pieces_keeps_no_request_waiting_beyond_its_time() {
+    // Guards against a list that is parsed from its start for each piece, which holds the thread for seconds.
+    const SERVERS: usize = 3_200;
+    const PIECE_BYTES: usize = 400;
+    /// A request whose final answer comes later than this after its deadline is lost.
+    const MAX_OVERTIME: Duration = Duration::from_millis(500);
+    /// Another process may delay an attempt on a busy machine.
+    const TRIES: usize = 3;
+    let endpoints: Vec<String> = (0..SERVERS)
+        .map(|number| {
+            format!(
+                r#"{{"name":"s-{number:08x}","address":"10.1.{}.{}:6379","zone":"a","type":"m2","group":3,"status":"active","weight":1.0,"since_ms":1796400000000}}"#,
+                number / 250,
+                number % 250
+            )
+        })
+        .collect();
+    let list = format!(
+        r#"{{"index":43,"snapshot":true,"endpoints":[{}]}}"#,
+        endpoints.join(",")
+    );
+    let decode_in_pieces = |_| {
+        let mut decoder = EndpointListDecoder::default();
+        let since = std::time::Instant::now();
+        let lists: Vec<_> = list
+            .as_bytes()
+            .chunks(PIECE_BYTES)
+            .flat_map(|piece| decoder.decode(piece).unwrap())
+            .collect();
+        assert_eq!((lists.len(), lists[0].endpoints.len()), (1, SERVERS));
+        since.elapsed()
+    };
+    let shortest = (0..TRIES).map(decode_in_pieces).min().unwrap();
+    println!("{} bytes were decoded within {shortest:?}", list.len());
+    assert!(shortest <= MAX_OVERTIME, "{shortest:?}");
+}
+
 #[test]
 fn invalid_lists_are_errors_and_the_size_of_a_list_is_bounded() {
     for invalid in [
