Log requests that wait long in the router before they are routed

Such a request is now logged with its client and its wait, from 50 ms on. Its test fills a connection's 64 places, so that the 65th request waits for the deadline of the others.

--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -20,6 +20,7 @@
 use routing_policy::settings::Deployment;
 use routing_policy::{AttemptStatus, Event, ListUpdate, Micros, Policy};
 use tokio::sync::{mpsc, watch};
+use tracing::warn;
 
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
@@ -39,6 +40,9 @@
 /// If an iteration of the loop, including its wait for an event, takes longer than this many microseconds, the loop
 /// polls its sockets before it goes on.
 pub const STALL_THRESHOLD: Micros = 50_000;
+/// A request that waits longer than this many microseconds between its arrival and the policy is logged: the router is
+/// too busy to read it in time, or its connection has too many requests without a reply.
+const LONG_WAIT: Micros = 50_000;
 /// How often the loop yields to the other tasks after a stall: once for the runtime to poll the sockets, and once for
 /// each of the two tasks through which received bytes pass on their way to the loop.
 const YIELDS_AFTER_STALL: usize = 3;
@@ -237,6 +241,14 @@
         if request.replies.is_closed() {
             return; // Its client has disconnected; the event that reports this is still in the queue.
         }
+        let waited = self.clock.now().saturating_sub(request.received_at);
+        if waited > LONG_WAIT {
+            warn!(
+                client = request.client,
+                waited_us = waited,
+                "a request waited long before it was routed"
+            );
+        }
         // The deadline counts from arrival, so it includes the time that the request was queued in the router.
         let deadline = request.received_at + request.command.remaining_deadline;
         let deadline = self.lifecycle.limit_deadline(deadline);
--- a/crates/cache-router/tests/router_process/log.rs
+++ b/crates/cache-router/tests/router_process/log.rs
@@ -3,7 +3,8 @@
 use std::process::Command;
 
 use crate::support::{
-    Behaviour, Cluster, LogReader, StartOptions, cache_server, hit, read, wait_until,
+    Behaviour, Cluster, LogReader, StartOptions, cache_server, hit, read, read_with_deadline,
+    wait_until,
 };
 
 /// Enough requests for their trace lines to fill a pipe.
@@ -60,3 +61,16 @@
         assert_eq!(status.unwrap().code(), Some(2), "{redirection}");
     }
 }
+
+#[test]
+fn a_request_that_waits_long_before_it_is_routed_is_logged() {
+    // More requests than a connection may have without a reply: the last one is routed when the others have failed.
+    const REQUESTS: usize = 65;
+    const DEADLINE_MS: u32 = 300;
+    let cluster = Cluster::with_cache(cache_server(|_| Behaviour::Hang));
+    let mut client = cluster.client();
+    let requests = (0..REQUESTS).flat_map(|id| read_with_deadline(&id.to_string(), DEADLINE_MS));
+    client.send(&requests.collect::<Vec<_>>());
+    let is_reported = |line: &str| line.contains("a request waited long before it was routed");
+    assert!(cluster.router.wait_for_log_line(is_reported));
+}
