--- a/crates/cache-router/src/connection_pool.rs
+++ b/crates/cache-router/src/connection_pool.rs
@@ -20,8 +20,7 @@
 use crate::server_connection::{
     self, OutgoingRequest, ServerConnectionContext, ServerConnectionHandle,
 };
-use crate::write_progress::SharedWriteProgress;
-pub use crate::write_progress::WriteProgress;
+use crate::write_progress::{SharedWriteProgress, WriteProgress};
 
 /// A request that is not written within this time (microseconds) of the decision to send it has to be confirmed by the
 /// event loop first. The operators allow 100 ms to react to a client's disconnect or a server's drain; the event loop
--- a/crates/cache-router/src/event_loop/dispatcher.rs
+++ b/crates/cache-router/src/event_loop/dispatcher.rs
@@ -17,12 +17,13 @@
 use super::in_flight::{BUSY_REPLY, FAILED_REPLY, InFlight};
 use super::timers::{Timer, TimerQueue};
 use crate::clock::Clock;
-use crate::connection_pool::{ConnectionPool, WriteProgress};
+use crate::connection_pool::ConnectionPool;
 use crate::message::{
     AttemptId, ClientRequest, ConnectionId, LossCause, LostConnection, ServerProtocol,
     ServerResponse, ServerTarget,
 };
 use crate::trace::Trace;
+use crate::write_progress::WriteProgress;
 use crate::{cache_protocol, origin_protocol};
 
 /// The shortest time that an attempt waits for a connection, in microseconds.
--- a/crates/cache-router/src/event_loop/dispatcher/give_up.rs
+++ b/crates/cache-router/src/event_loop/dispatcher/give_up.rs
@@ -3,10 +3,11 @@
 use routing_policy::{AttemptStatus, Event, Micros, RequestId, ServerId};
 
 use super::Dispatcher;
-use crate::connection_pool::{ConnectionState, WriteProgress};
+use crate::connection_pool::ConnectionState;
 use crate::event_loop::in_flight::Attempt;
 use crate::event_loop::timers::Timer;
 use crate::message::{AttemptId, ConnectionId};
+use crate::write_progress::WriteProgress;
 
 impl Dispatcher {
     /// Stops waiting for an attempt. Its connection is closed, unless the latency objective of the request's class has
--- a/crates/cache-router/src/listener.rs
+++ b/crates/cache-router/src/listener.rs
@@ -12,7 +12,7 @@
 use tracing::warn;
 
 use crate::client_connection::{self, LINGER_WHEN_IDLE};
-pub use crate::client_context::ClientContext;
+use crate::client_context::ClientContext;
 use crate::message::ClientId;
 use crate::socket::listen::AcceptRetry;
 
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -17,11 +17,12 @@
 use tracing::{dispatcher, info, warn};
 
 use self::retry::{Environment, FILE_TIMEOUT, Retries, START_TIMEOUT};
+use crate::client_context::ClientContext;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::event_loop::{EventLoop, EventLoopConfig};
 use crate::lifecycle::LifecyclePhase;
-use crate::listener::{self, ClientContext};
+use crate::listener;
 use crate::signals::{self, PendingSignals, SignalHandler, WakeUps};
 use crate::trace::Trace;
 
--- a/crates/cache-router/tests/event_loop/revoked_sends.rs
+++ b/crates/cache-router/tests/event_loop/revoked_sends.rs
@@ -2,8 +2,8 @@
 //! drains, the attempt is cancelled, or the process is suspended.
 
 use bytes::Bytes;
-use cache_router::connection_pool::WriteProgress;
 use cache_router::message::{ClientCommand, ClientRequest, DiscoveryCall, RouterEvent};
+use cache_router::write_progress::WriteProgress;
 use tokio::io::AsyncReadExt;
 use tokio::sync::mpsc;
 
