--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -140,7 +140,7 @@
         &self.failures
     }
 
-    /// Reads what has arrived, up to [`MAX_READ_AHEAD_BYTES`], unless the pause after a failed read is not over.
+    /// Reads what has arrived, up to the read-ahead limit, unless the pause after a failed read is not over.
     /// `try_read` reads from the socket.
     ///
     /// # Errors
--- a/crates/cache-router/src/fair_share.rs
+++ b/crates/cache-router/src/fair_share.rs
@@ -2,7 +2,7 @@
 //!
 //! All tasks run on one thread, so the work that a connection does before it yields delays every request of every other
 //! client. The work depends on what the client sends, which need not be proper requests. It is therefore counted, and
-//! divided by deficit round robin:
+//! divided in turns:
 //!
 //! - A connection that has waited for its client or for a server may do a [`QUANTUM`] of work at once, but only one in
 //!   each [`INTERVAL`].
