Close a connection that has sent nothing when a new client needs its slot

Cause: only a connection that has been answered before was closable.

Fix: one that has sent nothing for 0.25 s is closable too, before the idle ones. It closes without lingering, as it has had no reply.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -47,8 +47,9 @@
 /// A connection that is about to close still reads commands for this long and rejects them. Most of the last phase of a
 /// shutdown has to remain for writing the last replies.
 const REJECTION_PERIOD: Duration = Duration::from_millis(40);
-/// During a shutdown, connections are closed as soon as they are between requests, but a new connection only after this
-/// time: its first request may be in transit, and closing without a reply would count as a rejection.
+/// During a shutdown, and for a new client, connections are closed as soon as they are between requests, but a new
+/// connection only after this time: its first request may be in transit, and closing without a reply would count as a
+/// rejection.
 pub const FIRST_COMMAND_GRACE: Duration = Duration::from_millis(250);
 
 /// Serves a client until its connection ends.
@@ -93,11 +94,11 @@
     /// Limits the work that is done before other tasks run.
     share: FairShare,
     opened_at: Instant,
-    /// How long the connection stays open for its first command if the router shuts down.
+    /// How long the connection stays open for its first command if the router shuts down or a new client needs its slot.
     first_command_until: Instant,
     /// Set once the connection is about to close: commands are read and rejected until then.
     reject_until: Option<Instant>,
-    /// Held while the connection is idle.
+    /// Held while the connection is idle or silent.
     idle_guard: Option<CloseGuard>,
     /// Held while the connection is a bulk connection that sends no requests.
     bulk_guard: Option<CloseGuard>,
@@ -281,17 +282,30 @@
         }
     }
 
-    /// Registers the connection as idle, or removes its registration.
+    /// Whether the connection has nothing to do and can be closed.
+    fn idle_kind(&self) -> Option<Closable> {
+        if !self.is_between_requests() {
+            None
+        } else if !self.replies.is_unused() {
+            Some(Closable::Idle)
+        } else if Instant::now() >= self.first_command_until {
+            Some(Closable::Silent)
+        } else {
+            None
+        }
+    }
+
+    /// Registers the connection as idle or silent, or removes its registration.
     fn update_idle_guard(&mut self) {
-        let is_idle = self.is_between_requests() && !self.replies.is_unused();
-        if !is_idle {
-            self.idle_guard = None;
-            return;
+        let kind = self.idle_kind();
+        if kind.is_some() {
+            self.bulk_guard = None;
         }
-        self.bulk_guard = None;
-        if self.idle_guard.is_none() {
-            let guard = self.context.closable_connections.register(Closable::Idle);
-            self.idle_guard = Some(guard);
+        if self.idle_guard.as_ref().map(CloseGuard::kind) != kind {
+            // The earlier registration ends first, which passes its close request on to another connection.
+            self.idle_guard = None;
+            let register = |kind| self.context.closable_connections.register(kind);
+            self.idle_guard = kind.map(register);
         }
     }
 }
--- a/crates/cache-router/src/client_connection/close.rs
+++ b/crates/cache-router/src/client_connection/close.rs
@@ -11,6 +11,7 @@
 use super::commands::INCOMPLETE_REPLY;
 use super::input::InputMode;
 use super::local_failures::Disconnected;
+use crate::closable_connections::Closable;
 use crate::event_loop::in_flight::{BUSY_REPLY, FAILED_REPLY};
 use crate::fair_share::Work;
 use crate::message::{ClientDisconnect, DisconnectCause, RouterEvent};
@@ -36,7 +37,8 @@
     OutputStalled,
     /// The router closes it: between requests, after input that is not a command, or after an incomplete command.
     ClosedByRouter,
-    /// A new client needs the slot of a bulk connection, which has no request that is owed a reply.
+    /// The slot is needed, and there is no reply that a reset could destroy: the connection is a bulk connection or a
+    /// silent one.
     SlotReclaimed,
 }
 
@@ -49,10 +51,14 @@
         if !self.input.is_empty() {
             return ControlFlow::Continue(());
         }
+        let is_silent = self.idle_kind() == Some(Closable::Silent);
         if let Some(idle_guard) = self.idle_guard.take() {
             idle_guard.close();
         }
-        ControlFlow::Break(CloseReason::ClosedByRouter)
+        ControlFlow::Break(match is_silent {
+            true => CloseReason::SlotReclaimed,
+            false => CloseReason::ClosedByRouter,
+        })
     }
 
     /// Closes a bulk connection at once: its client may go on sending, and a new client waits for the slot.
--- a/crates/cache-router/src/client_connection/wait.rs
+++ b/crates/cache-router/src/client_connection/wait.rs
@@ -34,7 +34,9 @@
     FirstCommandOverdue,
     /// The router is shutting down, and the connection is idle.
     IdleInShutdown,
-    /// A new client needs the slot of this idle connection.
+    /// The first command has not arrived for some time.
+    Silent,
+    /// A new client needs the slot of this idle or silent connection.
     CloseRequested,
     /// A new client needs the slot of this bulk connection.
     SlotReclaimed,
@@ -76,6 +78,8 @@
             Ok(()) = lifecycle.changed() => WakeUp::PhaseChanged,
             () = tokio::time::sleep_until(self.first_command_until),
                 if is_shutting_down && awaits_first_command => WakeUp::FirstCommandOverdue,
+            () = tokio::time::sleep_until(self.first_command_until),
+                if awaits_first_command && !is_shutting_down && !is_idle => WakeUp::Silent,
             () = std::future::ready(()), if is_shutting_down && is_idle => WakeUp::IdleInShutdown,
             () = close_requested(&mut self.idle_guard), if is_idle => WakeUp::CloseRequested,
             () = close_requested(&mut self.bulk_guard), if is_bulk => WakeUp::SlotReclaimed,
@@ -95,10 +99,11 @@
             WakeUp::Readable(ready) => self.handle_readable(&ready),
             WakeUp::ReadRetryDue => self.handle_readable(&Ok(())),
             WakeUp::Writable(ready) => handle_writable(&ready),
-            // The next iteration of the connection's loop writes the output.
-            WakeUp::PhaseChanged | WakeUp::CloseCheckDue | WakeUp::WriteRetryDue => {
-                ControlFlow::Continue(())
-            }
+            // The next iteration of the connection's loop writes the output, or registers the connection as silent.
+            WakeUp::PhaseChanged
+            | WakeUp::CloseCheckDue
+            | WakeUp::WriteRetryDue
+            | WakeUp::Silent => ControlFlow::Continue(()),
             WakeUp::FirstCommandOverdue | WakeUp::IdleInShutdown | WakeUp::CloseRequested => {
                 self.close_if_idle().await
             }
--- a/crates/cache-router/src/closable_connections.rs
+++ b/crates/cache-router/src/closable_connections.rs
@@ -1,8 +1,9 @@
 //! The client connections that can give up their slot to a new client without harm. Idle connections are between two
-//! requests. Bulk connections have used up their share of the router's thread and send no requests.
+//! requests. Bulk connections have used up their share of the router's thread and send no requests. Silent connections
+//! have sent nothing since they were opened.
 //!
-//! If a new client finds no free slot, a connection is asked to close: a bulk connection first, else the one that has
-//! been idle for longest. Each connection is asked at most once. If it receives its next request at that moment, the
+//! If a new client finds no free slot, a connection is asked to close: a bulk connection first, else a silent one, else
+//! the one that has been idle for longest. Each connection is asked at most once. If it receives its next request at that moment, the
 //! close request goes to another one.
 
 use std::collections::BTreeMap;
@@ -15,6 +16,8 @@
 pub enum Closable {
     /// It has more to do than its share, and none of it is a request.
     Bulk,
+    /// It has not sent its first command for some time.
+    Silent,
     /// It is between two requests.
     Idle,
 }
@@ -107,6 +110,11 @@
 }
 
 impl CloseGuard {
+    /// Why the connection can be closed.
+    pub fn kind(&self) -> Closable {
+        self.id.kind
+    }
+
     /// Waits until the connection is asked to close.
     pub async fn close_requested(&mut self) {
         if (&mut self.close_requested).await.is_err() {
--- a/crates/cache-router/tests/router_process/connection_limits.rs
+++ b/crates/cache-router/tests/router_process/connection_limits.rs
@@ -1,5 +1,6 @@
 //! Routers that have used up their file descriptors or sockets.
 
+use crate::bulk_clients::OtherClient;
 use crate::support::{Behaviour, Cluster, StartOptions, cache_server, command, hit, read};
 
 #[test]
@@ -54,3 +55,14 @@
         assert_eq!(new_client.reply(), None, "its socket is freed");
     }
 }
+
+#[test]
+fn others_are_answered_though_clients_that_send_nothing_have_taken_all_slots() {
+    // Guards against requests that wait unread until the silent clients have used up the time for their first command.
+    const SILENT_CLIENTS: usize = 160;
+    let cache = cache_server(|parts| Behaviour::Respond(hit(&parts[1])));
+    // It has 120 slots for clients.
+    let cluster = Cluster::with_cache_and_options(cache, StartOptions::with_sockets(256));
+    let _silent: Vec<_> = (0..SILENT_CLIENTS).map(|_| cluster.client()).collect();
+    OtherClient::run(&cluster).assert_answered_in_time();
+}
