Pass no close request on when the connection that was asked has ended

What callers saw: an idle connection is closed though no new client needs its slot.

Cause: a connection that was asked to close and whose client leaves at that moment dropped its registration, which passes the request on to another idle connection, though its slot becomes free.

Fix: a connection that ends fulfils the request, whoever ends it.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -144,8 +144,10 @@
 
     async fn run(&mut self) -> CloseReason {
         let end = self.serve_commands().await;
-        // The connection is no longer idle. Dropping the guard passes an unfulfilled close request to another one.
-        self.idle_guard = None;
+        // The connection ends and frees its slot, whoever ends it, so a close request is not passed on to another one.
+        for guard in [self.idle_guard.take(), self.bulk_guard.take()] {
+            guard.into_iter().for_each(CloseGuard::close);
+        }
         end
     }
 
--- a/crates/cache-router/tests/client_connection/closes.rs
+++ b/crates/cache-router/tests/client_connection/closes.rs
@@ -120,6 +120,27 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_client_that_leaves_when_it_is_asked_to_close_costs_no_other_client_its_connection() {
+    // Guards against a close request that is passed on although the connection has ended and its slot is free.
+    let (mut first, harness) = connected().await;
+    let mut second = TcpStream::connect(first.peer_addr().unwrap())
+        .await
+        .unwrap();
+    for client in [&mut first, &mut second] {
+        client.write_all(PING).await.unwrap();
+        client.read_exact(&mut [0; 7]).await.unwrap();
+    }
+    while harness.context.closable_connections.count() < 2 {
+        tokio::task::yield_now().await;
+    }
+    drop(first);
+    // The first client has been idle for longest. Its connection has not seen the close yet.
+    assert!(harness.context.closable_connections.request_close());
+    let second_reads = tokio::time::timeout(Duration::from_secs(1), second.read(&mut [0; 8])).await;
+    assert!(second_reads.is_err(), "{second_reads:?}: it stays open");
+}
+
 #[tokio::test(start_paused = true)]
 async fn idle_clients_in_all_slots_keep_no_new_client_waiting_during_a_shutdown() {
     let (first, harness) = connected().await;
