End the registration of an idle connection whose close request is not followed

What callers saw: a PING that crosses a close request is answered, and then its connection is closed; the log has a panic of its task, "called after complete". Not seen in service.

Cause: the registration was kept when input had arrived. PING is answered at once, so the connection was idle again with the same registration and waited once more on a channel that had given its only message.

Fix: the registration ends there, which passes the request on to another connection.

--- a/crates/cache-router/src/client_connection/close.rs
+++ b/crates/cache-router/src/client_connection/close.rs
@@ -49,6 +49,8 @@
             return ControlFlow::Break(CloseReason::ClosedByClient);
         }
         if !self.input.is_empty() {
+            // The registration has served its close request, which goes to another connection.
+            self.idle_guard = None;
             return ControlFlow::Continue(());
         }
         let is_silent = self.idle_kind() == Some(Closable::Silent);
--- a/crates/cache-router/tests/client_connection/closes.rs
+++ b/crates/cache-router/tests/client_connection/closes.rs
@@ -83,6 +83,25 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_health_check_that_crosses_a_close_request_is_answered_and_the_connection_stays() {
+    // Guards against a panic of the connection's task, which waited again for a close request that it had received.
+    let (mut client, harness) = connected().await;
+    client.write_all(PING).await.unwrap();
+    client.read_exact(&mut [0; 7]).await.unwrap();
+    while harness.context.closable_connections.count() == 0 {
+        tokio::task::yield_now().await;
+    }
+    // The close is requested and the bytes are written before the connection's task runs again.
+    let client = client.into_std().unwrap();
+    assert!(harness.context.closable_connections.request_close());
+    std::io::Write::write_all(&mut &client, PING).unwrap();
+    let mut client = TcpStream::from_std(client).unwrap();
+    client.read_exact(&mut [0; 7]).await.unwrap();
+    let end = tokio::time::timeout(Duration::from_secs(1), client.read(&mut [0; 8])).await;
+    assert!(end.is_err(), "{end:?}: it stays open");
+}
+
 #[tokio::test(start_paused = true)]
 async fn with_all_slots_taken_the_longest_idle_connection_is_closed_and_no_other_once_slots_are_free()
  {
