Wait for the environment of a process before a test samples it

The sampler finds a router by its environment, which the system may show only after the spawn has returned: it was empty right after it for 1,770 of 3,000 processes started by a probe. The sampler samples again and again in service; the test sampled once.

Change: the test waits until the environment is shown. What it checks is unchanged.

--- a/crates/testbed/tests/fleet_sizes.rs
+++ b/crates/testbed/tests/fleet_sizes.rs
@@ -107,6 +107,16 @@
     }
 }
 
+/// Waits until the system shows the environment of a new process, which it may do only after the spawn has returned.
+fn wait_for_environment(process: u32) {
+    let end = std::time::Instant::now() + std::time::Duration::from_secs(20);
+    let path = format!("/proc/{process}/environ");
+    while std::fs::read(&path).unwrap().is_empty() {
+        assert!(std::time::Instant::now() < end, "{path} stays empty");
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn a_process_is_sampled_only_for_the_run_whose_folder_contains_its_configuration() {
     let folder = tempfile::tempdir().unwrap();
@@ -115,6 +125,7 @@
         .env("ROUTER_CONFIG", folder.path().join("n0.json"))
         .spawn()
         .unwrap();
+    wait_for_environment(process.id());
     let mut sampler = NodeUsageSampler::new(folder.path());
     sampler.sample();
     let other = tempfile::tempdir().unwrap();
