Limit the wait for the close of a client that is cut off after invalid input

What callers would see: a slot that is never freed. A client that sent invalid input behind a request, read nothing for 20 s and then reads its replies and stays keeps its connection without a limit, and delays the end of a shutdown. Found by reading the change once more.

Cause: since connections share the thread, the last replies of such a client are followed by discarding what it still sends, so that no reset destroys them. That wait had no limit where the client had not closed its side; the other caller has one.

Fix: it ends after 0.5 s, as the wait after any error.

--- a/crates/cache-router/src/client_connection/close.rs
+++ b/crates/cache-router/src/client_connection/close.rs
@@ -160,7 +160,9 @@
                 Ok(true) => continue,
                 Ok(false) if self.has_unsent_replies() => {}
                 Ok(false) if self.input.mode() == InputMode::Discard => {
-                    return self.discard_input().await;
+                    let discarded = self.discard_input();
+                    let _ = tokio::time::timeout(LINGER_AFTER_ERROR, discarded).await;
+                    return;
                 }
                 Ok(false) | Err(Disconnected) => return,
             }
--- a/crates/cache-router/tests/client_connection/closes.rs
+++ b/crates/cache-router/tests/client_connection/closes.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use cache_router::client_connection::{FIRST_COMMAND_GRACE, LINGER_AFTER_ERROR, MAX_PIPELINED};
+use cache_router::client_connection::{
+    FIRST_COMMAND_GRACE, LINGER_AFTER_ERROR, MAX_PIPELINED, OUTPUT_STALL_TIMEOUT,
+};
 use cache_router::lifecycle::LifecyclePhase;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -302,3 +304,18 @@
         "$1\r\nv\r\n-ERR protocol error: unexpected type\r\n"
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_client_that_is_cut_off_after_invalid_input_and_then_reads_frees_its_slot() {
+    // Guards against a connection that waits without a limit for the close of a client that stays.
+    const REPLY_BYTES: usize = 16 * 1024 * 1024;
+    let (mut client, mut harness) = connected().await;
+    let bytes = [&get(1)[..], b"rubbish\r\n"].concat();
+    client.write_all(&bytes).await.unwrap();
+    let request = harness.next_requests(1).await.remove(0);
+    reply(&request, vec![b'v'; REPLY_BYTES]).await;
+    tokio::time::sleep(OUTPUT_STALL_TIMEOUT + Duration::from_millis(100)).await;
+    let since = Instant::now();
+    closed_after(&mut client).await;
+    assert!(since.elapsed() <= LINGER_AFTER_ERROR * 2);
+}
