--- a/review/rig-2/src/crowded_discovery.rs
+++ b/review/rig-2/src/crowded_discovery.rs
@@ -124,7 +124,7 @@
         let config = |listen| settings.config(number, listen, discovery.address, &list.known());
         nodes.push(
             run.place
-                .start_node(&format!("n{number}"), discovery.address, config, false),
+                .start_node(&format!("n{number}"), discovery.address, config),
         );
         lists.push(list);
         treats.push(treat);
--- a/review/rig-2/src/fleet.rs
+++ b/review/rig-2/src/fleet.rs
@@ -1,8 +1,7 @@
 //! The stand-ins: discovery, cache servers and the origin. Without a trouble they behave as sound ones do.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -300,11 +299,9 @@
 
 /// A command or call that reached a server.
 pub struct Attempt {
-    pub key: String,
+    /// The id of its request.
     pub id: String,
-    pub facts: String,
     pub is_write: bool,
-    pub value: Vec<u8>,
 }
 
 /// What a server does with an attempt.
@@ -344,27 +341,16 @@
 /// A cache server or the origin.
 pub struct Server {
     pub address: SocketAddr,
-    pub attempts: Arc<AtomicUsize>,
-    pub stopped: Arc<AtomicBool>,
 }
 
 type React = Arc<dyn Fn(&Attempt) -> Reaction + Send + Sync>;
 
-fn start_server(
-    react: React,
-    serve: fn(TcpStream, &React, &AtomicUsize) -> io::Result<()>,
-) -> Server {
+fn start_server(react: React, serve: fn(TcpStream, &React) -> io::Result<()>) -> Server {
     let (listener, address) = listen();
-    let attempts = Arc::<AtomicUsize>::default();
-    let counted = attempts.clone();
     accept(listener, move |stream| {
-        let _ = serve(stream, &react, &counted);
+        let _ = serve(stream, &react);
     });
-    Server {
-        address,
-        attempts,
-        stopped: Arc::default(),
-    }
+    Server { address }
 }
 
 /// Starts a cache server.
@@ -379,9 +365,8 @@
 
 /// Reads commands while earlier reactions are still being played, as a machine does whose answers are sent by other
 /// threads: what follows an answer may come after the next command has begun.
-fn serve_cache(stream: TcpStream, react: &React, attempts: &AtomicUsize) -> io::Result<()> {
+fn serve_cache(stream: TcpStream, react: &React) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
-    let turns = Turns::default();
     while let Some(words) = resp::read_command(&mut reader)? {
         let text = |position: usize| -> String {
             words
@@ -401,51 +386,38 @@
             (&stream).write_all(b"-SYNTAX\r\n")?;
             continue;
         }
-        attempts.fetch_add(1, Ordering::Relaxed);
         let attempt = Attempt {
-            key: text(1),
             id: text(2),
-            facts: text(3),
             is_write: words.len() == 5,
-            value: words.get(4).cloned().unwrap_or_default(),
         };
-        turns.play(react(&attempt), &stream);
+        play_beside(react(&attempt), &stream);
     }
     Ok(())
 }
 
-fn serve_origin(stream: TcpStream, react: &React, attempts: &AtomicUsize) -> io::Result<()> {
+fn serve_origin(stream: TcpStream, react: &React) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
-    let turns = Turns::default();
     while let Some(request) = read_http(&mut reader)? {
-        attempts.fetch_add(1, Ordering::Relaxed);
         let attempt = Attempt {
-            key: request.path.trim_start_matches('/').into(),
             id: request.header("x-correlation-id").into(),
-            facts: request.header("x-facts").into(),
             is_write: request.method == "PUT",
-            value: request.body.clone(),
         };
-        turns.play(react(&attempt), &stream);
+        play_beside(react(&attempt), &stream);
     }
     Ok(())
 }
 
-/// Plays the reactions of one connection, each in a thread of its own.
-#[derive(Default)]
-struct Turns;
-
-impl Turns {
-    fn play(&self, reaction: Reaction, stream: &TcpStream) {
-        let Ok(stream) = stream.try_clone() else {
-            return;
-        };
-        std::thread::spawn(move || {
-            if reaction.play(&stream).is_err() {
-                let _ = stream.shutdown(std::net::Shutdown::Both);
-            }
-        });
-    }
+/// Plays a reaction in a thread of its own.
+fn play_beside(reaction: Reaction, stream: &TcpStream) {
+    let Ok(stream) = stream.try_clone() else {
+        return;
+    };
+    std::thread::spawn(move || {
+        if reaction.play(&stream).is_err() {
+            // Ends the thread that reads, without a regular end: the last close then resets the connection.
+            let _ = stream.shutdown(std::net::Shutdown::Read);
+        }
+    });
 }
 
 /// An answer of the origin.
--- a/review/rig-2/src/late_answers.rs
+++ b/review/rig-2/src/late_answers.rs
@@ -102,7 +102,7 @@
         .map(|number| {
             let config = |listen| settings.config(number, listen, discovery.address, &list.known());
             run.place
-                .start_node(&format!("n{number}"), discovery.address, config, false)
+                .start_node(&format!("n{number}"), discovery.address, config)
         })
         .collect();
     nodes.iter_mut().for_each(|node| node.wait_ready());
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -7,6 +7,8 @@
 mod crowded_discovery;
 mod fleet;
 mod late_answers;
+mod long_pipeline;
+mod moving_discovery;
 mod resp;
 mod settings;
 mod support;
@@ -45,6 +47,8 @@
     let held = match case.as_str() {
         "late-answers" => late_answers::run(&run),
         "crowded-discovery" => crowded_discovery::run(&run),
+        "long-pipeline" => long_pipeline::run(&run),
+        "moving-discovery" => moving_discovery::run(&run),
         "unfinished" => unfinished::run(&run),
         _ => support::cannot_run("no such case"),
     };
--- a/review/rig-2/src/support.rs
+++ b/review/rig-2/src/support.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// The run's record: one line an event, with the time since the start of the run.
 pub struct Record {
@@ -53,13 +53,6 @@
     std::process::exit(2)
 }
 
-pub fn unix_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap()
-        .as_millis() as u64
-}
-
 /// A small random source (splitmix64) that threads can share.
 pub struct Random(AtomicU64);
 
@@ -98,7 +91,6 @@
 
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 
 /// Has the close of a socket reset the connection.
 pub fn reset_on_close(stream: &TcpStream) {
@@ -146,6 +138,16 @@
         self.temp.join(format!("{name}.json"))
     }
 
+    /// Replaces a node's configuration file, at once.
+    pub fn replace_config(&self, name: &str, text: &str) {
+        let (path, next) = (
+            self.config_path(name),
+            self.temp.join(format!("{name}.next")),
+        );
+        let replaced = std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, &path));
+        replaced.unwrap_or_else(|e| cannot_run(&e.to_string()));
+    }
+
     /// The command by which the platform starts a node: `run` of the deploy file.
     fn run_command(&self) -> String {
         let text = std::fs::read_to_string(self.root.join("deploy/balancer.toml"))
@@ -163,14 +165,12 @@
         name: &str,
         discovery: SocketAddr,
         config: impl Fn(SocketAddr) -> String,
-        trace: bool,
     ) -> Node {
         let listen = free_port();
         let path = self.config_path(name);
         std::fs::write(&path, config(listen)).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let log = File::create(self.temp.join(format!("{name}.log"))).unwrap();
-        let mut command = Command::new("/bin/sh");
-        command
+        let child = Command::new("/bin/sh")
             .args(["-c", &self.run_command()])
             .current_dir(&self.root)
             .env("ROUTER_NAME", name)
@@ -180,11 +180,7 @@
             .env("TMPDIR", &self.temp)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log);
-        if trace {
-            command.env("CACHE_ROUTER_NODE__TRACE", "true");
-        }
-        let child = command
+            .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
         Node {
@@ -224,8 +220,13 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.id()
+    /// The memory that the process holds, in KiB.
+    pub fn memory_kb(&self) -> Option<usize> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.split_whitespace().next()?.parse().ok()
     }
 
     /// How the process ended, if it has.
--- a/review/rig-2/src/unfinished.rs
+++ b/review/rig-2/src/unfinished.rs
@@ -70,7 +70,7 @@
         memory_mb: 192,
     };
     let config = |listen| settings.config(0, listen, discovery.address, &list.known());
-    let mut node = run.place.start_node("n0", discovery.address, config, false);
+    let mut node = run.place.start_node("n0", discovery.address, config);
     node.wait_ready();
 
     let counts = Arc::<Mutex<Counts>>::default();
