Review case 6: answers in small chunks that never end starve all requests

Cause: a chunked body of the origin is decoded from its first chunk at each read, on the node's only thread, for as long as the call may wait.

The case has every second answer of the origin to a read come as 60,000 chunks of one byte and then one each millisecond, without end. Counted are requests on accepted connections without a byte of an answer 0.55 s after their time.

--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -5,8 +5,8 @@
 
 mod clients;
 mod crowded_discovery;
+mod endless_chunks;
 mod fleet;
-mod late_answers;
 mod long_pipeline;
 mod moving_discovery;
 mod resp;
@@ -45,7 +45,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let held = match case.as_str() {
-        "late-answers" => late_answers::run(&run),
+        "endless-chunks" => endless_chunks::run(&run),
         "crowded-discovery" => crowded_discovery::run(&run),
         "long-pipeline" => long_pipeline::run(&run),
         "moving-discovery" => moving_discovery::run(&run),
--- a/review/rig-2/src/support.rs
+++ b/review/rig-2/src/support.rs
@@ -229,6 +229,15 @@
         line.split_whitespace().next()?.parse().ok()
     }
 
+    /// The processor time that the process has used so far, in seconds.
+    pub fn cpu_s(&self) -> Option<f64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        let fields: Vec<_> = stat.rsplit(')').next()?.split_whitespace().collect();
+        let ticks = |position: usize| fields.get(position)?.parse::<f64>().ok();
+        // In hundredths of a second, which the system shows on every kind of machine.
+        Some((ticks(11)? + ticks(12)?) / 100.0)
+    }
+
     /// How the process ended, if it has.
     pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
         self.child.try_wait().ok().flatten()
