Have the nodes of a review case end with the program that started them

Cause: a case that could not run, or was killed, left its nodes running.

Each node is started with the parent's death as its own. Tried: after SIGKILL to the case with five nodes, none of them was left.

--- a/review/rig-2/src/support.rs
+++ b/review/rig-2/src/support.rs
@@ -4,6 +4,7 @@
 use std::io::{BufWriter, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -85,6 +86,7 @@
 }
 
 unsafe extern "C" {
+    fn prctl(option: i32, value: u64, third: u64, fourth: u64, fifth: u64) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
@@ -92,6 +94,16 @@
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 
+/// Has this process killed when its parent ends, however that ends.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: the call takes no pointers.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// Has the close of a socket reset the connection.
 pub fn reset_on_close(stream: &TcpStream) {
     const SOL_SOCKET: i32 = 1;
@@ -170,7 +182,8 @@
         let path = self.config_path(name);
         std::fs::write(&path, config(listen)).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let log = File::create(self.temp.join(format!("{name}.log"))).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", &self.run_command()])
             .current_dir(&self.root)
             .env("ROUTER_NAME", name)
@@ -180,7 +193,10 @@
             .env("TMPDIR", &self.temp)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
+            .stderr(log);
+        // SAFETY: between fork and exec it makes one system call, which allocates nothing.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
         Node {
