--- a/review/rig-2/src/clients.rs
+++ b/review/rig-2/src/clients.rs
@@ -83,10 +83,11 @@
     }
 
     fn try_call(&self, mut connection: Connection, request: &Request, patience: Duration) -> End {
-        let until = Instant::now() + Duration::from_millis(request.deadline_ms) + patience;
         if connection.stream.write_all(&request.bytes()).is_err() {
             return End::Closed;
         }
+        // The time of a request counts from its last byte.
+        let until = Instant::now() + Duration::from_millis(request.deadline_ms) + patience;
         let left = until
             .saturating_duration_since(Instant::now())
             .max(Duration::from_millis(1));
--- a/review/rig-2/src/crowded_discovery.rs
+++ b/review/rig-2/src/crowded_discovery.rs
@@ -1,7 +1,7 @@
-//! Discovery is down for some seconds and then has too many callers: for some seconds more, a call waits too long and
-//! ends with 503. A cache server begins to drain right after the return.
+//! Discovery is down for some seconds and then has too many callers: it answers one node at once, and the first two calls
+//! of each other node wait too long and end with 503. A cache server begins to drain right after the return.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,8 +18,8 @@
 const RATE: f64 = 40.0;
 const DOWN_AT: Duration = Duration::from_secs(5);
 const DOWN_FOR: Duration = Duration::from_secs(8);
-/// How long discovery has too many callers after its return.
-const CROWDED_FOR: Duration = Duration::from_millis(5_500);
+/// How many calls of a node end with 503 after discovery's return. The first node is answered at once.
+const REFUSED_CALLS: usize = 2;
 /// A call that waits longer fails.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// When the cache server begins to drain, after discovery's return.
@@ -37,6 +37,8 @@
     trouble: bool,
     record: Arc<Record>,
     ends_watches: Arc<AtomicBool>,
+    /// Calls of the node since discovery's return.
+    calls: AtomicUsize,
     /// When the change was written to the node, in microseconds of the record; 0 if it was not.
     written_at: AtomicU64,
 }
@@ -49,7 +51,7 @@
             ("answered", Treatment::Answer(ms(50.0)))
         } else if now < up_at {
             ("503, down", Treatment::Unavailable(ms(5.0)))
-        } else if now < up_at + CROWDED_FOR {
+        } else if self.number > 0 && self.calls.fetch_add(1, Ordering::SeqCst) < REFUSED_CALLS {
             (
                 "503 after 2 s, crowded",
                 Treatment::Unavailable(CALL_TIMEOUT),
@@ -118,6 +120,7 @@
             trouble: run.trouble,
             record: run.record.clone(),
             ends_watches: ends_watches.clone(),
+            calls: AtomicUsize::new(0),
             written_at: AtomicU64::new(0),
         });
         let discovery = Discovery::start_with(list.clone(), treat.clone());
