Examine each byte of a response once, however small the pieces in which it arrives

Cause: a chunked body was decoded from its first byte at each read, as was a reply of a cache server with all its values. Limits counted the content and not the bytes that carry it. Connections to servers were left out of the division of the thread.

Change: decoders keep their position (http/chunks.rs, resp/frame.rs, ResponseDecoder). Framing of a chunked body is limited to 2 MiB, its content to the longest value (128 KiB with framing before), a reply of a cache server to 72 KiB, interim responses to 64. Connections to servers take turns with bulk clients.

--- a/crates/cache-router/src/cache_protocol.rs
+++ b/crates/cache-router/src/cache_protocol.rs
@@ -4,6 +4,7 @@
 use routing_policy::{AttemptStatus, CacheLookup, LoadReport};
 
 use crate::message::{ClientCommand, ProtocolError, ServerResponse};
+use crate::resp::frame::{FrameKind, FrameScanner};
 use crate::resp::{self, Value};
 
 /// Positions in the array that a cache server returns for a read or a write.
@@ -44,21 +45,43 @@
     fields.collect::<Vec<_>>().join(",")
 }
 
-/// Removes a response from the front of the bytes that were received on a connection; `None` while it is incomplete.
-///
-/// # Errors
-///
-/// If the bytes are not a reply of this protocol. What is received next can't be matched to a request.
-pub fn decode(
-    buffer: &mut BytesMut,
-    load_report_names: &[String],
-) -> Result<Option<ServerResponse>, ProtocolError> {
-    let reply = resp::take_value(buffer).map_err(|_| ProtocolError)?;
-    match reply {
-        None => Ok(None),
-        Some(Value::Array(elements)) => decode_array(&elements, load_report_names).map(Some),
-        Some(Value::Error(line)) => Ok(Some(decode_error(&line, load_report_names))),
-        Some(_) => Err(ProtocolError),
+/// Decodes the replies on a connection, one after the other, while their bytes arrive.
+pub struct ReplyDecoder {
+    scanner: FrameScanner,
+}
+
+impl Default for ReplyDecoder {
+    fn default() -> Self {
+        ReplyDecoder {
+            scanner: FrameScanner::new(FrameKind::Reply),
+        }
+    }
+}
+
+impl ReplyDecoder {
+    /// Removes the next response from the front of the bytes that were received on a connection; `None` while it is
+    /// incomplete.
+    ///
+    /// # Errors
+    ///
+    /// If the bytes are not a reply of this protocol. What is received next can't be matched to a request.
+    pub fn decode(
+        &mut self,
+        buffer: &mut BytesMut,
+        load_report_names: &[String],
+    ) -> Result<Option<ServerResponse>, ProtocolError> {
+        let reply = resp::take_value_with(&mut self.scanner, buffer).map_err(|_| ProtocolError)?;
+        match reply {
+            None => Ok(None),
+            Some(Value::Array(elements)) => decode_array(&elements, load_report_names).map(Some),
+            Some(Value::Error(line)) => Ok(Some(decode_error(&line, load_report_names))),
+            Some(_) => Err(ProtocolError),
+        }
+    }
+
+    /// How many more bytes the buffer has to hold for the reply to be complete, as far as known.
+    pub fn missing_bytes(&self) -> usize {
+        self.scanner.missing_bytes()
     }
 }
 
--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -25,7 +25,7 @@
 
 use crate::client_context::ClientContext;
 use crate::closable_connections::{Closable, CloseGuard};
-use crate::fair_share::{FairShare, Work};
+use crate::fair_share::{FairShare, Peer, Work};
 use crate::lifecycle::LifecyclePhase;
 use crate::message::{ClientId, ClientReply, DisconnectCause};
 use crate::socket::SocketStream;
@@ -120,7 +120,7 @@
         // Capacity for every reply that can be pending, so that the event loop never waits for a client.
         let (reply_sender, reply_receiver) = mpsc::channel(MAX_PIPELINED + 1);
         let now = Instant::now();
-        let share = FairShare::new(client, context.bulk_turns.clone());
+        let share = FairShare::new(Peer::Client(client), context.bulk_turns.clone());
         ClientConnection {
             stream,
             client,
--- a/crates/cache-router/src/connection_pool.rs
+++ b/crates/cache-router/src/connection_pool.rs
@@ -11,12 +11,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use routing_policy::settings::Deployment;
 use routing_policy::{Micros, ServerId};
-use tokio::sync::mpsc;
 
-use crate::clock::Clock;
-use crate::message::{AttemptId, ConnectionId, RouterEvent, ServerTarget};
+use crate::message::{AttemptId, ConnectionId, ServerTarget};
 use crate::server_connection::{
     self, OutgoingRequest, ServerConnectionContext, ServerConnectionHandle,
 };
@@ -94,12 +91,8 @@
 
 impl ConnectionPool {
     /// Creates an empty pool of at most `limit` connections.
-    pub fn new(
-        limit: usize,
-        deployment: Arc<Deployment>,
-        clock: Clock,
-        events: mpsc::Sender<RouterEvent>,
-    ) -> Self {
+    pub fn new(limit: usize, context: ServerConnectionContext) -> Self {
+        let deployment = &context.deployment;
         // Four fifths of the time after which the server closes an idle connection. A request that is written to a
         // closed connection ends in a reset: it may have run, and so may not be retried. The timeout is not much
         // shorter: with many routers, each of them uses a given server only every few seconds.
@@ -122,11 +115,7 @@
             idle_timeout,
             expected_connect_time,
             connect_timeout: Duration::from_micros(connect_timeout),
-            context: ServerConnectionContext {
-                deployment,
-                clock,
-                events,
-            },
+            context,
         }
     }
 
--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -25,10 +25,12 @@
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::discovery::{DiscoveryClient, UpdateFreshness};
+use crate::fair_share::BulkTurns;
 use crate::lifecycle::{Lifecycle, LifecyclePhase, ScheduledStep, ShutdownStep};
 use crate::message::{
     ClientDisconnect, ClientRequest, DiscoveryCall, EndpointListUpdate, RouterEvent,
 };
+use crate::server_connection::ServerConnectionContext;
 use crate::trace::{self, Trace};
 
 use dispatcher::Dispatcher;
@@ -59,6 +61,8 @@
     pub cached_list: EndpointListUpdate,
     /// How many connections to servers may be open.
     pub max_server_connections: usize,
+    /// The queue of the connections that have more to do than their share.
+    pub bulk_turns: Arc<BulkTurns>,
     /// Channel on which the tasks started by the loop send their events; the loop receives from it.
     pub events: mpsc::Sender<RouterEvent>,
     /// Publishes the phase of the router's lifecycle to the client tasks.
@@ -89,6 +93,7 @@
             discovery,
             cached_list,
             max_server_connections,
+            bulk_turns,
             events,
             phase,
             clock,
@@ -96,9 +101,12 @@
         } = config;
         let pool = ConnectionPool::new(
             max_server_connections,
-            deployment.clone(),
-            clock,
-            events.clone(),
+            ServerConnectionContext {
+                deployment: deployment.clone(),
+                clock,
+                events: events.clone(),
+                bulk_turns,
+            },
         );
         let dispatcher = Dispatcher::new(deployment.clone(), pool, clock, trace);
         let policy = Policy::new(deployment.settings.clone(), seed);
--- a/crates/cache-router/src/fair_share.rs
+++ b/crates/cache-router/src/fair_share.rs
@@ -1,10 +1,10 @@
-//! The share of each client connection in the router's only thread.
+//! The share of each connection to a client or a server in the router's only thread.
 //!
 //! All tasks run on one thread, so the work that a connection does before it yields delays every request of every other
-//! client. The work depends on what the client sends, which need not be proper requests. It is therefore counted, and
-//! divided in turns:
+//! client. The work depends on what the peer sends, which need not be proper requests or responses. It is therefore
+//! counted, and divided in turns:
 //!
-//! - A connection that has waited for its client or for a server may do a [`QUANTUM`] of work at once, but only one in
+//! - A connection that has waited for its peer may do a [`QUANTUM`] of work at once, but only one in
 //!   each [`INTERVAL`].
 //! - A connection that has more to do queues for a turn in [`BulkTurns`]. One connection at a time has a turn, which is
 //!   another quantum, and the sockets are polled before each turn. A request of another client therefore waits for at
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 use tracing::info;
 
-use crate::message::ClientId;
+use crate::message::{ClientId, ConnectionId};
 
 /// The work of one turn, in bytes: as much as reading so many bytes, or as much other work as takes about as long.
 pub const QUANTUM: usize = 64 * 1024;
@@ -31,7 +31,7 @@
 /// Work that a connection does for its client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Work {
-    /// This many bytes were read from the client.
+    /// This many bytes were read from the peer.
     Input(usize),
     /// This many bytes were written to the client.
     Output(usize),
@@ -51,7 +51,7 @@
     }
 }
 
-/// The queue of the connections that have used up their quantum. Shared by all client connections.
+/// The queue of the connections that have used up their quantum. Shared by all connections to clients and servers.
 pub struct BulkTurns {
     /// A single permit, which is granted in the order in which it was asked for.
     turn: Arc<Semaphore>,
@@ -74,9 +74,18 @@
     }
 }
 
+/// The peer of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Peer {
+    /// A client.
+    Client(ClientId),
+    /// A cache server or the origin.
+    Server(ConnectionId),
+}
+
 /// The share of one connection.
 pub struct FairShare {
-    client: ClientId,
+    peer: Peer,
     turns: Arc<BulkTurns>,
     /// Work that the connection may do before it waits for a turn, in bytes.
     remaining: usize,
@@ -90,9 +99,9 @@
 
 impl FairShare {
     /// The share of a new connection.
-    pub fn new(client: ClientId, turns: Arc<BulkTurns>) -> Self {
+    pub fn new(peer: Peer, turns: Arc<BulkTurns>) -> Self {
         FairShare {
-            client,
+            peer,
             turns,
             remaining: QUANTUM,
             refill_at: Instant::now() + INTERVAL,
@@ -142,11 +151,18 @@
     }
 
     fn report_first_wait(&mut self) {
-        if !std::mem::replace(&mut self.has_queued, true) {
-            info!(
-                client = self.client,
+        if std::mem::replace(&mut self.has_queued, true) {
+            return;
+        }
+        match self.peer {
+            Peer::Client(client) => info!(
+                client,
                 "a client sends more than its share; its commands are handled by turns"
-            );
+            ),
+            Peer::Server(connection) => info!(
+                connection,
+                "a server sends more than its share; its responses are read by turns"
+            ),
         }
     }
 }
--- a/crates/cache-router/src/http.rs
+++ b/crates/cache-router/src/http.rs
@@ -3,15 +3,17 @@
 //! This module parses bytes and does no I/O. [`origin_protocol`](crate::origin_protocol) decides what a response means
 //! for an attempt.
 
-use bytes::{Buf, BytesMut};
+mod chunks;
+
 use thiserror::Error;
 
-/// The longest response head and the longest chunk-size line, in bytes: more than the few headers of the origin need.
-/// It limits what the router buffers for a peer that never ends its head.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The longest response head, in bytes: more than the few headers of the origin need. It limits what the router buffers for a peer that never ends its head.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The maximum number of headers of a response head: the parser's table is on the stack.
 const MAX_HEADERS: usize = 48;
 
+pub use self::chunks::ChunkDecoder;
+
 /// A response that violates the framing of HTTP/1.1. Its connection has to be closed.
 #[derive(Debug, PartialEq, Eq, Clone, Copy, Error)]
 pub enum HttpError {
@@ -36,6 +38,9 @@
     /// A chunk without a valid size, or one that does not end where its size says.
     #[error("the response has a chunk without a valid size or end; close the connection")]
     InvalidChunk,
+    /// The sizes, extensions and line ends of the chunks take too many bytes.
+    #[error("the response has too much framing for its content; close the connection")]
+    TooMuchFraming,
 }
 
 /// The head of a response, reduced to what the router uses.
@@ -121,77 +126,3 @@
     }
     text.parse().ok()
 }
-
-/// Decodes a chunked body incrementally, whatever the size of each read.
-#[derive(Default)]
-pub struct ChunkDecoder {
-    /// Bytes of the current chunk's content that have not been decoded yet.
-    remaining: usize,
-    /// Whether the line end after a chunk's content is next.
-    expects_line_end: bool,
-    finished: bool,
-}
-
-impl ChunkDecoder {
-    /// Moves the body's content from `input` to `body`; `true` once the body has ended.
-    ///
-    /// # Errors
-    ///
-    /// If a chunk has no valid size or does not end where its size says.
-    pub fn decode(&mut self, input: &mut BytesMut, body: &mut BytesMut) -> Result<bool, HttpError> {
-        while !self.finished {
-            self.copy_content(input, body);
-            if self.remaining > 0 {
-                return Ok(false);
-            }
-            if self.expects_line_end && !self.skip_line_end(input)? {
-                return Ok(false);
-            }
-            if !self.read_size(input)? {
-                return Ok(false);
-            }
-        }
-        Ok(true)
-    }
-
-    /// Moves the available part of the current chunk's content.
-    fn copy_content(&mut self, input: &mut BytesMut, body: &mut BytesMut) {
-        if self.remaining == 0 {
-            return;
-        }
-        let count = self.remaining.min(input.len());
-        body.extend_from_slice(&input[..count]);
-        input.advance(count);
-        self.remaining -= count;
-        self.expects_line_end = self.remaining == 0;
-    }
-
-    /// Skips the line end after a chunk's content; `false` while it is incomplete.
-    fn skip_line_end(&mut self, input: &mut BytesMut) -> Result<bool, HttpError> {
-        const LINE_END: &[u8] = b"\r\n";
-        if input.len() < LINE_END.len() {
-            return Ok(false);
-        }
-        if !input.starts_with(LINE_END) {
-            return Err(HttpError::InvalidChunk);
-        }
-        input.advance(LINE_END.len());
-        self.expects_line_end = false;
-        Ok(true)
-    }
-
-    /// Reads the size line of the next chunk; `false` while it is incomplete.
-    fn read_size(&mut self, input: &mut BytesMut) -> Result<bool, HttpError> {
-        match httparse::parse_chunk_size(input) {
-            Ok(httparse::Status::Complete((line_length, size))) => {
-                input.advance(line_length);
-                self.remaining = usize::try_from(size).map_err(|_| HttpError::InvalidChunk)?;
-                // Trailers are not read: the connection is closed after a chunked body.
-                self.finished = size == 0;
-                Ok(true)
-            }
-            Ok(httparse::Status::Partial) if input.len() <= MAX_HEAD_BYTES => Ok(false),
-            _ => Err(HttpError::InvalidChunk),
-        }
-    }
-}
--- a/crates/cache-router/src/resp.rs
+++ b/crates/cache-router/src/resp.rs
@@ -1,18 +1,25 @@
 //! A codec for RESP2 in both directions: the commands of clients and the replies of cache servers.
 //!
 //! Available decoders recurse without a limit on depth and accept any stated length. This one limits both: the input of
-//! a peer must neither overflow the stack nor make the router reserve memory.
+//! a peer must neither overflow the stack nor make the router reserve memory. [`frame`] finds the end of a command or
+//! reply while its bytes arrive; here complete ones are parsed.
+
+pub mod frame;
 
 use std::ops::Range;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use thiserror::Error;
 
+use frame::{FrameKind, FrameScanner};
+
 /// The longest value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 64 * 1024;
 /// The longest command, in bytes: a value, and more than the other arguments may take. Without this limit a client
 /// could make the router buffer a value for each argument of a command that is rejected in the end.
 pub const MAX_COMMAND_BYTES: usize = MAX_VALUE_BYTES + 4 * 1024;
+/// The longest reply of a server, in bytes: a value, and more than what a server reports beside it.
+pub const MAX_REPLY_BYTES: usize = MAX_VALUE_BYTES + 8 * 1024;
 /// The maximum number of arguments of a command, and of elements of an array in a reply.
 const MAX_ELEMENTS: usize = 16;
 /// The longest line that states a length, in bytes: more than any number within the limits needs.
@@ -31,6 +38,9 @@
     /// A command of more than [`MAX_COMMAND_BYTES`].
     #[error("command too long")]
     CommandTooLong,
+    /// A reply of more than [`MAX_REPLY_BYTES`].
+    #[error("reply too long")]
+    ReplyTooLong,
     /// A line that exceeds its maximum length.
     #[error("line too long")]
     LineTooLong,
@@ -75,23 +85,23 @@
 ///
 /// If the input is not a command or exceeds a limit. The buffer is then unchanged.
 pub fn take_command(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
-    let mut scanner = Scanner::new(buffer);
-    let arguments = match scanner.command() {
-        Ok(arguments) => arguments,
-        Err(ScanError::Malformed(error)) => return Err(error),
-        Err(ScanError::Incomplete) if buffer.len() > MAX_COMMAND_BYTES => {
-            return Err(RespError::CommandTooLong);
-        }
-        Err(ScanError::Incomplete) => return Ok(None),
+    let Some(length) = FrameScanner::new(FrameKind::Command).scan(buffer)? else {
+        return Ok(None);
     };
-    let end = scanner.position;
-    let command = buffer.split_to(end).freeze();
-    Ok(Some(
-        arguments
-            .into_iter()
-            .map(|argument| command.slice(argument))
-            .collect(),
-    ))
+    parse_command(&buffer.split_to(length).freeze()).map(Some)
+}
+
+/// Parses a complete command. Its arguments share the memory of the command.
+///
+/// # Errors
+///
+/// If it is not a command.
+pub fn parse_command(command: &Bytes) -> Result<Vec<Bytes>, RespError> {
+    let arguments = Parser::new(command).command()?;
+    let slices = arguments
+        .into_iter()
+        .map(|argument| command.slice(argument));
+    Ok(slices.collect())
 }
 
 /// Removes one complete reply from the front of a buffer; `None` while it is incomplete.
@@ -100,105 +110,76 @@
 ///
 /// If the input is not a reply or exceeds a limit. The buffer is then unchanged.
 pub fn take_value(buffer: &mut BytesMut) -> Result<Option<Value>, RespError> {
-    let mut scanner = Scanner::new(buffer);
-    let value = match scanner.value(0) {
-        Ok(value) => value,
-        Err(ScanError::Malformed(error)) => return Err(error),
-        Err(ScanError::Incomplete) => return Ok(None),
-    };
-    let end = scanner.position;
-    let _ = buffer.split_to(end);
-    Ok(Some(value))
-}
-
-/// Why a scan stopped before the end of the element.
-enum ScanError {
-    /// More bytes are needed.
-    Incomplete,
-    /// The input is invalid, whatever bytes follow.
-    Malformed(RespError),
+    take_value_with(&mut FrameScanner::new(FrameKind::Reply), buffer)
 }
 
-impl From<RespError> for ScanError {
-    fn from(error: RespError) -> Self {
-        ScanError::Malformed(error)
-    }
+/// As [`take_value`], for a buffer whose front has been scanned by `scanner` as far as it knows it.
+///
+/// # Errors
+///
+/// As [`take_value`].
+pub fn take_value_with(
+    scanner: &mut FrameScanner,
+    buffer: &mut BytesMut,
+) -> Result<Option<Value>, RespError> {
+    let Some(length) = scanner.scan(buffer)? else {
+        return Ok(None);
+    };
+    scanner.restart();
+    let reply = buffer.split_to(length).freeze();
+    Parser::new(&reply).value().map(Some)
 }
 
-/// Parses elements at the front of a buffer without removing them. An incomplete element is parsed again from its start
-/// when more bytes have arrived.
-struct Scanner<'a> {
-    bytes: &'a [u8],
+/// Parses the elements of a complete frame, whose types and nesting the [`FrameScanner`] has checked.
+struct Parser<'a> {
+    frame: &'a Bytes,
     position: usize,
 }
 
-impl<'a> Scanner<'a> {
-    fn new(bytes: &'a [u8]) -> Self {
-        Scanner { bytes, position: 0 }
+impl<'a> Parser<'a> {
+    fn new(frame: &'a Bytes) -> Self {
+        Parser { frame, position: 0 }
     }
 
     /// The type of the next element, which is its first byte.
-    fn peek_type(&self) -> Result<u8, ScanError> {
-        self.bytes
-            .get(self.position)
-            .copied()
-            .ok_or(ScanError::Incomplete)
+    fn peek_type(&self) -> Option<u8> {
+        self.frame.get(self.position).copied()
     }
 
-    /// A line without its terminator.
-    fn line(&mut self, max_length: usize) -> Result<&'a [u8], ScanError> {
-        let rest = &self.bytes[self.position..];
-        let end = rest
+    /// The content of a line after its first byte, without its terminator.
+    fn line(&mut self) -> Result<Range<usize>, RespError> {
+        let length = self.frame[self.position..]
             .windows(LINE_END.len())
-            .take(max_length + 1)
-            .position(|pair| pair == LINE_END);
-        match end {
-            Some(end) => {
-                self.position += end + LINE_END.len();
-                Ok(&rest[..end])
-            }
-            None if rest.len() > max_length + 1 => Err(RespError::LineTooLong.into()),
-            None => Err(ScanError::Incomplete),
-        }
+            .position(|pair| pair == LINE_END)
+            .ok_or(RespError::LineTooLong)?;
+        let content = self.position + 1..self.position + length;
+        self.position += length + LINE_END.len();
+        Ok(content)
     }
 
-    /// A line that consists of a type and a length; `None` for a null.
-    fn length(&mut self, expected_type: u8, limit: usize) -> Result<Option<usize>, ScanError> {
-        if self.peek_type()? != expected_type {
-            return Err(RespError::UnexpectedType.into());
-        }
-        let text = &self.line(MAX_LENGTH_LINE_BYTES)?[1..];
+    /// A line that states a length; `None` for a null.
+    fn length(&mut self) -> Result<Option<usize>, RespError> {
+        let line = self.line()?;
+        let text = &self.frame[line];
         if text == b"-1" {
             return Ok(None);
         }
-        let length = parse_length(text).ok_or(RespError::InvalidLength)?;
-        if length > limit {
-            return Err(RespError::LengthTooLarge.into());
-        }
-        Ok(Some(length))
+        parse_length(text).map(Some).ok_or(RespError::InvalidLength)
     }
 
     /// The range of the content of a bulk string; `None` for a null.
-    fn bulk_string(&mut self) -> Result<Option<Range<usize>>, ScanError> {
-        let Some(length) = self.length(b'$', MAX_VALUE_BYTES)? else {
+    fn bulk_string(&mut self) -> Result<Option<Range<usize>>, RespError> {
+        let Some(length) = self.length()? else {
             return Ok(None);
         };
-        let start = self.position;
-        let end = start + length;
-        let terminator = self
-            .bytes
-            .get(end..end + LINE_END.len())
-            .ok_or(ScanError::Incomplete)?;
-        if terminator != LINE_END {
-            return Err(RespError::UnterminatedBulkString.into());
-        }
-        self.position = end + LINE_END.len();
-        Ok(Some(start..end))
+        let content = self.position..self.position + length;
+        self.position = content.end + LINE_END.len();
+        Ok(Some(content))
     }
 
     /// The ranges of the arguments of a command.
-    fn command(&mut self) -> Result<Vec<Range<usize>>, ScanError> {
-        let count = self.length(b'*', MAX_ELEMENTS)?.unwrap_or(0);
+    fn command(&mut self) -> Result<Vec<Range<usize>>, RespError> {
+        let count = self.length()?.unwrap_or(0);
         let mut arguments = Vec::with_capacity(count);
         for _ in 0..count {
             arguments.push(self.bulk_string()?.ok_or(RespError::NullInCommand)?);
@@ -206,45 +187,39 @@
         Ok(arguments)
     }
 
-    /// A reply that is nested in `depth` arrays.
-    fn value(&mut self, depth: u8) -> Result<Value, ScanError> {
-        match self.peek_type()? {
-            b'$' => {
+    /// A reply. Its strings share the memory of the frame.
+    fn value(&mut self) -> Result<Value, RespError> {
+        match self.peek_type() {
+            Some(b'$') => {
                 let content = self.bulk_string()?;
-                let copy = |range| Bytes::copy_from_slice(&self.bytes[range]);
-                Ok(Value::BulkString(content.map(copy)))
+                Ok(Value::BulkString(
+                    content.map(|range| self.frame.slice(range)),
+                ))
             }
-            b'*' if depth < MAX_DEPTH => self.array(depth),
-            b'+' => {
-                let text = self.line_content()?;
-                Ok(Value::SimpleString(Bytes::copy_from_slice(text)))
-            }
-            b'-' => {
-                let text = self.line_content()?;
-                Ok(Value::Error(Bytes::copy_from_slice(text)))
-            }
-            b':' => {
-                let text = self.line_content()?;
-                let number = parse_integer(text).ok_or(RespError::InvalidInteger)?;
+            Some(b'*') => self.array(),
+            Some(b'+') => Ok(Value::SimpleString(self.text()?)),
+            Some(b'-') => Ok(Value::Error(self.text()?)),
+            Some(b':') => {
+                let number = parse_integer(&self.text()?).ok_or(RespError::InvalidInteger)?;
                 Ok(Value::Integer(number))
             }
-            _ => Err(RespError::UnexpectedType.into()),
+            _ => Err(RespError::UnexpectedType),
         }
     }
 
-    fn array(&mut self, depth: u8) -> Result<Value, ScanError> {
-        let count = self.length(b'*', MAX_ELEMENTS)?.unwrap_or(0);
-        // Grows as elements are parsed: a stated count alone must not reserve memory.
-        let mut elements = Vec::new();
+    fn array(&mut self) -> Result<Value, RespError> {
+        let count = self.length()?.unwrap_or(0);
+        let mut elements = Vec::with_capacity(count);
         for _ in 0..count {
-            elements.push(self.value(depth + 1)?);
+            elements.push(self.value()?);
         }
         Ok(Value::Array(elements))
     }
 
-    /// The rest of a line after the type.
-    fn line_content(&mut self) -> Result<&'a [u8], ScanError> {
-        Ok(&self.line(MAX_LINE_BYTES)?[1..])
+    /// The content of a line.
+    fn text(&mut self) -> Result<Bytes, RespError> {
+        let line = self.line()?;
+        Ok(self.frame.slice(line))
     }
 }
 
@@ -262,8 +237,18 @@
 
 /// Appends a bulk string.
 pub fn put_bulk_string(out: &mut BytesMut, value: &[u8]) {
-    out.put_slice(format!("${}\r\n", value.len()).as_bytes());
+    put_bulk_string_start(out, value.len());
     out.put_slice(value);
+    put_bulk_string_end(out);
+}
+
+/// Appends what precedes the content of a bulk string of this length.
+pub fn put_bulk_string_start(out: &mut BytesMut, length: usize) {
+    out.put_slice(format!("${length}\r\n").as_bytes());
+}
+
+/// Appends what follows the content of a bulk string.
+pub fn put_bulk_string_end(out: &mut BytesMut) {
     out.put_slice(LINE_END);
 }
 
--- a/crates/cache-router/src/server_connection.rs
+++ b/crates/cache-router/src/server_connection.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::fair_share::{BulkTurns, FairShare, Peer, Work};
 use crate::message::{
     ConnectionId, LossCause, LostConnection, ProtocolError, RouterEvent, ServerConnectionEvent,
     ServerProtocol, ServerResponse, ServerTarget,
@@ -54,6 +55,8 @@
     pub clock: Clock,
     /// The event loop.
     pub events: mpsc::Sender<RouterEvent>,
+    /// The queue of the connections that have more to do than their share.
+    pub bulk_turns: Arc<BulkTurns>,
 }
 
 /// The pool's handle to a connection. Dropping it aborts the task, which closes the connection.
@@ -148,23 +151,28 @@
             return LOST;
         };
         let mut buffer = BytesMut::new();
+        let mut decoder = ResponseDecoder::new(self.protocol);
+        let mut share = FairShare::new(Peer::Server(self.id), self.context.bulk_turns.clone());
         let mut event = ServerConnectionEvent::Established;
         loop {
             if !self.report(event).await {
                 return LOST;
             }
-            buffer.reserve(READ_CAPACITY);
+            let mut unexpected = [0];
             let next_request = tokio::select! {
                 // Reads come first: nothing is written to a connection that the server has closed, so the request has
                 // certainly not run.
                 biased;
-                _ = stream.read_buf(&mut buffer) => return LOST,
+                _ = stream.read(&mut unexpected) => return LOST,
                 request = self.requests.recv() => request,
             };
             let Some(request) = next_request else {
                 return LOST;
             };
-            event = self.handle_request(request, &mut stream, &mut buffer).await;
+            event = self
+                .handle_request(request, &mut stream, &mut buffer, &mut decoder, &mut share)
+                .await;
+            share.end_turn();
             if closes_connection(&event) {
                 return event;
             }
@@ -184,6 +192,8 @@
         request: OutgoingRequest,
         stream: &mut SocketStream,
         buffer: &mut BytesMut,
+        decoder: &mut ResponseDecoder,
+        share: &mut FairShare,
     ) -> ServerConnectionEvent {
         // The process may have been suspended since the event loop decided to write. A request must not be written
         // after its deadline.
@@ -212,7 +222,7 @@
         progress.advance(WriteProgress::Writing, WriteProgress::Written);
         // Frees the memory of a large value before waiting for the response.
         drop(request);
-        match self.read_response(stream, buffer).await {
+        match self.read_response(stream, buffer, decoder, share).await {
             Ok(response) => ServerConnectionEvent::Response(response),
             Err(error) => connection_lost(&error, WriteProgress::Written),
         }
@@ -232,14 +242,19 @@
         &self,
         stream: &mut SocketStream,
         buffer: &mut BytesMut,
+        decoder: &mut ResponseDecoder,
+        share: &mut FairShare,
     ) -> io::Result<ServerResponse> {
+        let load_report_names = &self.context.deployment.load_report_names;
         let response = loop {
-            if let Some(response) = self.decode(buffer).map_err(io::Error::other)? {
+            let decoded = decoder.decode(buffer, load_report_names);
+            if let Some(response) = decoded.map_err(io::Error::other)? {
                 break response;
             }
+            share.wait_for_more().await;
             buffer.reserve(READ_CAPACITY);
-            if stream.read_buf(buffer).await? == 0 {
-                let last = self.decode_at_end(buffer);
+            if read_by_turns(stream, buffer, share).await? == 0 {
+                let last = decoder.decode_at_end(buffer, load_report_names);
                 break last.ok_or(io::ErrorKind::UnexpectedEof)?;
             }
         };
@@ -252,25 +267,72 @@
             ..response
         })
     }
+}
 
-    fn decode(&self, buffer: &mut BytesMut) -> Result<Option<ServerResponse>, ProtocolError> {
-        let load_report_names = &self.context.deployment.load_report_names;
-        match self.protocol {
-            ServerProtocol::Resp => cache_protocol::decode(buffer, load_report_names),
-            ServerProtocol::Http => origin_protocol::decode(buffer, load_report_names),
+/// Decodes the responses on a connection in the protocol of its server.
+enum ResponseDecoder {
+    Resp(cache_protocol::ReplyDecoder),
+    Http(origin_protocol::ResponseDecoder),
+}
+
+impl ResponseDecoder {
+    fn new(protocol: ServerProtocol) -> Self {
+        match protocol {
+            ServerProtocol::Resp => ResponseDecoder::Resp(cache_protocol::ReplyDecoder::default()),
+            ServerProtocol::Http => {
+                ResponseDecoder::Http(origin_protocol::ResponseDecoder::default())
+            }
+        }
+    }
+
+    fn decode(
+        &mut self,
+        buffer: &mut BytesMut,
+        load_report_names: &[String],
+    ) -> Result<Option<ServerResponse>, ProtocolError> {
+        match self {
+            ResponseDecoder::Resp(decoder) => decoder.decode(buffer, load_report_names),
+            ResponseDecoder::Http(decoder) => decoder.decode(buffer, load_report_names),
         }
     }
 
     /// The response whose end is the regular end of the connection, if there is one.
-    fn decode_at_end(&self, buffer: &mut BytesMut) -> Option<ServerResponse> {
-        let load_report_names = &self.context.deployment.load_report_names;
-        match self.protocol {
-            ServerProtocol::Resp => None,
-            ServerProtocol::Http => origin_protocol::decode_at_end(buffer, load_report_names),
+    fn decode_at_end(
+        &mut self,
+        buffer: &mut BytesMut,
+        load_report_names: &[String],
+    ) -> Option<ServerResponse> {
+        match self {
+            ResponseDecoder::Resp(_) => None,
+            ResponseDecoder::Http(decoder) => decoder.decode_at_end(buffer, load_report_names),
         }
     }
 }
 
+/// Reads what has arrived. If nothing has, ends the turn of the connection and waits.
+async fn read_by_turns(
+    stream: &mut SocketStream,
+    buffer: &mut BytesMut,
+    share: &mut FairShare,
+) -> io::Result<usize> {
+    let available = tokio::select! {
+        biased;
+        count = stream.read_buf(buffer) => Some(count?),
+        () = std::future::ready(()) => None,
+    };
+    let count = match available {
+        Some(count) => count,
+        None => {
+            share.end_turn();
+            let count = stream.read_buf(buffer).await?;
+            share.resume();
+            count
+        }
+    };
+    share.charge(Work::Input(count));
+    Ok(count)
+}
+
 /// The event for a connection that was lost by an error. `progress` is the write progress of its request.
 fn connection_lost(error: &io::Error, progress: WriteProgress) -> ServerConnectionEvent {
     let cause = if classify(error).is_transient() {
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::event_loop::{EventLoop, EventLoopConfig};
+use crate::fair_share::BulkTurns;
 use crate::lifecycle::LifecyclePhase;
 use crate::listener;
 use crate::signals::{self, PendingSignals, SignalHandler, WakeUps};
@@ -161,6 +162,7 @@
     let max_connections = connections_per_side(config.max_sockets);
     let client_capacity = Arc::new(Semaphore::new(max_connections));
     let deployment = Arc::new(config.deployment);
+    let bulk_turns = Arc::<BulkTurns>::default();
     let max_open_requests = deployment.max_open.min(MAX_OPEN_REQUESTS);
     let client_context = ClientContext {
         deployment: deployment.clone(),
@@ -171,7 +173,7 @@
         reserved_slots: (max_connections / CLIENTS_PER_REJECTION).max(1),
         closable_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(max_open_requests)),
-        bulk_turns: Arc::default(),
+        bulk_turns: bulk_turns.clone(),
     };
     tokio::spawn(listener::listen(router.listener, Arc::new(client_context)));
     let signal_handler = SignalHandler {
@@ -187,6 +189,7 @@
         discovery: config.discovery,
         cached_list: config.cached_list,
         max_server_connections: max_connections,
+        bulk_turns,
         events,
         phase,
         clock,
--- a/crates/cache-router/tests/connection_pool.rs
+++ b/crates/cache-router/tests/connection_pool.rs
@@ -11,6 +11,7 @@
 use cache_router::clock::Clock;
 use cache_router::connection_pool::{ConnectionPool, ConnectionState, MAX_IDLE_CONNECTIONS};
 use cache_router::message::{AttemptId, ServerProtocol, ServerTarget};
+use cache_router::server_connection::ServerConnectionContext;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
@@ -27,7 +28,13 @@
         r#"{"classes": [{"name": "read", "goalTimeUs": 100000, "deadlineUs": 1000000}]}"#;
     let deployment = routing_policy::settings::read(settings.as_bytes()).unwrap();
     let (events, _events) = mpsc::channel(4096);
-    let mut pool = ConnectionPool::new(1024, Arc::new(deployment), Clock::start(), events);
+    let context = ServerConnectionContext {
+        deployment: Arc::new(deployment),
+        clock: Clock::start(),
+        events,
+        bulk_turns: Arc::default(),
+    };
+    let mut pool = ConnectionPool::new(1024, context);
     let limit = MAX_IDLE_CONNECTIONS as u64;
     let in_use = 1;
     for id in 1..=limit + 3 {
--- a/crates/cache-router/tests/event_loop/harness.rs
+++ b/crates/cache-router/tests/event_loop/harness.rs
@@ -66,6 +66,7 @@
             discovery: cache.local_addr().unwrap(),
             cached_list: EndpointListUpdate::default(),
             max_server_connections: 16,
+            bulk_turns: Arc::default(),
             events: event_sender.clone(),
             phase: watch::channel(LifecyclePhase::Starting).0,
             clock,
--- a/crates/cache-router/tests/fair_share.rs
+++ b/crates/cache-router/tests/fair_share.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cache_router::fair_share::{BulkTurns, FairShare, INTERVAL, QUANTUM, Work};
+use cache_router::fair_share::{BulkTurns, FairShare, INTERVAL, Peer, QUANTUM, Work};
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
@@ -21,7 +21,10 @@
 
 /// Starts a connection that always has more to do.
 fn start_bulk(number: u64, queue: &Arc<BulkTurns>, turns: &Turns) {
-    let (mut share, turns) = (FairShare::new(number, queue.clone()), turns.clone());
+    let (mut share, turns) = (
+        FairShare::new(Peer::Client(number), queue.clone()),
+        turns.clone(),
+    );
     tokio::spawn(async move {
         loop {
             share.wait_for_more().await;
@@ -68,8 +71,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_connection_that_waits_for_its_client_does_not_hold_the_turn() {
     let queue = Arc::<BulkTurns>::default();
-    let mut first = FairShare::new(1, queue.clone());
-    let mut second = FairShare::new(2, queue);
+    let mut first = FairShare::new(Peer::Client(1), queue.clone());
+    let mut second = FairShare::new(Peer::Client(2), queue);
     for share in [&mut first, &mut second] {
         share.charge(Work::Input(QUANTUM));
         assert!(share.is_used_up());
@@ -86,7 +89,7 @@
 async fn a_connection_that_stops_waiting_or_ends_loses_nothing_for_the_others() {
     let queue = Arc::<BulkTurns>::default();
     let mut shares: Vec<_> = (0..3)
-        .map(|number| FairShare::new(number, queue.clone()))
+        .map(|number| FairShare::new(Peer::Client(number), queue.clone()))
         .collect();
     for share in &mut shares {
         share.charge(Work::Input(QUANTUM));
@@ -101,7 +104,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_connection_that_had_nothing_to_do_has_one_quantum_for_each_interval() {
-    let mut share = FairShare::new(1, Arc::default());
+    let mut share = FairShare::new(Peer::Client(1), Arc::default());
     share.charge(Work::Input(QUANTUM));
     share.resume();
     assert!(share.is_used_up(), "within the interval");
@@ -121,7 +124,7 @@
         (Work::Command, 1_000),
         (Work::Request, 64),
     ] {
-        let mut share = FairShare::new(1, Arc::default());
+        let mut share = FairShare::new(Peer::Client(1), Arc::default());
         let mut done = 0;
         while !share.is_used_up() {
             share.charge(work);
--- a/crates/cache-router/tests/router_process/main.rs
+++ b/crates/cache-router/tests/router_process/main.rs
@@ -9,6 +9,7 @@
 mod bulk_clients;
 mod configuration;
 mod connection_limits;
+mod endless_responses;
 mod endpoint_lists;
 mod final_replies;
 mod log;
--- a/crates/cache-router/tests/router_process/support/servers.rs
+++ b/crates/cache-router/tests/router_process/support/servers.rs
@@ -8,6 +8,9 @@
 
 use super::TEST_TIMEOUT;
 
+/// The pause between the pieces of a response that does not end.
+const PAUSE_BETWEEN_PIECES: Duration = Duration::from_millis(1);
+
 /// How a fake server responds to a request.
 pub enum Behaviour {
     /// Responds with these bytes.
@@ -24,6 +27,8 @@
     Close,
     /// Sends nothing, and keeps the connection open.
     Hang,
+    /// Responds with the first bytes, and then with the second ones again and again, until the connection is closed.
+    RespondWithoutEnd(Vec<u8>, Vec<u8>),
 }
 
 /// Delays one response until the test opens the gate.
@@ -173,6 +178,13 @@
             }
             Behaviour::Close => (Vec::new(), true),
             Behaviour::Hang => (Vec::new(), false),
+            Behaviour::RespondWithoutEnd(start, piece) => {
+                let _ = output.write_all(&start);
+                while output.write_all(&piece).is_ok() {
+                    std::thread::sleep(PAUSE_BETWEEN_PIECES);
+                }
+                return;
+            }
         };
         if output.write_all(&response).is_err() || closes {
             // Dropping the socket is not enough: a process that another test is starting may hold a copy of it.
