Keep earlier calls to discovery until a list of a later one arrives

Cause: a move of discovery ended the open watch and the call that waited for its answer, and all that the earlier address had sent counted as stale, before the new address had answered. A new request for the whole list at the same address did the same.

Change: calls have a generation, and those of earlier ones go on until a list of a later one arrives. At most three do, the oldest: they have brought the list in force or are closest to their answer. Why this works: from each move on there is a call that is as old as its address allows.

--- a/crates/cache-router/src/discovery.rs
+++ b/crates/cache-router/src/discovery.rs
@@ -4,8 +4,13 @@
 //! The event loop owns the [`DiscoveryClient`]. Each call runs in a task of its own, which sends what it receives to
 //! the event loop. The client aborts the task when another call replaces it; the last tasks end with the runtime. The
 //! module [`call`] makes a single call, and [`list_decoder`] decodes its bytes into endpoint lists.
+//!
+//! Calls belong to generations. A new one begins when the address changes, and when the whole list is needed again. The
+//! calls of earlier generations go on until a list of a later one arrives ([`earlier_calls`]), so that changes are
+//! received however long a new call waits for its answer.
 
 pub mod call;
+mod earlier_calls;
 pub mod list_decoder;
 
 use std::net::SocketAddr;
@@ -20,6 +25,7 @@
 
 use crate::message::{DiscoveryCall, EndpointListUpdate, RouterEvent};
 use call::{CallError, HALF_OPEN_TIMEOUT};
+use earlier_calls::EarlierCalls;
 use list_decoder::EndpointListDecoder;
 
 /// The agent that pushes lists runs on this machine and answers at once. A call without a response after this time
@@ -44,39 +50,58 @@
 pub enum UpdateFreshness {
     /// The update is the latest known state.
     Current,
-    /// The update is older than the current list, or was received from an earlier address of discovery.
+    /// The update is older than the current list, or was received by a call of an earlier generation.
     Stale,
     /// A change with an earlier version, although nothing newer was received since the call began: discovery has lost
     /// its state.
     VersionRegressed,
 }
 
+/// The list in force, as the calls see it.
+struct HeldList {
+    version: AtomicU64,
+    /// Generation of the call that brought it.
+    generation: AtomicU64,
+}
+
 /// Data that every call needs; cloned into the task of each call.
 #[derive(Clone)]
 struct CallContext {
     address: SocketAddr,
-    /// How many times the address has changed.
-    address_generation: u64,
-    /// Version of the current endpoint list.
-    held_version: Arc<AtomicU64>,
+    /// Generation of the call.
+    generation: u64,
+    /// Generation of the present calls.
+    present_generation: Arc<AtomicU64>,
+    held: Arc<HeldList>,
     next_call_number: Arc<AtomicU64>,
     events: mpsc::Sender<RouterEvent>,
     half_open_timeout: Duration,
 }
 
 impl CallContext {
-    /// Returns the identity of a call that begins now.
+    /// Returns the identity of a call that begins now. Versions of different generations cannot be compared, so the
+    /// first calls of a generation hold no version.
     fn begin_call(&self) -> DiscoveryCall {
         let number = self.next_call_number.fetch_add(1, Ordering::Relaxed);
+        let has_list = self.held.generation.load(Ordering::Relaxed) == self.generation;
+        let held_version = match has_list {
+            true => self.held.version.load(Ordering::Relaxed),
+            false => 0,
+        };
         DiscoveryCall {
             number,
-            address_generation: self.address_generation,
-            held_version: self.held_version.load(Ordering::Relaxed),
+            generation: self.generation,
+            held_version,
         }
     }
+
+    /// Whether calls of a later generation have begun.
+    fn is_replaced(&self) -> bool {
+        self.present_generation.load(Ordering::Relaxed) != self.generation
+    }
 }
 
-/// The open calls to discovery: at most one watch and one fetch of the complete list.
+/// The open calls to discovery: at most one watch and one fetch of the complete list, and calls of earlier generations.
 pub struct DiscoveryClient {
     context: CallContext,
     watch: Option<AbortHandle>,
@@ -85,6 +110,7 @@
     /// Whether the watch is on a local agent that pushes lists, and is reopened without the policy.
     watches_agent: bool,
     fetch: Option<AbortHandle>,
+    earlier_calls: EarlierCalls,
 }
 
 impl DiscoveryClient {
@@ -94,8 +120,12 @@
         DiscoveryClient {
             context: CallContext {
                 address,
-                address_generation: 0,
-                held_version: Arc::new(AtomicU64::new(held_version)),
+                generation: 0,
+                present_generation: Arc::default(),
+                held: Arc::new(HeldList {
+                    version: AtomicU64::new(held_version),
+                    generation: AtomicU64::new(0),
+                }),
                 next_call_number: Arc::default(),
                 events,
                 half_open_timeout: HALF_OPEN_TIMEOUT,
@@ -104,12 +134,20 @@
             open_watch: None,
             watches_agent: false,
             fetch: None,
+            earlier_calls: EarlierCalls::default(),
         }
     }
 
     /// Records the version of the current endpoint list.
     pub fn set_held_version(&self, version: u64) {
-        self.context.held_version.store(version, Ordering::Relaxed);
+        self.context.held.version.store(version, Ordering::Relaxed);
+    }
+
+    /// Records that a call has brought the current endpoint list. Calls of earlier generations are not needed any more.
+    pub fn record_list_of(&mut self, call: &DiscoveryCall) {
+        let held = &self.context.held;
+        held.generation.store(call.generation, Ordering::Relaxed);
+        self.earlier_calls.abort_before(call.generation);
     }
 
     /// Returns the identity of a call that would begin now.
@@ -117,18 +155,20 @@
         self.context.begin_call()
     }
 
-    /// Returns whether a call was made to discovery's current address.
-    pub fn is_to_current_address(&self, call: &DiscoveryCall) -> bool {
-        call.address_generation == self.context.address_generation
+    /// Returns whether a call is of the generation that has brought the current endpoint list.
+    pub fn has_brought_list(&self, call: &DiscoveryCall) -> bool {
+        call.generation == self.context.held.generation.load(Ordering::Relaxed)
     }
 
     /// Returns how current an update is. The events of two calls may arrive in either order.
     pub fn freshness(&self, call: &DiscoveryCall, update: &EndpointListUpdate) -> UpdateFreshness {
-        let held_version = self.context.held_version.load(Ordering::Relaxed);
-        if !self.is_to_current_address(call) {
+        let held = &self.context.held;
+        let held_version = held.version.load(Ordering::Relaxed);
+        let held_generation = held.generation.load(Ordering::Relaxed);
+        if call.generation < held_generation {
             return UpdateFreshness::Stale;
         }
-        if update.version >= held_version {
+        if call.generation > held_generation || update.version >= held_version {
             return UpdateFreshness::Current;
         }
         if call.held_version != held_version {
@@ -157,7 +197,6 @@
             return;
         }
         self.context.address = address;
-        self.context.address_generation += 1;
         let is_fetching = self
             .fetch
             .as_ref()
@@ -170,13 +209,20 @@
     }
 
     /// Opens a new watch that begins with the complete list, because the current list may come from another discovery
-    /// service.
+    /// service. Calls that are open go on until the new watch has brought a list.
     pub fn restart_watch(&mut self) {
-        self.set_held_version(0);
+        let earlier_generation = self.context.generation;
+        self.context.generation += 1;
+        let present = &self.context.present_generation;
+        present.store(self.context.generation, Ordering::Relaxed);
+        let has_watch = self.watch.is_some();
+        for call in [self.watch.take(), self.fetch.take()].into_iter().flatten() {
+            self.earlier_calls.add(earlier_generation, call);
+        }
+        self.open_watch = None;
         if self.watches_agent {
             self.watch_agent();
-        } else if self.watch.is_some() {
-            self.subscribe(false);
+        } else if has_watch {
             self.subscribe(true);
         }
     }
@@ -190,6 +236,7 @@
         abort(self.watch.take());
         self.open_watch = None;
         if !on {
+            self.earlier_calls.abort_before(self.context.generation);
             return;
         }
         let context = self.context.clone();
@@ -246,11 +293,15 @@
     }
 }
 
-/// Reopens the watch after a backoff whenever it ends.
+/// Reopens the watch after a backoff whenever it ends, until calls of a later generation have begun.
 async fn keep_watching(context: CallContext) {
     let mut backoff = FIRST_BACKOFF;
     loop {
-        match watch(&context, context.begin_call()).await {
+        let watched = watch(&context, context.begin_call()).await;
+        if context.is_replaced() {
+            return;
+        }
+        match watched {
             // The stall timeout has passed already, so there is no further delay.
             Err(CallError::Stalled) => {
                 backoff = FIRST_BACKOFF;
@@ -261,6 +312,9 @@
             Err(_) => {}
         }
         tokio::time::sleep(backoff).await;
+        if context.is_replaced() {
+            return;
+        }
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -228,7 +228,7 @@
             }
             RouterEvent::EndpointList(call, update) => self.handle_endpoint_list(&call, &update),
             RouterEvent::EndpointListUnchanged(call) => {
-                if self.driver.discovery().is_to_current_address(&call) {
+                if self.driver.discovery().has_brought_list(&call) {
                     self.driver.dispatcher_mut().confirm_endpoint_list();
                 }
             }
@@ -281,6 +281,7 @@
         if freshness == UpdateFreshness::Stale {
             return;
         }
+        self.driver.discovery_mut().record_list_of(call);
         self.apply_endpoint_list(update, endpoints::list_update(update));
         if freshness == UpdateFreshness::VersionRegressed {
             // The change is applied, but other differences are visible only in the complete list.
--- a/crates/cache-router/src/message.rs
+++ b/crates/cache-router/src/message.rs
@@ -226,9 +226,9 @@
 pub struct DiscoveryCall {
     /// Its number; later calls have higher numbers.
     pub number: u64,
-    /// Number of times that discovery's address had changed when the call was made.
-    pub address_generation: u64,
-    /// Version of the endpoint list that was current when the call began.
+    /// How often the address had changed, or the whole list had been needed again, when the call was made.
+    pub generation: u64,
+    /// Version of the endpoint list that was current when the call began; 0 if it came from an earlier generation.
     pub held_version: u64,
 }
 
--- a/crates/cache-router/tests/router_process/support/discovery.rs
+++ b/crates/cache-router/tests/router_process/support/discovery.rs
@@ -56,6 +56,29 @@
         }
     }
 
+    /// Answers the first call after a delay, with a watch that begins with this list.
+    pub fn slow(delay: Duration, list: &str) -> FakeDiscovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (updates, queued_updates) = channel();
+        let (report, calls) = channel();
+        let response = watch_with(list);
+        std::thread::spawn(move || {
+            if let Some(stream) = listener.incoming().flatten().next() {
+                let mut output = answer_call(stream, &[], &report);
+                std::thread::sleep(delay);
+                let _ = output.write_all(&response);
+                send_updates(output, &queued_updates);
+            }
+            listener.incoming().for_each(drop);
+        });
+        FakeDiscovery {
+            address,
+            updates,
+            calls,
+        }
+    }
+
     /// The request line of the next call.
     pub fn next_call(&self) -> String {
         self.calls.recv_timeout(TEST_TIMEOUT).unwrap()
