--- a/crates/cache-router/src/discovery.rs
+++ b/crates/cache-router/src/discovery.rs
@@ -6,7 +6,7 @@
 //! module [`call`] makes a single call, and [`list_decoder`] decodes its bytes into endpoint lists.
 //!
 //! Calls belong to generations. A new one begins when the address changes, and when the whole list is needed again. The
-//! calls of earlier generations go on until a list of a later one arrives ([`earlier_calls`]), so that changes are
+//! calls of earlier generations go on until a list of a later one arrives (`earlier_calls.rs`), so that changes are
 //! received however long a new call waits for its answer.
 
 pub mod call;
