--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -52,6 +52,13 @@
 /// rejection.
 pub const FIRST_COMMAND_GRACE: Duration = Duration::from_millis(250);
 
+/// An incomplete long command is not discarded in its first moments, however short memory is: most arrive at once.
+const INCOMPLETE_GRACE: Duration = Duration::from_millis(100);
+/// If the memory for replies is short, a client that has taken none for this long is disconnected.
+const STALL_GRACE: Duration = Duration::from_secs(1);
+/// How often a client that takes no replies is checked while it holds memory.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Serves a client until its connection ends.
 ///
 /// `uses_reserved_slot` says that the connection has one of the slots that are reserved for rejecting clients: its
@@ -102,6 +109,8 @@
     idle_guard: Option<CloseGuard>,
     /// Held while the connection is a bulk connection that sends no requests.
     bulk_guard: Option<CloseGuard>,
+    /// Held while a long command is incomplete that can be discarded.
+    incomplete_guard: Option<CloseGuard>,
     /// Whether the client has ever sent a request.
     has_sent_request: bool,
     /// How many commands have been answered that are not requests.
@@ -121,13 +130,14 @@
         let (reply_sender, reply_receiver) = mpsc::channel(MAX_PIPELINED + 1);
         let now = Instant::now();
         let share = FairShare::new(Peer::Client(client), context.bulk_turns.clone());
+        let input = ClientInput::new(context.request_memory.clone());
         ClientConnection {
             stream,
             client,
             context,
             reply_sender,
             reply_receiver,
-            input: ClientInput::default(),
+            input,
             replies: ReplyQueue::default(),
             output: ClientOutput::default(),
             share,
@@ -136,6 +146,7 @@
             reject_until: None,
             idle_guard: None,
             bulk_guard: None,
+            incomplete_guard: None,
             has_sent_request: false,
             other_commands: 0,
             uses_reserved_slot,
@@ -145,9 +156,12 @@
     async fn run(&mut self) -> CloseReason {
         let end = self.serve_commands().await;
         // The connection ends and frees its slot, whoever ends it, so a close request is not passed on to another one.
-        for guard in [self.idle_guard.take(), self.bulk_guard.take()] {
-            guard.into_iter().for_each(CloseGuard::close);
-        }
+        let guards = [
+            self.idle_guard.take(),
+            self.bulk_guard.take(),
+            self.incomplete_guard.take(),
+        ];
+        guards.into_iter().flatten().for_each(CloseGuard::close);
         end
     }
 
@@ -181,6 +195,7 @@
                 return CloseReason::ClosedByClient;
             }
             self.update_idle_guard();
+            self.update_incomplete_guard();
             self.share.end_turn();
             let wake_up = self.wait(&mut lifecycle, phase, is_reading).await;
             self.share.resume();
@@ -201,8 +216,13 @@
             self.share.charge(Work::Input(count));
             Ok(count)
         };
-        self.input
-            .read(try_read, self.context.clock, takes_commands)
+        let result = self
+            .input
+            .read(try_read, self.context.clock, takes_commands);
+        if self.input.is_short_of_memory() || self.context.request_memory.is_short() {
+            self.context.incomplete_commands.request_close();
+        }
+        result
     }
 
     /// Writes as much output as the kernel accepts. Returns `true` if something was written.
@@ -297,6 +317,52 @@
         }
     }
 
+    /// When the client has left a long command incomplete for so long that it can be discarded.
+    fn discardable_at(&self) -> Option<Instant> {
+        let since = self.input.reserved_since()?;
+        Some(since + INCOMPLETE_GRACE)
+    }
+
+    /// Registers the connection if its incomplete command can be discarded, or removes its registration.
+    fn update_incomplete_guard(&mut self) {
+        let is_discardable = self.discardable_at().is_some_and(|at| at <= Instant::now());
+        if !is_discardable {
+            self.incomplete_guard = None;
+        } else if self.incomplete_guard.is_none() {
+            let registry = &self.context.incomplete_commands;
+            self.incomplete_guard = Some(registry.register(Closable::Unfinished));
+        }
+    }
+
+    /// When the connection next has to be registered as closable or discardable.
+    fn next_registration_at(&self, awaits_first_command: bool) -> Option<Instant> {
+        let silent_at = Some(self.first_command_until)
+            .filter(|_| awaits_first_command && self.idle_guard.is_none());
+        let discardable_at = self
+            .discardable_at()
+            .filter(|_| self.incomplete_guard.is_none());
+        [silent_at, discardable_at].into_iter().flatten().min()
+    }
+
+    /// When to check whether the client still takes no replies: at the stall timeout, or sooner while it holds memory.
+    fn next_stall_check(&self) -> Instant {
+        let deadline = self.output.stall_deadline();
+        if self.output.segment_bytes() == 0 {
+            return deadline;
+        }
+        let first_check = self.output.progress_at() + STALL_GRACE;
+        let next_check = first_check.max(Instant::now() + STALL_CHECK_INTERVAL);
+        next_check.min(deadline)
+    }
+
+    /// Whether the client has taken no replies for too long: for less time if the memory for replies is short.
+    fn is_output_stalled(&self) -> bool {
+        let now = Instant::now();
+        let is_past_grace = now >= self.output.progress_at() + STALL_GRACE;
+        let is_needed = is_past_grace && self.context.reply_memory.is_short();
+        now >= self.output.stall_deadline() || is_needed
+    }
+
     /// Registers the connection as idle or silent, or removes its registration.
     fn update_idle_guard(&mut self) {
         let kind = self.idle_kind();
--- a/crates/cache-router/src/client_connection/arrival_times.rs
+++ b/crates/cache-router/src/client_connection/arrival_times.rs
@@ -34,6 +34,20 @@
         }
     }
 
+    /// Counts all bytes as part of the last arrival.
+    pub fn merge(&mut self) {
+        if self.arrivals.len() <= 1 {
+            return;
+        }
+        let bytes = self.arrivals.iter().map(|arrival| arrival.bytes).sum();
+        let last = self.arrivals.pop_back();
+        // Frees the memory of many arrivals.
+        self.arrivals = last
+            .map(|last| Arrival { bytes, ..last })
+            .into_iter()
+            .collect();
+    }
+
     /// Removes bytes that were taken from the front of the buffer. Returns when the last of them arrived.
     pub fn take(&mut self, mut bytes: usize) -> Option<Micros> {
         let mut last_arrival = None;
--- a/crates/cache-router/src/client_connection/commands.rs
+++ b/crates/cache-router/src/client_connection/commands.rs
@@ -30,7 +30,10 @@
                 })) => {
                     self.share.charge(Work::Command);
                     let received_at = arrived_at.unwrap_or_else(|| self.context.clock.now());
-                    self.handle_command(&arguments, received_at).await;
+                    match arguments {
+                        Some(arguments) => self.handle_command(&arguments, received_at).await,
+                        None => self.reject_discarded_command(),
+                    }
                 }
                 Ok(None) => return false,
                 Err(error) => self.push_protocol_error(error),
@@ -81,6 +84,12 @@
         is_incomplete
     }
 
+    /// Rejects a command for which there was no memory. It was never sent to a server.
+    fn reject_discarded_command(&mut self) {
+        self.has_sent_request = true;
+        self.replies.push_ready(BUSY_REPLY);
+    }
+
     async fn handle_command(&mut self, arguments: &[Bytes], received_at: Micros) {
         match client_command::parse(arguments, &self.context.deployment) {
             Ok(Command::Request(command)) => self.handle_request(command, received_at).await,
--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -1,15 +1,21 @@
 //! The input of a client: the bytes read from its socket, and the commands that are parsed from them.
+//!
+//! Up to 8 KiB are buffered in any case, which is enough for commands without a long value. Memory for
+//! more is reserved first. If there is none, the content of a long command is discarded while it is read, and the
+//! command is reported without its arguments.
 
 use std::io;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use routing_policy::Micros;
 use tokio::time::Instant;
 
 use super::arrival_times::ArrivalTimes;
 use super::local_failures::{Disconnected, LocalFailures};
 use crate::clock::Clock;
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::resp::frame::{FrameKind, FrameScanner};
 use crate::resp::{self, RespError};
 use crate::socket::errors::is_not_ready;
 
@@ -25,6 +31,12 @@
 pub const THROTTLE_INTERVAL: Duration = Duration::from_millis(25);
 /// Free space in the input buffer before each read, in bytes.
 const READ_CAPACITY: usize = 4096;
+/// How many bytes are buffered without a reservation: a command without a long value, and another read.
+const UNRESERVED_BYTES: usize = 2 * READ_CAPACITY;
+/// The longest command whose memory is not reserved after it has been taken, in bytes. The number of these is limited.
+const MAX_UNRESERVED_COMMAND_BYTES: usize = 2 * 1024;
+/// How often the content of a command is held: as it was received, and encoded for the server.
+const COPIES_OF_COMMAND: usize = 2;
 
 /// How the input of a client is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -40,8 +52,8 @@
 
 /// A command as it was received.
 pub struct ReceivedCommand {
-    /// Its name, followed by its arguments.
-    pub arguments: Vec<Bytes>,
+    /// Its name, followed by its arguments; `None` if there was no memory for them.
+    pub arguments: Option<Vec<Bytes>>,
     /// When its last byte arrived, if that is known.
     pub arrived_at: Option<Micros>,
 }
@@ -49,6 +61,18 @@
 /// The input of a client.
 pub struct ClientInput {
     buffer: BytesMut,
+    /// Where the next command ends in the buffer.
+    scanner: FrameScanner,
+    /// The memory that all client connections share.
+    memory: MemoryBudget,
+    /// The memory of the buffer that exceeds [`UNRESERVED_BYTES`].
+    reservation: Option<MemoryReservation>,
+    /// Whether there was no memory for another read.
+    is_short_of_memory: bool,
+    /// Whether the content of the next command is discarded.
+    discards_command: bool,
+    /// Whether the buffer is known to hold no complete command.
+    is_incomplete: bool,
     arrival_times: ArrivalTimes,
     /// When bytes last arrived.
     last_read_at: Option<Instant>,
@@ -61,10 +85,17 @@
     failures: LocalFailures,
 }
 
-impl Default for ClientInput {
-    fn default() -> Self {
+impl ClientInput {
+    /// Creates the input of a new connection.
+    pub fn new(memory: MemoryBudget) -> Self {
         ClientInput {
             buffer: BytesMut::new(),
+            scanner: FrameScanner::new(FrameKind::Command),
+            memory,
+            reservation: None,
+            is_short_of_memory: false,
+            discards_command: false,
+            is_incomplete: false,
             arrival_times: ArrivalTimes::default(),
             last_read_at: None,
             incomplete_since: None,
@@ -74,12 +105,10 @@
             failures: LocalFailures::default(),
         }
     }
-}
 
-impl ClientInput {
     /// Whether no input is waiting to be processed.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        self.buffer.is_empty() && !self.discards_command
     }
 
     /// How the input is handled.
@@ -97,11 +126,32 @@
     /// Discards what has been read and all later input.
     pub fn discard(&mut self) {
         self.buffer = BytesMut::new();
+        self.scanner.restart();
+        self.reservation = None;
+        self.is_short_of_memory = false;
+        self.discards_command = false;
         self.arrival_times = ArrivalTimes::default();
         self.incomplete_since = None;
         self.mode = InputMode::Discard;
     }
 
+    /// Discards the content of the incomplete command, and gives its memory back. When it is complete, it is reported
+    /// without its arguments.
+    pub fn discard_command(&mut self) {
+        self.discards_command = true;
+        self.remove_scanned();
+    }
+
+    /// Since when the client has left a command incomplete for which memory is reserved.
+    pub fn reserved_since(&self) -> Option<Instant> {
+        self.incomplete_since.filter(|_| self.reservation.is_some())
+    }
+
+    /// Whether there was no memory for another read.
+    pub fn is_short_of_memory(&self) -> bool {
+        self.is_short_of_memory
+    }
+
     /// Since when the client has left a command incomplete, whether or not more bytes of it have arrived since. `None`
     /// if no command is incomplete, or if that is unknown because commands are not taken.
     pub fn incomplete_since(&self) -> Option<Instant> {
@@ -110,7 +160,8 @@
 
     /// Whether more input may be read; `takes_commands` says whether commands are being taken.
     pub fn can_read(&self, takes_commands: bool) -> bool {
-        takes_commands || self.throttled_bytes < MAX_THROTTLED_BYTES && !self.is_full()
+        let may_read_ahead = !self.is_full() && !self.is_short_of_memory;
+        takes_commands || self.throttled_bytes < MAX_THROTTLED_BYTES && may_read_ahead
     }
 
     /// Whether the read-ahead limit is reached.
@@ -125,12 +176,13 @@
 
     /// Starts the next interval if the current one is over, so that more can be read while commands are not taken.
     pub fn update_interval(&mut self) {
-        if self.throttled_bytes == 0 {
+        if self.throttled_bytes == 0 && !self.is_short_of_memory {
             return;
         }
         let now = Instant::now();
         if now >= self.interval_ends_at {
             self.throttled_bytes = 0;
+            self.is_short_of_memory = false;
             self.interval_ends_at = now + THROTTLE_INTERVAL;
         }
     }
@@ -156,14 +208,17 @@
             return Ok(());
         }
         let mut bytes_read = 0;
-        while self.can_read(takes_commands) && bytes_read < MAX_READ_AHEAD_BYTES {
-            self.buffer.reserve(READ_CAPACITY);
+        while self.can_read(takes_commands)
+            && bytes_read < MAX_READ_AHEAD_BYTES
+            && self.make_room(takes_commands)
+        {
             let result = try_read(&mut self.buffer);
             if result.is_ok() {
                 self.failures.record_success();
             }
             if let Ok(count) = result {
                 bytes_read += count;
+                self.is_incomplete = false;
                 if !takes_commands {
                     self.throttled_bytes += count;
                 }
@@ -178,10 +233,6 @@
                         // These bytes may complete the incomplete command.
                         self.incomplete_since = None;
                     }
-                    // More than the longest command is buffered: parse it before reading on.
-                    if self.buffer.len() > resp::MAX_COMMAND_BYTES {
-                        break;
-                    }
                 }
                 Err(error) if is_not_ready(&error) => {
                     self.failures.record_success();
@@ -193,27 +244,80 @@
         Ok(())
     }
 
+    /// Makes room for another read; `false` if there is no memory for it.
+    fn make_room(&mut self, takes_commands: bool) -> bool {
+        let wanted = self.next_read_capacity(takes_commands);
+        let capacity = self.buffer.len() + wanted;
+        let available = UNRESERVED_BYTES + self.reserved_bytes();
+        if capacity > available {
+            if takes_commands && !self.is_incomplete {
+                return false; // The buffer may hold complete commands, which are taken first.
+            }
+            if !self.reserve(capacity - available) {
+                self.is_short_of_memory = true;
+                return false;
+            }
+        }
+        if !self.buffer.try_reclaim(wanted) {
+            // A buffer that grows by itself could take twice the memory that is reserved.
+            let mut buffer = BytesMut::with_capacity(capacity);
+            buffer.extend_from_slice(&self.buffer);
+            self.buffer = buffer;
+        }
+        true
+    }
+
+    fn next_read_capacity(&self, takes_commands: bool) -> usize {
+        let wanted = match takes_commands {
+            true if self.discards_command => 0,
+            true if self.is_incomplete => self.scanner.missing_bytes(),
+            true => 0,
+            // Grows in proportion, as all of it is copied each time.
+            false => self.buffer.len(),
+        };
+        wanted.max(READ_CAPACITY)
+    }
+
+    fn reserved_bytes(&self) -> usize {
+        self.reservation
+            .as_ref()
+            .map_or(0, MemoryReservation::bytes)
+    }
+
+    /// Reserves more memory for the buffer; `false` if there is none.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        let Some(added) = self.memory.try_reserve(bytes) else {
+            return false;
+        };
+        match &mut self.reservation {
+            Some(reservation) => reservation.merge(added),
+            None => self.reservation = Some(added),
+        }
+        true
+    }
+
+    /// Gives back the memory that the buffer does not need any more.
+    fn shrink(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        } else if self.reservation.is_some() && self.buffer.len() <= READ_CAPACITY {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+        } else {
+            return;
+        }
+        self.reservation = None;
+    }
+
     /// Takes the next command from the input; `None` if it is not complete.
     ///
     /// # Errors
     ///
     /// If the input is not a command. The command boundaries are lost then: this and all later input is discarded.
     pub fn take_command(&mut self) -> Result<Option<ReceivedCommand>, RespError> {
-        let length_before = self.buffer.len();
-        match resp::take_command(&mut self.buffer) {
-            Ok(Some(arguments)) => {
-                let taken = length_before - self.buffer.len();
-                let arrived_at = self.arrival_times.take(taken);
-                self.incomplete_since = None;
-                Ok(Some(ReceivedCommand {
-                    arguments,
-                    arrived_at,
-                }))
-            }
+        match self.scanner.scan(&self.buffer) {
+            Ok(Some(length)) => self.take_complete(length).map(Some),
             Ok(None) => {
-                if !self.buffer.is_empty() && self.incomplete_since.is_none() {
-                    self.incomplete_since = self.last_read_at;
-                }
+                self.handle_incomplete();
                 Ok(None)
             }
             Err(error) => {
@@ -222,4 +326,81 @@
             }
         }
     }
+
+    /// Takes the command that ends at `length` in the buffer.
+    fn take_complete(&mut self, length: usize) -> Result<ReceivedCommand, RespError> {
+        let arguments = match self.discards_command {
+            true => None,
+            false => self.copy_command(length),
+        };
+        self.buffer.advance(length);
+        self.scanner.restart();
+        self.discards_command = false;
+        self.is_incomplete = false;
+        self.is_short_of_memory = false;
+        self.incomplete_since = None;
+        self.shrink();
+        Ok(ReceivedCommand {
+            arguments: arguments.transpose()?,
+            arrived_at: self.arrival_times.take(length),
+        })
+    }
+
+    /// Copies the command that ends at `length`, so that its arguments keep no more memory than they need; `None` if
+    /// there is no memory for it.
+    fn copy_command(&mut self, length: usize) -> Option<Result<Vec<Bytes>, RespError>> {
+        let reservation = self.reserve_copies(length)?;
+        let copy = Bytes::copy_from_slice(&self.buffer[..length]);
+        let command = match reservation {
+            Some(reservation) => reservation.attach_to(copy),
+            None => copy,
+        };
+        Some(resp::parse_command(&command))
+    }
+
+    /// Reserves the memory of a command that is taken, unless it is short. `None` if there is none.
+    fn reserve_copies(&mut self, length: usize) -> Option<Option<MemoryReservation>> {
+        if length <= MAX_UNRESERVED_COMMAND_BYTES {
+            return Some(None);
+        }
+        let wanted = length * COPIES_OF_COMMAND;
+        let leaves_little = self.buffer.len() - length <= READ_CAPACITY;
+        let missing = match &self.reservation {
+            // The buffer shrinks once the command is taken.
+            Some(reservation) if leaves_little => wanted.saturating_sub(reservation.bytes()),
+            _ => wanted,
+        };
+        let added = self.memory.try_reserve(missing)?;
+        let mut reservation = added;
+        if leaves_little && let Some(of_buffer) = self.reservation.take() {
+            reservation.merge(of_buffer);
+            reservation.shrink_to(wanted);
+        }
+        Some(Some(reservation))
+    }
+
+    /// Handles that the input holds no complete command.
+    fn handle_incomplete(&mut self) {
+        self.is_incomplete = true;
+        if !self.is_empty() && self.incomplete_since.is_none() {
+            self.incomplete_since = self.last_read_at;
+        }
+        // Only the time at which the last byte of the command arrives matters.
+        self.arrival_times.merge();
+        if self.discards_command || self.is_short_of_memory {
+            self.discard_command();
+        }
+        if self.buffer.is_empty() {
+            self.shrink();
+        }
+    }
+
+    /// Removes the scanned part of a command whose content is discarded.
+    fn remove_scanned(&mut self) {
+        let count = self.scanner.remove_scanned();
+        self.buffer.advance(count);
+        let _ = self.arrival_times.take(count);
+        self.is_short_of_memory = false;
+        self.shrink();
+    }
 }
--- a/crates/cache-router/src/client_connection/output.rs
+++ b/crates/cache-router/src/client_connection/output.rs
@@ -1,24 +1,39 @@
 //! The output of a client: replies that have not been written to its socket yet.
+//!
+//! Short replies are collected in a buffer, so that one write sends many of them. Long values are not copied: they are
+//! written from the memory that is reserved for them, which is given back once they are written.
 
+use std::collections::VecDeque;
 use std::io;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::time::Instant;
 
 use super::local_failures::{Disconnected, LocalFailures};
 use super::reply_queue::ReplyQueue;
+use crate::message::Reply;
+use crate::resp;
 use crate::socket::SocketStream;
 use crate::socket::errors::is_not_ready;
 
 /// While this many bytes wait to be written to a client, no further command is taken from it.
 const MAX_OUTPUT_BYTES: usize = 64 * 1024;
+/// The same for the bytes of short replies, whose memory is not reserved.
+const MAX_COLLECTED_BYTES: usize = 4 * 1024;
+/// Values longer than this are not copied, in bytes.
+const MAX_COPIED_BYTES: usize = 2 * 1024;
 /// A client that reads none of its replies for this long is disconnected.
 pub const OUTPUT_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Buffered replies to a client.
 pub struct ClientOutput {
-    buffer: BytesMut,
+    /// Long values and the replies before them, in order.
+    segments: VecDeque<Bytes>,
+    /// Short replies after the segments.
+    collected: BytesMut,
+    /// How many bytes are in the segments.
+    segment_bytes: usize,
     /// When output was last written to the socket, or became non-empty.
     progress_at: Instant,
     failures: LocalFailures,
@@ -27,7 +42,9 @@
 impl Default for ClientOutput {
     fn default() -> Self {
         ClientOutput {
-            buffer: BytesMut::new(),
+            segments: VecDeque::new(),
+            collected: BytesMut::new(),
+            segment_bytes: 0,
             progress_at: Instant::now(),
             failures: LocalFailures::default(),
         }
@@ -37,12 +54,23 @@
 impl ClientOutput {
     /// Whether all output is written.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        self.segments.is_empty() && self.collected.is_empty()
+    }
+
+    /// When output was last written to the socket, or became non-empty.
+    pub fn progress_at(&self) -> Instant {
+        self.progress_at
+    }
+
+    /// How many bytes of long values are waiting.
+    pub fn segment_bytes(&self) -> usize {
+        self.segment_bytes
     }
 
     /// Whether so much output is waiting that no further command is taken.
     pub fn is_full(&self) -> bool {
-        self.buffer.len() >= MAX_OUTPUT_BYTES
+        self.collected.len() >= MAX_COLLECTED_BYTES
+            || self.segment_bytes + self.collected.len() >= MAX_OUTPUT_BYTES
     }
 
     /// When the client is disconnected if nothing more has been written by then.
@@ -52,17 +80,64 @@
 
     /// Moves the replies that are ready from the queue to the output, in order.
     pub fn take_ready(&mut self, replies: &mut ReplyQueue) {
-        let was_empty = self.buffer.is_empty();
+        let was_empty = self.is_empty();
         while !self.is_full()
             && let Some(reply) = replies.pop_ready()
         {
-            self.buffer.extend_from_slice(&reply);
+            self.push(reply);
         }
-        if was_empty && !self.buffer.is_empty() {
+        if was_empty && !self.is_empty() {
             self.progress_at = Instant::now();
         }
     }
 
+    fn push(&mut self, reply: Reply) {
+        match reply {
+            Reply::Encoded(line) if line.len() <= MAX_COPIED_BYTES => {
+                self.collected.extend_from_slice(&line);
+            }
+            Reply::Encoded(long) => self.push_segment(long),
+            Reply::Value(value) if value.len() <= MAX_COPIED_BYTES => {
+                resp::put_bulk_string(&mut self.collected, &value);
+            }
+            Reply::Value(value) => {
+                resp::put_bulk_string_start(&mut self.collected, value.len());
+                self.push_segment(value);
+                resp::put_bulk_string_end(&mut self.collected);
+            }
+        }
+    }
+
+    /// Appends bytes that are not copied.
+    fn push_segment(&mut self, segment: Bytes) {
+        let before = self.collected.split().freeze();
+        let is_not_empty = |bytes: &Bytes| !bytes.is_empty();
+        for bytes in [before, segment].into_iter().filter(is_not_empty) {
+            self.segment_bytes += bytes.len();
+            self.segments.push_back(bytes);
+        }
+    }
+
+    /// The bytes that are written next.
+    fn front(&self) -> &[u8] {
+        self.segments
+            .front()
+            .map_or(&self.collected, |segment| segment)
+    }
+
+    /// Removes bytes that have been written.
+    fn advance(&mut self, count: usize) {
+        let Some(segment) = self.segments.front_mut() else {
+            self.collected.advance(count);
+            return;
+        };
+        segment.advance(count);
+        self.segment_bytes -= count;
+        while self.segments.front().is_some_and(Bytes::is_empty) {
+            self.segments.pop_front();
+        }
+    }
+
     /// Writes that failed for lack of resources on this machine.
     pub fn failures(&self) -> &LocalFailures {
         &self.failures
@@ -87,17 +162,17 @@
         &mut self,
         try_write: impl FnOnce(&[u8]) -> io::Result<usize>,
     ) -> Result<bool, Disconnected> {
-        if self.buffer.is_empty() {
-            // Frees the memory of a large reply.
-            self.buffer = BytesMut::new();
+        if self.is_empty() {
+            // Frees the memory of earlier replies.
+            self.collected = BytesMut::new();
             return Ok(false);
         }
         if self.failures.is_paused() {
             return Ok(false);
         }
-        match try_write(&self.buffer) {
+        match try_write(self.front()) {
             Ok(count) => {
-                let _ = self.buffer.split_to(count);
+                self.advance(count);
                 self.progress_at = Instant::now();
                 self.failures.record_success();
                 Ok(true)
--- a/crates/cache-router/src/client_connection/reply_queue.rs
+++ b/crates/cache-router/src/client_connection/reply_queue.rs
@@ -5,18 +5,25 @@
 use bytes::Bytes;
 use tokio::sync::OwnedSemaphorePermit;
 
-use crate::message::ClientReply;
+use crate::event_loop::in_flight::FAILED_REPLY;
+use crate::message::{ClientReply, Reply};
 
 /// A queue entry for one reply, or for several equal ones in a row.
 struct ReplySlot {
     /// `None` while the reply is pending.
-    reply: Option<Bytes>,
+    reply: Option<Reply>,
     /// How many further commands get the same reply.
     repetitions: usize,
     /// Limits the number of open requests; held until the reply is taken from the queue.
     request_permit: Option<OwnedSemaphorePermit>,
 }
 
+impl ReplySlot {
+    fn has_reply(&self, expected: &[u8]) -> bool {
+        matches!(&self.reply, Some(Reply::Encoded(reply)) if reply == expected)
+    }
+}
+
 /// The replies that a client is waiting for, in the order of its commands.
 #[derive(Default)]
 pub struct ReplyQueue {
@@ -40,7 +47,7 @@
     /// Appends a reply that is already known.
     pub fn push_ready(&mut self, reply: impl Into<Bytes>) {
         self.slots.push_back(ReplySlot {
-            reply: Some(reply.into()),
+            reply: Some(Reply::Encoded(reply.into())),
             repetitions: 0,
             request_permit: None,
         });
@@ -50,7 +57,7 @@
     /// equal replies in a row takes the memory of one.
     pub fn push_repeated(&mut self, reply: &'static [u8]) {
         match self.slots.back_mut() {
-            Some(last) if last.request_permit.is_none() && last.reply.as_deref() == Some(reply) => {
+            Some(last) if last.request_permit.is_none() && last.has_reply(reply) => {
                 last.repetitions += 1
             }
             _ => self.push_ready(reply),
@@ -61,19 +68,34 @@
     pub fn fill(&mut self, reply: ClientReply) {
         let position = reply.sequence.saturating_sub(self.first_sequence) as usize;
         if let Some(slot) = self.slots.get_mut(position) {
-            slot.reply = Some(reply.bytes);
+            slot.reply = Some(reply.reply);
         }
     }
 
+    /// Puts a failure in the slot of a reply whose value can't be kept.
+    pub fn fill_with_failure(&mut self, reply: &ClientReply) {
+        self.fill(ClientReply {
+            sequence: reply.sequence,
+            reply: Reply::Encoded(Bytes::from_static(FAILED_REPLY)),
+        });
+    }
+
+    /// How many bytes the replies take that are known.
+    pub fn known_bytes(&self) -> usize {
+        let replies = self.slots.iter().filter_map(|slot| slot.reply.as_ref());
+        replies.map(Reply::content_length).sum()
+    }
+
     /// Puts a reply in all slots that have none.
     pub fn fill_pending(&mut self, reply: &'static [u8]) {
         for slot in &mut self.slots {
-            slot.reply.get_or_insert(Bytes::from_static(reply));
+            slot.reply
+                .get_or_insert(Reply::Encoded(Bytes::from_static(reply)));
         }
     }
 
     /// Takes the first reply, if it is known.
-    pub fn pop_ready(&mut self) -> Option<Bytes> {
+    pub fn pop_ready(&mut self) -> Option<Reply> {
         let first = self.slots.front_mut()?;
         let reply = first.reply.as_ref()?;
         if first.repetitions > 0 {
--- a/crates/cache-router/src/client_connection/wait.rs
+++ b/crates/cache-router/src/client_connection/wait.rs
@@ -16,6 +16,9 @@
 /// While a connection is not read from, how often it checks for the client's close and whether it may read again.
 const CLOSE_CHECK_INTERVAL: Duration = THROTTLE_INTERVAL;
 
+/// If the memory for replies is short, the unsent replies of one client take at most one part in this many of it.
+const MAX_SHARE_OF_MEMORY: usize = 8;
+
 /// The event that ended a wait.
 pub(super) enum WakeUp {
     /// The event loop has sent a reply.
@@ -34,14 +37,16 @@
     FirstCommandOverdue,
     /// The router is shutting down, and the connection is idle.
     IdleInShutdown,
-    /// The first command has not arrived for some time.
-    Silent,
+    /// The connection can be registered as closable, or its command as discardable.
+    RegistrationDue,
+    /// The memory of its incomplete command is needed.
+    MemoryNeeded,
     /// A new client needs the slot of this idle or silent connection.
     CloseRequested,
     /// A new client needs the slot of this bulk connection.
     SlotReclaimed,
-    /// The client has read none of its replies for too long.
-    OutputStalled,
+    /// It is time to check whether the client still reads none of its replies.
+    StallCheckDue,
     /// It is time to check whether the client has closed a connection that is not being read.
     CloseCheckDue,
     /// The client has not completed its first command, or an incomplete one, in time.
@@ -63,6 +68,10 @@
         let is_bulk = self.bulk_guard.is_some();
         let is_shutting_down = phase.is_shutting_down();
         let awaits_first_command = self.is_between_requests() && self.replies.is_unused();
+        let may_become_silent = awaits_first_command && !is_shutting_down;
+        let registration_at = self.next_registration_at(may_become_silent);
+        let is_incomplete = self.incomplete_guard.is_some();
+        let stall_check_at = self.next_stall_check();
         let command_deadline = self.command_deadline();
         tokio::select! {
             biased;
@@ -78,13 +87,16 @@
             Ok(()) = lifecycle.changed() => WakeUp::PhaseChanged,
             () = tokio::time::sleep_until(self.first_command_until),
                 if is_shutting_down && awaits_first_command => WakeUp::FirstCommandOverdue,
-            () = tokio::time::sleep_until(self.first_command_until),
-                if awaits_first_command && !is_shutting_down && !is_idle => WakeUp::Silent,
+            () = sleep_until(registration_at), if registration_at.is_some() => {
+                WakeUp::RegistrationDue
+            }
+            () = close_requested(&mut self.incomplete_guard), if is_incomplete => {
+                WakeUp::MemoryNeeded
+            }
             () = std::future::ready(()), if is_shutting_down && is_idle => WakeUp::IdleInShutdown,
             () = close_requested(&mut self.idle_guard), if is_idle => WakeUp::CloseRequested,
             () = close_requested(&mut self.bulk_guard), if is_bulk => WakeUp::SlotReclaimed,
-            () = tokio::time::sleep_until(self.output.stall_deadline()),
-                if has_output => WakeUp::OutputStalled,
+            () = tokio::time::sleep_until(stall_check_at), if has_output => WakeUp::StallCheckDue,
             () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !is_reading => WakeUp::CloseCheckDue,
             () = sleep_until(command_deadline), if command_deadline.is_some() => {
                 WakeUp::CommandOverdue
@@ -103,20 +115,45 @@
             WakeUp::PhaseChanged
             | WakeUp::CloseCheckDue
             | WakeUp::WriteRetryDue
-            | WakeUp::Silent => ControlFlow::Continue(()),
+            | WakeUp::RegistrationDue => ControlFlow::Continue(()),
             WakeUp::FirstCommandOverdue | WakeUp::IdleInShutdown | WakeUp::CloseRequested => {
                 self.close_if_idle().await
             }
             WakeUp::SlotReclaimed => self.reclaim_slot(),
-            WakeUp::OutputStalled => ControlFlow::Break(CloseReason::OutputStalled),
+            WakeUp::MemoryNeeded => self.discard_incomplete_command(),
+            WakeUp::StallCheckDue if self.is_output_stalled() => {
+                ControlFlow::Break(CloseReason::OutputStalled)
+            }
+            WakeUp::StallCheckDue => ControlFlow::Continue(()),
             WakeUp::CommandOverdue => self.handle_overdue_command().await,
         }
     }
 
     fn handle_reply(&mut self, reply: Option<ClientReply>) -> ControlFlow<CloseReason> {
         if let Some(reply) = reply {
+            self.fill_reply(reply);
+        }
+        ControlFlow::Continue(())
+    }
+
+    /// Puts a reply in its place. If the memory for replies is short and this client has many that are not sent, its
+    /// further values are replaced by a failure.
+    fn fill_reply(&mut self, reply: ClientReply) {
+        let memory = &self.context.reply_memory;
+        let unsent_bytes = || self.replies.known_bytes() + self.output.segment_bytes();
+        if memory.is_short() && unsent_bytes() > memory.limit() / MAX_SHARE_OF_MEMORY {
+            self.replies.fill_with_failure(&reply);
+        } else {
             self.replies.fill(reply);
         }
+    }
+
+    /// Discards the incomplete command, which is rejected once the client has completed it.
+    fn discard_incomplete_command(&mut self) -> ControlFlow<CloseReason> {
+        if let Some(guard) = self.incomplete_guard.take() {
+            guard.close();
+        }
+        self.input.discard_command();
         ControlFlow::Continue(())
     }
 
--- a/crates/cache-router/src/client_context.rs
+++ b/crates/cache-router/src/client_context.rs
@@ -9,6 +9,7 @@
 use crate::closable_connections::ClosableConnections;
 use crate::fair_share::BulkTurns;
 use crate::lifecycle::LifecyclePhase;
+use crate::memory_budget::MemoryBudget;
 use crate::message::RouterEvent;
 
 /// State that the listener and all client connections share.
@@ -31,6 +32,12 @@
     /// One permit for each request that may still be accepted. A request holds its permit until its reply is moved to
     /// the output, which bounds memory.
     pub request_slots: Arc<Semaphore>,
+    /// The memory for what clients send.
+    pub request_memory: MemoryBudget,
+    /// The memory for replies.
+    pub reply_memory: MemoryBudget,
+    /// The connections that have left a long command incomplete, one of which discards it if memory is short.
+    pub incomplete_commands: Arc<ClosableConnections>,
     /// The queue of the connections that have more to do than their share.
     pub bulk_turns: Arc<BulkTurns>,
 }
--- a/crates/cache-router/src/closable_connections.rs
+++ b/crates/cache-router/src/closable_connections.rs
@@ -20,6 +20,8 @@
     Silent,
     /// It is between two requests.
     Idle,
+    /// It has left a long command incomplete. It gives up the memory of the command and not its slot.
+    Unfinished,
 }
 
 /// Identifies a registration. The first in the order is asked to close first.
--- a/crates/cache-router/src/config.rs
+++ b/crates/cache-router/src/config.rs
@@ -23,6 +23,9 @@
 /// Maximum number of sockets, which is also the default.
 const MAX_SOCKETS: usize = 1024;
 
+/// Limit on the memory of the process if the file states none, in MiB: the least that a deployment gives.
+const DEFAULT_MEMORY_MB: usize = 32;
+
 /// The configuration of the router.
 pub struct Config {
     /// Address on which the router listens for clients.
@@ -33,6 +36,8 @@
     pub seed: u64,
     /// Maximum number of sockets of the process, for all purposes.
     pub max_sockets: usize,
+    /// Limit on the memory of the process, in MiB.
+    pub memory_mb: usize,
     /// The endpoint list from the router's previous run; empty if there is none.
     pub cached_list: EndpointListUpdate,
     /// The settings of the deployment.
@@ -120,12 +125,14 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Limits {
             sockets: MAX_SOCKETS,
+            memory_mb: DEFAULT_MEMORY_MB,
         }
     }
 }
@@ -164,6 +171,7 @@
             discovery: parse_address("discovery", discovery)?,
             seed: parse_seed(&file.seed),
             max_sockets: file.limits.sockets.min(MAX_SOCKETS),
+            memory_mb: file.limits.memory_mb,
             cached_list: file.cached_list.unwrap_or_default(),
             deployment,
         })
--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -27,6 +27,7 @@
 use crate::discovery::{DiscoveryClient, UpdateFreshness};
 use crate::fair_share::BulkTurns;
 use crate::lifecycle::{Lifecycle, LifecyclePhase, ScheduledStep, ShutdownStep};
+use crate::memory_budget::MemoryBudget;
 use crate::message::{
     ClientDisconnect, ClientRequest, DiscoveryCall, EndpointListUpdate, RouterEvent,
 };
@@ -61,6 +62,8 @@
     pub cached_list: EndpointListUpdate,
     /// How many connections to servers may be open.
     pub max_server_connections: usize,
+    /// The memory for responses of servers.
+    pub reply_memory: MemoryBudget,
     /// The queue of the connections that have more to do than their share.
     pub bulk_turns: Arc<BulkTurns>,
     /// Channel on which the tasks started by the loop send their events; the loop receives from it.
@@ -93,6 +96,7 @@
             discovery,
             cached_list,
             max_server_connections,
+            reply_memory,
             bulk_turns,
             events,
             phase,
@@ -105,6 +109,7 @@
                 deployment: deployment.clone(),
                 clock,
                 events: events.clone(),
+                reply_memory,
                 bulk_turns,
             },
         );
--- a/crates/cache-router/src/event_loop/dispatcher.rs
+++ b/crates/cache-router/src/event_loop/dispatcher.rs
@@ -19,7 +19,7 @@
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::message::{
-    AttemptId, ClientRequest, ConnectionId, LossCause, LostConnection, ServerProtocol,
+    AttemptId, ClientRequest, ConnectionId, LossCause, LostConnection, Reply, ServerProtocol,
     ServerResponse, ServerTarget,
 };
 use crate::trace::Trace;
@@ -126,13 +126,13 @@
             0 => Bytes::from_static(BUSY_REPLY),
             after => format!("-BUSY {}\r\n", after.div_ceil(MICROS_PER_MILLISECOND)).into(),
         };
-        self.in_flight.reply(request, reply);
+        self.in_flight.reply(request, Reply::Encoded(reply));
     }
 
     /// Replies that a request has failed. The reply does not tell whether any server ran the request.
     pub fn fail(&mut self, request: RequestId) {
-        self.in_flight
-            .reply(request, Bytes::from_static(FAILED_REPLY));
+        let reply = Reply::Encoded(Bytes::from_static(FAILED_REPLY));
+        self.in_flight.reply(request, reply);
     }
 
     /// Starts an attempt. It is given up after `give_up_after`, or at the request's deadline if that is 0.
--- a/crates/cache-router/src/event_loop/in_flight.rs
+++ b/crates/cache-router/src/event_loop/in_flight.rs
@@ -3,16 +3,15 @@
 
 use std::collections::HashMap;
 
-use bytes::{Bytes, BytesMut};
 use routing_policy::{AttemptOutcome, AttemptStatus, Micros, Request, RequestId, ServerId};
 use tokio::sync::mpsc;
 use tracing::debug;
 
 use crate::clock::Clock;
 use crate::message::{
-    AttemptId, ClientCommand, ClientId, ClientReply, ClientRequest, ConnectionId, ServerResponse,
+    AttemptId, ClientCommand, ClientId, ClientReply, ClientRequest, ConnectionId, Reply,
+    ServerResponse,
 };
-use crate::resp;
 use crate::trace::{self, Trace};
 
 /// The reply to a failed request. It does not tell whether any server ran the request.
@@ -21,10 +20,6 @@
 pub const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
 /// First bytes of a reply that rejects a request.
 const BUSY_PREFIX: &[u8] = b"-BUSY";
-/// First byte of a reply with a value.
-const VALUE_PREFIX: u8 = b'$';
-/// Space for the bytes of a reply other than the value: its length and two line ends.
-const VALUE_REPLY_OVERHEAD: usize = 16;
 
 /// A client's request that has no final reply yet, or has attempts without an outcome.
 pub struct InFlightRequest {
@@ -210,7 +205,7 @@
     }
 
     /// Sends the final reply to the client, unless one was sent before.
-    pub fn reply(&mut self, id: RequestId, bytes: Bytes) {
+    pub fn reply(&mut self, id: RequestId, reply: Reply) {
         let Some(request) = self
             .requests
             .get(&id)
@@ -219,10 +214,10 @@
             return;
         };
         let now = self.clock.now();
-        let result = match bytes.first() {
-            Some(&VALUE_PREFIX) => "served",
-            _ if bytes.starts_with(BUSY_PREFIX) => "refused",
-            _ => "failed",
+        let result = match &reply {
+            Reply::Value(_) => "served",
+            Reply::Encoded(line) if line.starts_with(BUSY_PREFIX) => "refused",
+            Reply::Encoded(_) => "failed",
         };
         self.trace.line(
             now,
@@ -238,7 +233,7 @@
         // connection has ended.
         let _ = request.replies.try_send(ClientReply {
             sequence: request.sequence,
-            bytes,
+            reply,
         });
         self.complete(id);
     }
@@ -328,9 +323,7 @@
             "attempt ended"
         );
         if let Some(value) = value {
-            let mut reply = BytesMut::with_capacity(value.len() + VALUE_REPLY_OVERHEAD);
-            resp::put_bulk_string(&mut reply, &value);
-            self.reply(id.request, reply.freeze());
+            self.reply(id.request, Reply::Value(value));
         }
         if request_complete {
             self.complete(id.request);
--- a/crates/cache-router/src/message.rs
+++ b/crates/cache-router/src/message.rs
@@ -124,13 +124,31 @@
     pub replies: mpsc::Sender<ClientReply>,
 }
 
-/// The reply to a command, encoded for the client.
+/// The reply to a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// A reply that is encoded already.
+    Encoded(Bytes),
+    /// A value, which is encoded as a bulk string when it is written. Its memory may be reserved.
+    Value(Bytes),
+}
+
+impl Reply {
+    /// The length of its content, in bytes.
+    pub fn content_length(&self) -> usize {
+        match self {
+            Reply::Encoded(content) | Reply::Value(content) => content.len(),
+        }
+    }
+}
+
+/// The reply to a command, with its place in the order of replies.
 #[derive(Debug, PartialEq, Eq)]
 pub struct ClientReply {
     /// Position in the order of the connection's commands.
     pub sequence: u64,
-    /// The encoded reply.
-    pub bytes: Bytes,
+    /// The reply.
+    pub reply: Reply,
 }
 
 /// Identifies a connection to a server; never reused.
--- a/crates/cache-router/src/server_connection.rs
+++ b/crates/cache-router/src/server_connection.rs
@@ -20,18 +20,16 @@
 
 use crate::clock::Clock;
 use crate::fair_share::{BulkTurns, FairShare, Peer, Work};
+use crate::memory_budget::MemoryBudget;
 use crate::message::{
-    ConnectionId, LossCause, LostConnection, ProtocolError, RouterEvent, ServerConnectionEvent,
-    ServerProtocol, ServerResponse, ServerTarget,
+    ConnectionId, LossCause, LostConnection, RouterEvent, ServerConnectionEvent, ServerProtocol,
+    ServerResponse, ServerTarget,
 };
+use crate::response_buffer::ResponseBuffer;
 use crate::socket::errors::classify;
 use crate::socket::stream::LOCAL_RETRY_PAUSE;
 use crate::socket::{self, SocketStream};
 use crate::write_progress::{SharedWriteProgress, WriteProgress};
-use crate::{cache_protocol, origin_protocol};
-
-/// Free space in the buffer before each read, in bytes: most responses fit in one read.
-const READ_CAPACITY: usize = 2048;
 
 /// A request that is handed to a connection.
 pub struct OutgoingRequest {
@@ -55,6 +53,8 @@
     pub clock: Clock,
     /// The event loop.
     pub events: mpsc::Sender<RouterEvent>,
+    /// The memory for long responses.
+    pub reply_memory: MemoryBudget,
     /// The queue of the connections that have more to do than their share.
     pub bulk_turns: Arc<BulkTurns>,
 }
@@ -150,8 +150,7 @@
         let Ok(mut stream) = connected else {
             return LOST;
         };
-        let mut buffer = BytesMut::new();
-        let mut decoder = ResponseDecoder::new(self.protocol);
+        let mut buffer = ResponseBuffer::new(self.protocol);
         let mut share = FairShare::new(Peer::Server(self.id), self.context.bulk_turns.clone());
         let mut event = ServerConnectionEvent::Established;
         loop {
@@ -170,7 +169,7 @@
                 return LOST;
             };
             event = self
-                .handle_request(request, &mut stream, &mut buffer, &mut decoder, &mut share)
+                .handle_request(request, &mut stream, &mut buffer, &mut share)
                 .await;
             share.end_turn();
             if closes_connection(&event) {
@@ -191,8 +190,7 @@
         &self,
         request: OutgoingRequest,
         stream: &mut SocketStream,
-        buffer: &mut BytesMut,
-        decoder: &mut ResponseDecoder,
+        buffer: &mut ResponseBuffer,
         share: &mut FairShare,
     ) -> ServerConnectionEvent {
         // The process may have been suspended since the event loop decided to write. A request must not be written
@@ -222,7 +220,7 @@
         progress.advance(WriteProgress::Writing, WriteProgress::Written);
         // Frees the memory of a large value before waiting for the response.
         drop(request);
-        match self.read_response(stream, buffer, decoder, share).await {
+        match self.read_response(stream, buffer, share).await {
             Ok(response) => ServerConnectionEvent::Response(response),
             Err(error) => connection_lost(&error, WriteProgress::Written),
         }
@@ -241,72 +239,27 @@
     async fn read_response(
         &self,
         stream: &mut SocketStream,
-        buffer: &mut BytesMut,
-        decoder: &mut ResponseDecoder,
+        buffer: &mut ResponseBuffer,
         share: &mut FairShare,
     ) -> io::Result<ServerResponse> {
         let load_report_names = &self.context.deployment.load_report_names;
-        let response = loop {
-            let decoded = decoder.decode(buffer, load_report_names);
+        loop {
+            let decoded = buffer.decode(load_report_names);
             if let Some(response) = decoded.map_err(io::Error::other)? {
-                break response;
+                return Ok(response);
             }
             share.wait_for_more().await;
-            buffer.reserve(READ_CAPACITY);
-            if read_by_turns(stream, buffer, share).await? == 0 {
-                let last = decoder.decode_at_end(buffer, load_report_names);
-                break last.ok_or(io::ErrorKind::UnexpectedEof)?;
+            if buffer.needs_memory() {
+                share.end_turn();
+                buffer.reserve(&self.context.reply_memory).await;
             }
-        };
-        // Bytes after the response belong to no request, so later responses could not be matched to requests.
-        let reusable = response.reusable && buffer.is_empty();
-        // Frees the memory that a large response took.
-        *buffer = BytesMut::new();
-        Ok(ServerResponse {
-            reusable,
-            ..response
-        })
-    }
-}
-
-/// Decodes the responses on a connection in the protocol of its server.
-enum ResponseDecoder {
-    Resp(cache_protocol::ReplyDecoder),
-    Http(origin_protocol::ResponseDecoder),
-}
-
-impl ResponseDecoder {
-    fn new(protocol: ServerProtocol) -> Self {
-        match protocol {
-            ServerProtocol::Resp => ResponseDecoder::Resp(cache_protocol::ReplyDecoder::default()),
-            ServerProtocol::Http => {
-                ResponseDecoder::Http(origin_protocol::ResponseDecoder::default())
+            let count = read_by_turns(stream, buffer.free_space(), share).await?;
+            if count == 0 {
+                let last = buffer.decode_at_end(load_report_names);
+                return last.ok_or(io::ErrorKind::UnexpectedEof.into());
             }
         }
     }
-
-    fn decode(
-        &mut self,
-        buffer: &mut BytesMut,
-        load_report_names: &[String],
-    ) -> Result<Option<ServerResponse>, ProtocolError> {
-        match self {
-            ResponseDecoder::Resp(decoder) => decoder.decode(buffer, load_report_names),
-            ResponseDecoder::Http(decoder) => decoder.decode(buffer, load_report_names),
-        }
-    }
-
-    /// The response whose end is the regular end of the connection, if there is one.
-    fn decode_at_end(
-        &mut self,
-        buffer: &mut BytesMut,
-        load_report_names: &[String],
-    ) -> Option<ServerResponse> {
-        match self {
-            ResponseDecoder::Resp(_) => None,
-            ResponseDecoder::Http(decoder) => decoder.decode_at_end(buffer, load_report_names),
-        }
-    }
 }
 
 /// Reads what has arrived. If nothing has, ends the turn of the connection and waits.
--- a/crates/cache-router/tests/client_connection/failing_calls.rs
+++ b/crates/cache-router/tests/client_connection/failing_calls.rs
@@ -11,6 +11,7 @@
 use cache_router::client_connection::output::ClientOutput;
 use cache_router::client_connection::reply_queue::ReplyQueue;
 use cache_router::clock::Clock;
+use cache_router::memory_budget::MemoryBudget;
 use cache_router::socket::stream::{LOCAL_FAILURE_TIMEOUT, LOCAL_RETRY_PAUSE};
 
 use crate::support::{PING, VALUE_REPLY};
@@ -33,6 +34,10 @@
     }
 }
 
+fn new_input() -> ClientInput {
+    ClientInput::new(MemoryBudget::new(1024 * 1024))
+}
+
 /// Reads input. The script says how many bytes of a `PING` command each call returns.
 fn read(input: &mut ClientInput, script: &Script) -> Result<(), Disconnected> {
     let try_read = |buffer: &mut BytesMut| {
@@ -49,7 +54,7 @@
 {
     for errno in LOCAL_ERRORS {
         let script = Script::new([Ok(5), Err(errno), Ok(PING.len() - 5)]);
-        let mut input = ClientInput::default();
+        let mut input = new_input();
         assert_eq!(read(&mut input, &script), Ok(()));
         assert!(input.failures().is_paused(), "{errno}");
         assert_eq!(read(&mut input, &script), Ok(()));
@@ -57,7 +62,10 @@
         tokio::time::sleep(LOCAL_RETRY_PAUSE).await;
         assert_eq!(read(&mut input, &script), Ok(()));
         assert!(!input.failures().is_paused());
-        assert_eq!(input.take_command().unwrap().unwrap().arguments[0], "PING");
+        assert_eq!(
+            input.take_command().unwrap().unwrap().arguments.unwrap()[0],
+            "PING"
+        );
     }
 }
 
@@ -92,7 +100,7 @@
 #[tokio::test(start_paused = true)]
 async fn local_failures_disconnect_the_client_only_after_the_timeout() {
     let script = Script::new(std::iter::repeat_n(Err(libc::ENOBUFS), 10_000));
-    let mut input = ClientInput::default();
+    let mut input = new_input();
     let mut lasted = Duration::ZERO;
     while read(&mut input, &script).is_ok() {
         tokio::time::sleep(LOCAL_RETRY_PAUSE).await;
@@ -102,7 +110,7 @@
     // A successful call in between starts the timeout anew.
     let alternating = (0..1_000).flat_map(|_| [Err(libc::ENOBUFS), Ok(1)]);
     let script = Script::new(alternating);
-    let mut input = ClientInput::default();
+    let mut input = new_input();
     for _ in 0..500 {
         assert_eq!(read(&mut input, &script), Ok(()));
         tokio::time::sleep(LOCAL_RETRY_PAUSE).await;
@@ -113,7 +121,7 @@
 fn a_lost_connection_disconnects_the_client_at_once() {
     for errno in [libc::ECONNRESET, libc::EPIPE, libc::ETIMEDOUT, libc::EBADF] {
         let script = Script::new([Err(errno)]);
-        let read = read(&mut ClientInput::default(), &script);
+        let read = read(&mut new_input(), &script);
         assert_eq!(read, Err(Disconnected), "{errno}");
     }
 }
--- a/crates/cache-router/tests/client_connection/support.rs
+++ b/crates/cache-router/tests/client_connection/support.rs
@@ -8,7 +8,8 @@
 use cache_router::clock::Clock;
 use cache_router::lifecycle::LifecyclePhase;
 use cache_router::listener::listen;
-use cache_router::message::{ClientReply, ClientRequest, RouterEvent};
+use cache_router::memory_budget::MemoryBudget;
+use cache_router::message::{ClientReply, ClientRequest, Reply, RouterEvent};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -76,6 +77,9 @@
         reserved_slots: 1,
         closable_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(1_024)),
+        request_memory: MemoryBudget::new(1024 * 1024),
+        reply_memory: MemoryBudget::new(1024 * 1024),
+        incomplete_commands: Arc::default(),
         bulk_turns: Arc::default(),
     });
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -118,7 +122,7 @@
 pub async fn reply(request: &ClientRequest, bytes: impl Into<Bytes>) {
     let reply = ClientReply {
         sequence: request.sequence,
-        bytes: bytes.into(),
+        reply: Reply::Encoded(bytes.into()),
     };
     request.replies.send(reply).await.unwrap();
 }
--- a/crates/cache-router/tests/connection_pool.rs
+++ b/crates/cache-router/tests/connection_pool.rs
@@ -10,6 +10,7 @@
 
 use cache_router::clock::Clock;
 use cache_router::connection_pool::{ConnectionPool, ConnectionState, MAX_IDLE_CONNECTIONS};
+use cache_router::memory_budget::MemoryBudget;
 use cache_router::message::{AttemptId, ServerProtocol, ServerTarget};
 use cache_router::server_connection::ServerConnectionContext;
 use tokio::net::TcpListener;
@@ -32,6 +33,7 @@
         deployment: Arc::new(deployment),
         clock: Clock::start(),
         events,
+        reply_memory: MemoryBudget::new(1024 * 1024),
         bulk_turns: Arc::default(),
     };
     let mut pool = ConnectionPool::new(1024, context);
--- a/crates/cache-router/tests/event_loop/harness.rs
+++ b/crates/cache-router/tests/event_loop/harness.rs
@@ -10,9 +10,10 @@
 use cache_router::event_loop::timers::Timer;
 use cache_router::event_loop::{EventLoop, EventLoopConfig, STALL_THRESHOLD};
 use cache_router::lifecycle::LifecyclePhase;
+use cache_router::memory_budget::MemoryBudget;
 use cache_router::message::{
     AttemptId, ClientCommand, ClientDisconnect, ClientId, ClientReply, ClientRequest, ConnectionId,
-    DisconnectCause, DiscoveredEndpoint, EndpointListUpdate, RouterEvent,
+    DisconnectCause, DiscoveredEndpoint, EndpointListUpdate, Reply, RouterEvent,
 };
 use cache_router::trace::Trace;
 use routing_policy::{AttemptStatus, ListUpdate, Micros, RequestId, ServerId};
@@ -30,8 +31,8 @@
 pub const FIRST_CONNECTION: ConnectionId = 1;
 /// A cache server's response with the value `v`.
 pub const RESPONSE: &[u8] = b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n";
-/// The reply to the client with the value of [`RESPONSE`].
-pub const REPLY: &[u8] = b"$1\r\nv\r\n";
+/// The value of [`RESPONSE`].
+pub const VALUE: &[u8] = b"v";
 
 /// An event loop with its client and its cache server.
 pub struct Harness {
@@ -66,6 +67,7 @@
             discovery: cache.local_addr().unwrap(),
             cached_list: EndpointListUpdate::default(),
             max_server_connections: 16,
+            reply_memory: MemoryBudget::new(1024 * 1024),
             bulk_turns: Arc::default(),
             events: event_sender.clone(),
             phase: watch::channel(LifecyclePhase::Starting).0,
@@ -252,7 +254,10 @@
     /// Requires that the next reply rejects a request; returns its sequence.
     pub fn assert_rejected(&mut self) -> u64 {
         let reply = self.replies.try_recv().unwrap();
-        assert!(reply.bytes.starts_with(b"-BUSY"), "{reply:?}");
+        let Reply::Encoded(line) = &reply.reply else {
+            panic!("{reply:?}");
+        };
+        assert!(line.starts_with(b"-BUSY"), "{reply:?}");
         reply.sequence
     }
 
--- a/crates/cache-router/tests/event_loop/main.rs
+++ b/crates/cache-router/tests/event_loop/main.rs
@@ -15,13 +15,13 @@
 use bytes::Bytes;
 use cache_router::connection_pool::ConnectionState;
 use cache_router::event_loop::timers::Timer;
-use cache_router::message::{ClientReply, DiscoveredEndpoint};
+use cache_router::message::{ClientReply, DiscoveredEndpoint, Reply};
 use routing_policy::AttemptStatus;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 use harness::{
-    FIRST_CONNECTION, Harness, LONG_TIME, REPLY, RESPONSE, accept, assert_closed_unused, endpoint,
+    FIRST_CONNECTION, Harness, LONG_TIME, RESPONSE, VALUE, accept, assert_closed_unused, endpoint,
     first_attempt, read_request,
 };
 
@@ -40,7 +40,7 @@
         harness.replies.try_recv(),
         Ok(ClientReply {
             sequence: next,
-            bytes: Bytes::from_static(REPLY),
+            reply: Reply::Value(Bytes::from_static(VALUE)),
         })
     );
 }
@@ -227,7 +227,8 @@
             }
         }
     }
-    assert_eq!(harness.replies.try_recv().unwrap().bytes, REPLY);
+    let reply = harness.replies.try_recv().unwrap().reply;
+    assert_eq!(reply, Reply::Value(Bytes::from_static(VALUE)));
     let mut old_address = harness.accept().await;
     assert_closed_unused(&mut old_address).await;
 }
--- a/crates/cache-router/tests/event_loop/shutdown.rs
+++ b/crates/cache-router/tests/event_loop/shutdown.rs
@@ -4,7 +4,7 @@
 use cache_router::lifecycle::{
     FINAL_WRITE_TIME, KILL_GRACE_PERIOD, MAX_KILL_DEADLINE, ShutdownStep,
 };
-use cache_router::message::RouterEvent;
+use cache_router::message::{Reply, RouterEvent};
 
 use crate::harness::{Harness, read_request};
 
@@ -37,8 +37,8 @@
     harness.handle_timer(Timer::Shutdown(ShutdownStep::Close), reply_by);
     let reply = harness.replies.try_recv().unwrap();
     assert_eq!(
-        (reply.sequence, &reply.bytes[..]),
-        (in_service, &b"-ERR failed\r\n"[..])
+        (reply.sequence, reply.reply),
+        (in_service, Reply::Encoded("-ERR failed\r\n".into()))
     );
     assert!(harness.in_flight().all_complete());
 }
--- a/crates/cache-router/tests/listener.rs
+++ b/crates/cache-router/tests/listener.rs
@@ -15,6 +15,7 @@
 use cache_router::clock::Clock;
 use cache_router::lifecycle::LifecyclePhase;
 use cache_router::listener::{ConnectionSource, listen};
+use cache_router::memory_budget::MemoryBudget;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
@@ -63,6 +64,9 @@
         reserved_slots: 1,
         closable_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(16)),
+        request_memory: MemoryBudget::new(1024 * 1024),
+        reply_memory: MemoryBudget::new(1024 * 1024),
+        incomplete_commands: Arc::default(),
         bulk_turns: Arc::default(),
     };
     (Arc::new(context), phase_sender)
--- a/crates/cache-router/tests/router_process/main.rs
+++ b/crates/cache-router/tests/router_process/main.rs
@@ -13,6 +13,7 @@
 mod endpoint_lists;
 mod final_replies;
 mod log;
+mod memory;
 mod production;
 mod requests;
 mod server_failures;
--- a/crates/cache-router/tests/router_process/support/mod.rs
+++ b/crates/cache-router/tests/router_process/support/mod.rs
@@ -14,7 +14,9 @@
 pub use discovery::{
     FakeDiscovery, UNAVAILABLE, endpoint, endpoint_list, keep_watch_open, watch_head, watch_with,
 };
-pub use process::{LogReader, RouterProcess, StartOptions, config_file, send_signal, settings};
+pub use process::{
+    LogReader, RouterProcess, StartOptions, allocated_kib, config_file, send_signal, settings,
+};
 pub use servers::{
     Behaviour, FakeServer, Gate, cache_server, failing_origin, hit, http, miss, origin_server,
 };
@@ -48,7 +50,8 @@
         Cluster::start_with(cache, failing_origin(), options)
     }
 
-    fn start_with(cache: FakeServer, origin: FakeServer, options: StartOptions) -> Cluster {
+    /// A cluster with options of the router.
+    pub fn start_with(cache: FakeServer, origin: FakeServer, options: StartOptions) -> Cluster {
         let discovery = FakeDiscovery::unchanging();
         let cached_list = complete_list(&cache, &origin);
         let router = RouterProcess::start_with(discovery.address, &cached_list, options);
--- a/crates/cache-router/tests/router_process/support/process.rs
+++ b/crates/cache-router/tests/router_process/support/process.rs
@@ -16,6 +16,8 @@
 pub struct StartOptions {
     /// The limit on sockets in its configuration.
     pub sockets: usize,
+    /// The limit on memory in its configuration, in MiB.
+    pub memory_mb: usize,
     /// A shell command that runs before the router, such as one that sets a limit.
     pub shell_command: &'static str,
     /// The settings in its configuration.
@@ -41,6 +43,7 @@
     fn default() -> Self {
         StartOptions {
             sockets: 256,
+            memory_mb: 192,
             shell_command: "",
             settings: settings().into(),
             log_reader: LogReader::Test,
@@ -100,13 +103,14 @@
     ) -> RouterProcess {
         let StartOptions {
             sockets,
+            memory_mb,
             shell_command,
             settings,
             log_reader,
             trace_enabled,
         } = options;
         let initial_config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets}}},"known":{cached_list},"settings":{settings}}}"#
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{cached_list},"settings":{settings}}}"#
         );
         let config_path = config_file(&initial_config);
         let program = env!("CARGO_BIN_EXE_cache-router");
@@ -168,6 +172,11 @@
         send_signal(self.child.id(), name);
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until a line of the log matches. Returns whether one did.
     pub fn wait_for_log_line(&self, matches: impl Fn(&str) -> bool) -> bool {
         std::iter::from_fn(|| self.log.recv_timeout(TEST_TIMEOUT).ok()).any(|line| matches(&line))
@@ -191,6 +200,17 @@
     }
 }
 
+/// The memory that a process has allocated and used, in KiB. Its program text is not counted: it is large in a build
+/// for tests.
+pub fn allocated_kib(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let anonymous = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"))
+        .and_then(|value| value.split_whitespace().next());
+    anonymous.unwrap().parse().unwrap()
+}
+
 /// Sends a signal to a process.
 pub fn send_signal(process: u32, name: &str) {
     let kill = format!("kill -{name} {process}");
