Have as many clients stop half way in the memory test as leave slots for others

With 400 clients the test took 30 to 31 of 32 MiB on the sources before the memory limit, so that it did not fail there.

--- a/crates/cache-router/tests/router_process/memory.rs
+++ b/crates/cache-router/tests/router_process/memory.rs
@@ -160,10 +160,14 @@
 
 #[test]
 fn commands_of_hundreds_of_clients_that_stop_half_way_stay_within_the_memory() {
-    const CLIENTS: usize = 400;
+    /// As many as leave slots that are not reserved for rejections.
+    const CLIENTS: usize = 435;
     let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
     let cluster = Cluster::start_with(short_values(), failing_origin(), options(LEAST_MEMORY_MB));
-    let write = long_write(1);
+    let fields = format!("c=put,t=acme,d=8000,k=77,x={}", "x".repeat(480));
+    let long_argument = "a".repeat(512);
+    let value = "v".repeat(VALUE_BYTES);
+    let write = command(&["OBJ.SET", &long_argument, &long_argument, &fields, &value]);
     let _clients = connect_writers(&cluster, CLIENTS, &write[..write.len() - 1]);
     assert_within_limit(&cluster, LEAST_MEMORY_MB);
 }
