Remove timers of ended requests before they are due

Cause: timers are not cancelled when a request or attempt ends; each waited in the queue of the event loop or of the policy until it was due. Three to four timers of a request lie there until its deadline, which the client states.

Change: both queues remove the timers whose request or attempt has ended once they have doubled since the last removal, so that the work for each timer stays constant. A removed timer had no effect when it fired: its handler finds no subject.

--- a/crates/cache-router/src/connection_pool.rs
+++ b/crates/cache-router/src/connection_pool.rs
@@ -376,6 +376,12 @@
             .map(|connection| (connection.server, connection.state))
     }
 
+    /// Whether a connection is open for the response to an abandoned attempt that was sent at `sent_at`.
+    pub fn is_abandoned_since(&self, id: ConnectionId, sent_at: Micros) -> bool {
+        let state = self.connections.get(&id).map(|connection| connection.state);
+        state == Some(ConnectionState::Abandoned(sent_at))
+    }
+
     /// How many requests have been handed to a connection.
     pub fn request_count(&self, id: ConnectionId) -> u64 {
         self.connections
--- a/crates/cache-router/src/event_loop/dispatcher.rs
+++ b/crates/cache-router/src/event_loop/dispatcher.rs
@@ -117,9 +117,26 @@
         let request = self.in_flight.add(received, deadline);
         self.timers
             .schedule(deadline, Timer::RequestDeadline(request.id));
+        self.remove_obsolete_timers();
         self.push_policy_event(Event::Request(request));
     }
 
+    /// Removes the timers of requests and attempts that have ended, if they may be most of the timers.
+    fn remove_obsolete_timers(&mut self) {
+        let (in_flight, pool) = (&self.in_flight, &self.pool);
+        self.timers.remove_obsolete(|timer| match *timer {
+            Timer::AttemptTimeout(attempt)
+            | Timer::ExtraConnection { attempt, .. }
+            | Timer::ConnectTimeout { attempt, .. } => in_flight.attempt(attempt).is_some(),
+            Timer::AbandonedResponse {
+                connection,
+                sent_at,
+            } => pool.is_abandoned_since(connection, sent_at),
+            Timer::RequestDeadline(request) => in_flight.request(request).is_some(),
+            Timer::Policy(_) | Timer::SweepConnections | Timer::Shutdown(_) => true,
+        });
+    }
+
     /// Rejects a request. If `retry_after` is 0, the reply has no Retry-After time.
     pub fn reject(&mut self, request: RequestId, retry_after: Micros) {
         let reply = match retry_after {
--- a/crates/cache-router/src/event_loop/dispatcher/give_up.rs
+++ b/crates/cache-router/src/event_loop/dispatcher/give_up.rs
@@ -3,7 +3,6 @@
 use routing_policy::{AttemptStatus, Event, Micros, RequestId, ServerId};
 
 use super::Dispatcher;
-use crate::connection_pool::ConnectionState;
 use crate::event_loop::in_flight::Attempt;
 use crate::event_loop::timers::Timer;
 use crate::message::{AttemptId, ConnectionId};
@@ -142,9 +141,8 @@
     /// Closes a connection if its abandoned attempt, sent at `sent_at`, still has no response.
     pub fn close_overdue(&mut self, connection: ConnectionId, sent_at: Micros) {
         // Another attempt that was abandoned on this connection since then has its own timer.
-        if let Some((server, ConnectionState::Abandoned(abandoned_sent_at))) =
-            self.pool.state(connection)
-            && abandoned_sent_at == sent_at
+        if self.pool.is_abandoned_since(connection, sent_at)
+            && let Some((server, _)) = self.pool.state(connection)
         {
             self.close_unresponsive(connection, server, sent_at);
         }
--- a/crates/cache-router/src/event_loop/timers.rs
+++ b/crates/cache-router/src/event_loop/timers.rs
@@ -51,10 +51,24 @@
     timer: Timer,
 }
 
-/// A queue of timers. Timers are not cancelled: the code that handles one checks whether it still applies.
-#[derive(Default)]
+/// Obsolete timers are removed when there are at least this many timers.
+const MIN_TIMERS_FOR_REMOVAL: usize = 1024;
+
+/// A queue of timers. Timers are not cancelled: the code that handles one checks whether it still applies. Those that
+/// do not are removed when they may be half of the queue.
 pub struct TimerQueue {
     heap: BinaryHeap<Reverse<ScheduledTimer>>,
+    /// Obsolete timers are removed once the queue has this length.
+    remove_at: usize,
+}
+
+impl Default for TimerQueue {
+    fn default() -> Self {
+        TimerQueue {
+            heap: BinaryHeap::new(),
+            remove_at: MIN_TIMERS_FOR_REMOVAL,
+        }
+    }
 }
 
 impl TimerQueue {
@@ -63,6 +77,28 @@
         self.heap.push(Reverse(ScheduledTimer { at, timer }));
     }
 
+    /// The number of timers.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Whether there is no timer.
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+
+    /// Removes the timers that are not needed, if the queue has doubled since they were last removed. Each timer is
+    /// therefore looked at a constant number of times on average.
+    pub fn remove_obsolete(&mut self, is_needed: impl Fn(&Timer) -> bool) {
+        if self.heap.len() < self.remove_at {
+            return;
+        }
+        self.heap
+            .retain(|Reverse(scheduled)| is_needed(&scheduled.timer));
+        self.remove_at = (2 * self.heap.len()).max(MIN_TIMERS_FOR_REMOVAL);
+        self.heap.shrink_to(self.remove_at);
+    }
+
     /// Returns when the next timer is due.
     pub fn next_due_at(&self) -> Option<Micros> {
         self.heap.peek().map(|Reverse(next)| next.at)
--- a/crates/cache-router/tests/event_loop/main.rs
+++ b/crates/cache-router/tests/event_loop/main.rs
@@ -232,3 +232,17 @@
     let mut old_address = harness.accept().await;
     assert_closed_unused(&mut old_address).await;
 }
+
+#[tokio::test]
+async fn requests_that_have_ended_leave_no_timers_behind() {
+    // Guards against memory that grows with each request of a client that states long deadlines.
+    let mut harness = Harness::new().await;
+    let mut most = 0;
+    for _ in 0..3_000 {
+        let request = harness.request("1d");
+        harness.event_loop.dispatcher_mut().cancel_request(request);
+        let timers = harness.event_loop.dispatcher_mut().timers_mut();
+        most = most.max(timers.len());
+    }
+    assert!(most <= 2_048, "{most} timers");
+}
--- a/crates/cache-router/tests/router_process/main.rs
+++ b/crates/cache-router/tests/router_process/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod bulk_clients;
+mod closed_clients;
 mod configuration;
 mod connection_limits;
 mod endless_responses;
--- a/crates/cache-router/tests/router_process/support/mod.rs
+++ b/crates/cache-router/tests/router_process/support/mod.rs
@@ -18,7 +18,8 @@
     LogReader, RouterProcess, StartOptions, allocated_kib, config_file, send_signal, settings,
 };
 pub use servers::{
-    Behaviour, FakeServer, Gate, cache_server, failing_origin, hit, http, miss, origin_server,
+    Behaviour, FakeServer, Gate, ReceivedRequest, cache_server, failing_origin, hit, http, miss,
+    origin_server,
 };
 
 /// The timeout for any wait in these tests; longer than any of them takes on a busy machine.
--- a/crates/cache-router/tests/timers.rs
+++ b/crates/cache-router/tests/timers.rs
@@ -9,6 +9,7 @@
 use cache_router::event_loop::timers::{Timer, TimerQueue};
 use cache_router::lifecycle::ShutdownStep;
 use cache_router::message::AttemptId;
+use routing_policy::RequestId;
 
 #[test]
 fn timers_are_due_in_the_order_of_their_times_and_not_earlier() {
@@ -23,6 +24,26 @@
     assert_eq!(queue.next_due_at(), None);
 }
 
+#[test]
+fn obsolete_timers_are_removed_and_the_others_stay_in_order() {
+    // Guards against a queue that grows with each request that has ended, until its deadline.
+    let mut queue = TimerQueue::default();
+    let mut longest = 0;
+    for request in 0..100_000 {
+        queue.schedule(1_000_000 - request, Timer::RequestDeadline(request));
+        let is_in_flight = |other: RequestId| other + 10 > request;
+        queue.remove_obsolete(|timer| match timer {
+            Timer::RequestDeadline(other) => is_in_flight(*other),
+            _ => true,
+        });
+        longest = longest.max(queue.len());
+    }
+    assert!(longest <= 1_024, "{longest} timers");
+    let mut due = std::iter::from_fn(|| queue.pop_due(2_000_000));
+    assert_eq!(due.next(), Some(Timer::RequestDeadline(99_999)));
+    assert_eq!(due.next(), Some(Timer::RequestDeadline(99_998)));
+}
+
 #[test]
 fn timers_due_at_the_same_time_have_a_fixed_order() {
     let attempt = AttemptId {
--- a/crates/routing-policy/src/policy/requests.rs
+++ b/crates/routing-policy/src/policy/requests.rs
@@ -44,6 +44,7 @@
         self.timers.set(deadline_at, Timer::RequestDue(arrived.id));
         self.timers
             .set(answer_useful_until, Timer::RequestDue(arrived.id));
+        self.remove_obsolete_timers();
         self.make_next_call(arrived.id);
     }
 
--- a/crates/routing-policy/src/policy/router_state.rs
+++ b/crates/routing-policy/src/policy/router_state.rs
@@ -69,6 +69,23 @@
         policy
     }
 
+    /// How many timers are pending.
+    pub fn pending_timers(&self) -> usize {
+        self.timers.len()
+    }
+
+    /// Removes the timers of requests and attempts that have ended, if they may be most of the timers. They would have
+    /// no effect, but a client states the deadline of its request, so that they could be many.
+    pub(super) fn remove_obsolete_timers(&mut self) {
+        let (requests, attempts) = (&self.requests, &self.attempts);
+        self.timers.remove_obsolete(|timer| match timer {
+            Timer::RequestDue(request) => requests.contains_key(request),
+            Timer::Deferred(deferral) => requests.contains_key(&deferral.request),
+            Timer::AttemptSlow(attempt) => attempts.contains_key(attempt),
+            Timer::Subscribe | Timer::Review => true,
+        });
+    }
+
     pub(super) fn set_timer(&mut self, after: Micros, timer: Timer) {
         self.timers.set(self.now + after, timer);
     }
--- a/crates/routing-policy/src/state/timer_queue.rs
+++ b/crates/routing-policy/src/state/timer_queue.rs
@@ -30,11 +30,26 @@
     pub(crate) sequence_number: u32,
 }
 
-/// A priority queue of timers by due time.
-#[derive(Default)]
+/// Obsolete timers are removed when there are at least this many timers.
+const MIN_TIMERS_FOR_REMOVAL: usize = 1024;
+
+/// A priority queue of timers by due time. Timers are not cancelled when their subject ends: they are removed when they
+/// may be half of the queue.
 pub(crate) struct TimerQueue {
     queue: BinaryHeap<Reverse<(Micros, Timer)>>,
     armed: Option<Micros>,
+    /// Obsolete timers are removed once the queue has this length.
+    remove_at: usize,
+}
+
+impl Default for TimerQueue {
+    fn default() -> Self {
+        TimerQueue {
+            queue: BinaryHeap::new(),
+            armed: None,
+            remove_at: MIN_TIMERS_FOR_REMOVAL,
+        }
+    }
 }
 
 impl TimerQueue {
@@ -43,6 +58,22 @@
         self.queue.push(Reverse((time, timer)));
     }
 
+    /// The number of timers.
+    pub(crate) fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Removes the timers that are not needed, if the queue has doubled since they were last removed. Each timer is
+    /// therefore looked at a constant number of times on average.
+    pub(crate) fn remove_obsolete(&mut self, is_needed: impl Fn(&Timer) -> bool) {
+        if self.queue.len() < self.remove_at {
+            return;
+        }
+        self.queue.retain(|Reverse((_, timer))| is_needed(timer));
+        self.remove_at = (2 * self.queue.len()).max(MIN_TIMERS_FOR_REMOVAL);
+        self.queue.shrink_to(self.remove_at);
+    }
+
     /// Records that the router's timer has fired.
     pub(crate) fn router_timer_fired(&mut self) {
         self.armed = None;
--- a/crates/routing-policy/tests/requests.rs
+++ b/crates/routing-policy/tests/requests.rs
@@ -358,3 +358,22 @@
         assert_eq!(count_sends(&after), 0, "hedge in flight: {hedge_in_flight}");
     }
 }
+
+#[test]
+fn requests_with_long_deadlines_leave_no_timers_behind() {
+    // Guards against memory that grows with each request that has ended, until its deadline.
+    let mut router = TestRouter::new(settings(), 3);
+    let mut most = 0;
+    for id in 1..=20_000 {
+        let sent = router.send_request(Request {
+            remaining_deadline: 60 * SECOND,
+            ..read(id, id)
+        });
+        if let Some(server) = sent_to(&sent) {
+            router.complete_attempt(id, 0, server, AttemptStatus::Served);
+        }
+        router.now += 100;
+        most = most.max(router.policy.pending_timers());
+    }
+    assert!(most <= 2_048, "{most} timers");
+}
