--- a/crates/cache-router/tests/router_process/bulk_clients.rs
+++ b/crates/cache-router/tests/router_process/bulk_clients.rs
@@ -299,6 +299,29 @@
     assert_others_are_answered(bulk);
 }
 
+#[test]
+fn others_are_answered_beside_one_client_that_sends_requests_under_ever_new_names() {
+    // Guards against work or memory that grows with the number of keys, ids, fields, classes or commands seen so far.
+    const NAMES: usize = 5_000;
+    let commands = (0..NAMES).flat_map(|number| {
+        let id = format!("i{number}");
+        let key = format!("k{number}");
+        let new_field = format!("c=read,t=acme,d=60000,f{number}={number}");
+        let new_class = format!("c=class{number},t=acme");
+        [
+            command(&["OBJ.GET", &key, &id, &new_field]),
+            command(&["OBJ.GET", &key, &id, &new_class]),
+            command(&[&format!("FOO{number}")]),
+        ]
+        .concat()
+    });
+    let bulk = Bulk {
+        clients: 1,
+        ..Bulk::of(commands.collect(), Reading::Everything)
+    };
+    assert_others_are_answered(bulk);
+}
+
 #[test]
 fn others_are_answered_though_bulk_clients_have_taken_all_slots() {
     // The router has 120 slots for clients.
