--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -27,6 +27,7 @@
 use crate::closable_connections::{Closable, CloseGuard};
 use crate::fair_share::{FairShare, Peer, Work};
 use crate::lifecycle::LifecyclePhase;
+use crate::memory_usage::{HeldBytes, Holder};
 use crate::message::{ClientId, ClientReply, DisconnectCause};
 use crate::socket::SocketStream;
 use close::CloseReason;
@@ -56,6 +57,8 @@
 const INCOMPLETE_GRACE: Duration = Duration::from_millis(100);
 /// If the memory for replies is short, a client that has taken none for this long is disconnected.
 const STALL_GRACE: Duration = Duration::from_secs(1);
+/// Memory of a connection beside its input and replies: its task, its socket and the channel for its replies, in bytes.
+const TASK_BYTES: usize = 6 * 1024;
 /// How often a client that takes no replies is checked while it holds memory.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -88,6 +91,24 @@
     }
 }
 
+/// What a connection holds without a reservation.
+struct ConnectionMemory {
+    _task: HeldBytes,
+    input: HeldBytes,
+    replies: HeldBytes,
+}
+
+impl ConnectionMemory {
+    fn new(context: &ClientContext) -> Self {
+        let hold = |holder, bytes| HeldBytes::new(context.memory_usage.clone(), holder, bytes);
+        ConnectionMemory {
+            _task: hold(Holder::ClientConnections, TASK_BYTES),
+            input: hold(Holder::ClientInput, 0),
+            replies: hold(Holder::ClientReplies, 0),
+        }
+    }
+}
+
 struct ClientConnection {
     stream: SocketStream,
     client: ClientId,
@@ -98,6 +119,8 @@
     input: ClientInput,
     replies: ReplyQueue,
     output: ClientOutput,
+    /// What the connection holds without a reservation.
+    held: ConnectionMemory,
     /// Limits the work that is done before other tasks run.
     share: FairShare,
     opened_at: Instant,
@@ -131,6 +154,7 @@
         let now = Instant::now();
         let share = FairShare::new(Peer::Client(client), context.bulk_turns.clone());
         let input = ClientInput::new(context.request_memory.clone());
+        let held = ConnectionMemory::new(&context);
         ClientConnection {
             stream,
             client,
@@ -140,6 +164,7 @@
             input,
             replies: ReplyQueue::default(),
             output: ClientOutput::default(),
+            held,
             share,
             opened_at: now,
             first_command_until: now + FIRST_COMMAND_GRACE,
@@ -197,6 +222,7 @@
             let is_reading = self.can_read();
             self.update_idle_guard();
             self.update_incomplete_guard();
+            self.record_held_bytes();
             self.share.end_turn();
             if self.stream.is_read_ready().await {
                 self.input.record_unread(self.context.clock.now());
@@ -239,6 +265,13 @@
         self.output.write(try_write)
     }
 
+    /// Records what the connection holds while it waits.
+    fn record_held_bytes(&mut self) {
+        self.held.input.set(self.input.unreserved_bytes());
+        let replies = self.replies.held_bytes() + self.output.unreserved_bytes();
+        self.held.replies.set(replies);
+    }
+
     /// Whether a reply is pending or not completely written.
     fn has_unsent_replies(&self) -> bool {
         !self.replies.is_empty() || !self.output.is_empty()
--- a/crates/cache-router/src/client_connection/arrival_times.rs
+++ b/crates/cache-router/src/client_connection/arrival_times.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// How many bytes of memory the times take.
+    pub fn held_bytes(&self) -> usize {
+        self.arrivals.capacity() * size_of::<Arrival>()
+    }
+
     /// Counts all bytes as part of the last arrival.
     pub fn merge(&mut self) {
         if self.arrivals.len() <= 1 {
--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -117,6 +117,12 @@
         self.buffer.is_empty() && !self.discards_command
     }
 
+    /// How many bytes are held without a reservation.
+    pub fn unreserved_bytes(&self) -> usize {
+        let buffer = self.buffer.capacity().saturating_sub(self.reserved_bytes());
+        buffer + self.arrival_times.held_bytes()
+    }
+
     /// How the input is handled.
     pub fn mode(&self) -> InputMode {
         self.mode
--- a/crates/cache-router/src/client_connection/output.rs
+++ b/crates/cache-router/src/client_connection/output.rs
@@ -26,25 +26,42 @@
 /// A client that reads none of its replies for this long is disconnected.
 pub const OUTPUT_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A part of the output that is written from its own memory.
+struct Segment {
+    bytes: Bytes,
+    /// Whether it was copied from short replies. The memory of all others is reserved.
+    is_copy: bool,
+}
+
 /// Buffered replies to a client.
 pub struct ClientOutput {
     /// Long values and the replies before them, in order.
-    segments: VecDeque<Bytes>,
+    segments: VecDeque<Segment>,
     /// Short replies after the segments.
     collected: BytesMut,
     /// How many bytes are in the segments.
     segment_bytes: usize,
+    /// How many of these are copies of short replies, whose memory is not reserved.
+    copied_bytes: usize,
     /// When output was last written to the socket, or became non-empty.
     progress_at: Instant,
     failures: LocalFailures,
 }
 
+impl Segment {
+    /// How many bytes it holds without a reservation.
+    fn copied_bytes(&self) -> usize {
+        if self.is_copy { self.bytes.len() } else { 0 }
+    }
+}
+
 impl Default for ClientOutput {
     fn default() -> Self {
         ClientOutput {
             segments: VecDeque::new(),
             collected: BytesMut::new(),
             segment_bytes: 0,
+            copied_bytes: 0,
             progress_at: Instant::now(),
             failures: LocalFailures::default(),
         }
@@ -67,6 +84,11 @@
         self.segment_bytes
     }
 
+    /// How many bytes are held without a reservation.
+    pub fn unreserved_bytes(&self) -> usize {
+        self.collected.capacity() + self.copied_bytes
+    }
+
     /// Whether so much output is waiting that no further command is taken.
     pub fn is_full(&self) -> bool {
         self.collected.len() >= MAX_COLLECTED_BYTES
@@ -110,11 +132,19 @@
 
     /// Appends bytes that are not copied.
     fn push_segment(&mut self, segment: Bytes) {
-        let before = self.collected.split().freeze();
-        let is_not_empty = |bytes: &Bytes| !bytes.is_empty();
-        for bytes in [before, segment].into_iter().filter(is_not_empty) {
-            self.segment_bytes += bytes.len();
-            self.segments.push_back(bytes);
+        let before = Segment {
+            bytes: self.collected.split().freeze(),
+            is_copy: true,
+        };
+        let segment = Segment {
+            bytes: segment,
+            is_copy: false,
+        };
+        let is_not_empty = |segment: &Segment| !segment.bytes.is_empty();
+        for segment in [before, segment].into_iter().filter(is_not_empty) {
+            self.segment_bytes += segment.bytes.len();
+            self.copied_bytes += segment.copied_bytes();
+            self.segments.push_back(segment);
         }
     }
 
@@ -122,7 +152,7 @@
     fn front(&self) -> &[u8] {
         self.segments
             .front()
-            .map_or(&self.collected, |segment| segment)
+            .map_or(&self.collected, |segment| &segment.bytes)
     }
 
     /// Removes bytes that have been written.
@@ -131,9 +161,11 @@
             self.collected.advance(count);
             return;
         };
-        segment.advance(count);
+        let copied_before = segment.copied_bytes();
+        segment.bytes.advance(count);
+        self.copied_bytes -= copied_before - segment.copied_bytes();
         self.segment_bytes -= count;
-        while self.segments.front().is_some_and(Bytes::is_empty) {
+        if segment.bytes.is_empty() {
             self.segments.pop_front();
         }
     }
--- a/crates/cache-router/src/client_connection/reply_queue.rs
+++ b/crates/cache-router/src/client_connection/reply_queue.rs
@@ -7,6 +7,7 @@
 
 use crate::event_loop::in_flight::FAILED_REPLY;
 use crate::message::{ClientReply, Reply};
+use crate::response_buffer::MAX_UNRESERVED_VALUE_BYTES;
 
 /// A queue entry for one reply, or for several equal ones in a row.
 struct ReplySlot {
@@ -86,6 +87,16 @@
         replies.map(Reply::content_length).sum()
     }
 
+    /// How many bytes the queue takes, without long values, whose memory is reserved.
+    pub fn held_bytes(&self) -> usize {
+        let replies = self.slots.iter().filter_map(|slot| slot.reply.as_ref());
+        let short_bytes: usize = replies
+            .map(Reply::content_length)
+            .filter(|length| *length <= MAX_UNRESERVED_VALUE_BYTES)
+            .sum();
+        self.slots.capacity() * size_of::<ReplySlot>() + short_bytes
+    }
+
     /// Puts a reply in all slots that have none.
     pub fn fill_pending(&mut self, reply: &'static [u8]) {
         for slot in &mut self.slots {
--- a/crates/cache-router/src/client_context.rs
+++ b/crates/cache-router/src/client_context.rs
@@ -10,6 +10,7 @@
 use crate::fair_share::BulkTurns;
 use crate::lifecycle::LifecyclePhase;
 use crate::memory_budget::MemoryBudget;
+use crate::memory_usage::MemoryUsage;
 use crate::message::RouterEvent;
 
 /// State that the listener and all client connections share.
@@ -36,6 +37,8 @@
     pub request_memory: MemoryBudget,
     /// The memory for replies.
     pub reply_memory: MemoryBudget,
+    /// What is held without a reservation.
+    pub memory_usage: Arc<MemoryUsage>,
     /// The connections that have left a long command incomplete, one of which discards it if memory is short.
     pub incomplete_commands: Arc<ClosableConnections>,
     /// The queue of the connections that have more to do than their share.
--- a/crates/cache-router/src/event_loop.rs
+++ b/crates/cache-router/src/event_loop.rs
@@ -28,6 +28,7 @@
 use crate::fair_share::BulkTurns;
 use crate::lifecycle::{Lifecycle, LifecyclePhase, ScheduledStep, ShutdownStep};
 use crate::memory_budget::MemoryBudget;
+use crate::memory_usage::MemoryUsage;
 use crate::message::{
     ClientDisconnect, ClientRequest, DiscoveryCall, EndpointListUpdate, RouterEvent,
 };
@@ -64,6 +65,8 @@
     pub max_server_connections: usize,
     /// The memory for responses of servers.
     pub reply_memory: MemoryBudget,
+    /// What is held without a reservation.
+    pub memory_usage: Arc<MemoryUsage>,
     /// The queue of the connections that have more to do than their share.
     pub bulk_turns: Arc<BulkTurns>,
     /// Channel on which the tasks started by the loop send their events; the loop receives from it.
@@ -97,6 +100,7 @@
             cached_list,
             max_server_connections,
             reply_memory,
+            memory_usage,
             bulk_turns,
             events,
             phase,
@@ -110,6 +114,7 @@
                 clock,
                 events: events.clone(),
                 reply_memory,
+                memory_usage,
                 bulk_turns,
             },
         );
--- a/crates/cache-router/src/lib.rs
+++ b/crates/cache-router/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod lifecycle;
 pub mod listener;
 pub mod memory_budget;
+pub mod memory_monitor;
+pub mod memory_usage;
 pub mod message;
 pub mod origin_protocol;
 pub mod resp;
--- a/crates/cache-router/src/memory_budget.rs
+++ b/crates/cache-router/src/memory_budget.rs
@@ -51,6 +51,11 @@
         self.limit
     }
 
+    /// How many bytes are reserved.
+    pub fn reserved_bytes(&self) -> usize {
+        self.limit - self.free.available_permits()
+    }
+
     /// How many bytes are free.
     pub fn free_bytes(&self) -> usize {
         self.free.available_permits()
--- a/crates/cache-router/src/response_buffer.rs
+++ b/crates/cache-router/src/response_buffer.rs
@@ -14,6 +14,8 @@
 const READ_CAPACITY: usize = 2048;
 /// How many bytes of a response are buffered without a reservation.
 const UNRESERVED_BYTES: usize = READ_CAPACITY;
+/// The longest value whose memory is not reserved, in bytes.
+pub const MAX_UNRESERVED_VALUE_BYTES: usize = UNRESERVED_BYTES;
 
 /// The received part of a response.
 pub struct ResponseBuffer {
@@ -44,6 +46,12 @@
         &mut self.bytes
     }
 
+    /// How many bytes are held without a reservation.
+    pub fn unreserved_bytes(&self) -> usize {
+        let held = self.bytes.capacity() + self.decoder.content_capacity();
+        held.saturating_sub(self.reserved_bytes())
+    }
+
     fn reserved_bytes(&self) -> usize {
         self.reservation
             .as_ref()
@@ -117,7 +125,7 @@
     let Some(mut reservation) = reservation else {
         return Bytes::copy_from_slice(&value);
     };
-    if value.len() <= UNRESERVED_BYTES {
+    if value.len() <= MAX_UNRESERVED_VALUE_BYTES {
         return Bytes::copy_from_slice(&value);
     }
     if value.len() >= reservation.bytes() / 2 {
--- a/crates/cache-router/src/server_connection.rs
+++ b/crates/cache-router/src/server_connection.rs
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::fair_share::{BulkTurns, FairShare, Peer, Work};
 use crate::memory_budget::MemoryBudget;
+use crate::memory_usage::{HeldBytes, Holder, MemoryUsage};
 use crate::message::{
     ConnectionId, LossCause, LostConnection, RouterEvent, ServerConnectionEvent, ServerProtocol,
     ServerResponse, ServerTarget,
@@ -31,6 +32,9 @@
 use crate::socket::{self, SocketStream};
 use crate::write_progress::{SharedWriteProgress, WriteProgress};
 
+/// Memory of a connection beside the received part of a response: its task, its socket and its channel, in bytes.
+const TASK_BYTES: usize = 4 * 1024;
+
 /// A request that is handed to a connection.
 pub struct OutgoingRequest {
     /// The encoded request.
@@ -55,6 +59,8 @@
     pub events: mpsc::Sender<RouterEvent>,
     /// The memory for long responses.
     pub reply_memory: MemoryBudget,
+    /// What is held without a reservation.
+    pub memory_usage: Arc<MemoryUsage>,
     /// The queue of the connections that have more to do than their share.
     pub bulk_turns: Arc<BulkTurns>,
 }
@@ -106,6 +112,11 @@
         protocol: target.protocol,
         requests: receiver,
         is_delayed_locally: is_delayed_locally.clone(),
+        _task: HeldBytes::new(
+            context.memory_usage.clone(),
+            Holder::ServerConnections,
+            TASK_BYTES,
+        ),
         context,
     };
     let task = tokio::spawn(connection.run(target.address, connect_timeout));
@@ -122,6 +133,7 @@
     protocol: ServerProtocol,
     requests: mpsc::Receiver<OutgoingRequest>,
     is_delayed_locally: Arc<AtomicBool>,
+    _task: HeldBytes,
     context: ServerConnectionContext,
 }
 
@@ -243,6 +255,8 @@
         share: &mut FairShare,
     ) -> io::Result<ServerResponse> {
         let load_report_names = &self.context.deployment.load_report_names;
+        let usage = self.context.memory_usage.clone();
+        let mut held = HeldBytes::new(usage, Holder::ServerResponses, 0);
         loop {
             let decoded = buffer.decode(load_report_names);
             if let Some(response) = decoded.map_err(io::Error::other)? {
@@ -253,6 +267,8 @@
                 share.end_turn();
                 buffer.reserve(&self.context.reply_memory).await;
             }
+            buffer.free_space();
+            held.set(buffer.unreserved_bytes());
             let count = read_by_turns(stream, buffer.free_space(), share).await?;
             if count == 0 {
                 let last = buffer.decode_at_end(load_report_names);
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -25,6 +25,8 @@
 use crate::lifecycle::LifecyclePhase;
 use crate::listener;
 use crate::memory_budget::MemoryBudget;
+use crate::memory_monitor::MemoryMonitor;
+use crate::memory_usage::MemoryUsage;
 use crate::signals::{self, PendingSignals, SignalHandler, WakeUps};
 use crate::trace::Trace;
 
@@ -171,6 +173,14 @@
     let deployment = Arc::new(config.deployment);
     let request_memory = memory_budget(config.memory_mb);
     let reply_memory = memory_budget(config.memory_mb);
+    let memory_usage = Arc::<MemoryUsage>::default();
+    let memory_monitor = MemoryMonitor {
+        limit: config.memory_mb * BYTES_PER_MB,
+        request_memory: request_memory.clone(),
+        reply_memory: reply_memory.clone(),
+        usage: memory_usage.clone(),
+    };
+    tokio::spawn(memory_monitor.run());
     let bulk_turns = Arc::<BulkTurns>::default();
     let max_open_requests = deployment.max_open.min(MAX_OPEN_REQUESTS);
     let client_context = ClientContext {
@@ -184,6 +194,7 @@
         request_slots: Arc::new(Semaphore::new(max_open_requests)),
         request_memory,
         reply_memory: reply_memory.clone(),
+        memory_usage: memory_usage.clone(),
         incomplete_commands: Arc::default(),
         bulk_turns: bulk_turns.clone(),
     };
@@ -202,6 +213,7 @@
         cached_list: config.cached_list,
         max_server_connections: max_connections,
         reply_memory,
+        memory_usage,
         bulk_turns,
         events,
         phase,
--- a/crates/cache-router/tests/client_connection/support.rs
+++ b/crates/cache-router/tests/client_connection/support.rs
@@ -79,6 +79,7 @@
         request_slots: Arc::new(Semaphore::new(1_024)),
         request_memory: MemoryBudget::new(1024 * 1024),
         reply_memory: MemoryBudget::new(1024 * 1024),
+        memory_usage: Arc::default(),
         incomplete_commands: Arc::default(),
         bulk_turns: Arc::default(),
     });
--- a/crates/cache-router/tests/connection_pool.rs
+++ b/crates/cache-router/tests/connection_pool.rs
@@ -34,6 +34,7 @@
         clock: Clock::start(),
         events,
         reply_memory: MemoryBudget::new(1024 * 1024),
+        memory_usage: Arc::default(),
         bulk_turns: Arc::default(),
     };
     let mut pool = ConnectionPool::new(1024, context);
--- a/crates/cache-router/tests/event_loop/harness.rs
+++ b/crates/cache-router/tests/event_loop/harness.rs
@@ -69,6 +69,7 @@
             cached_list: EndpointListUpdate::default(),
             max_server_connections: 16,
             reply_memory: MemoryBudget::new(1024 * 1024),
+            memory_usage: Arc::default(),
             bulk_turns: Arc::default(),
             events: event_sender.clone(),
             phase: watch::channel(LifecyclePhase::Starting).0,
--- a/crates/cache-router/tests/listener.rs
+++ b/crates/cache-router/tests/listener.rs
@@ -66,6 +66,7 @@
         request_slots: Arc::new(Semaphore::new(16)),
         request_memory: MemoryBudget::new(1024 * 1024),
         reply_memory: MemoryBudget::new(1024 * 1024),
+        memory_usage: Arc::default(),
         incomplete_commands: Arc::default(),
         bulk_turns: Arc::default(),
     };
