--- a/crates/cache-router/tests/client_connection/main.rs
+++ b/crates/cache-router/tests/client_connection/main.rs
@@ -10,5 +10,6 @@
 mod command_timeout;
 mod disconnects;
 mod failing_calls;
+mod memory;
 mod requests;
 mod support;
--- a/crates/cache-router/tests/router_process/main.rs
+++ b/crates/cache-router/tests/router_process/main.rs
@@ -15,6 +15,7 @@
 mod final_replies;
 mod log;
 mod memory;
+mod memory_limit;
 mod production;
 mod requests;
 mod server_failures;
--- a/crates/cache-router/tests/router_process/memory.rs
+++ b/crates/cache-router/tests/router_process/memory.rs
@@ -11,16 +11,16 @@
 use socket2::{Domain, Socket, Type};
 
 use crate::support::{
-    Behaviour, Client, Cluster, FakeServer, StartOptions, allocated_kib, cache_server, command,
-    failing_origin, hit, http, miss, origin_server, read,
+    Behaviour, Client, Cluster, FakeServer, RouterProcess, StartOptions, allocated_kib,
+    cache_server, command, failing_origin, hit, http, miss, origin_server, read,
 };
 
 /// The least memory that a deployment gives, in MiB.
-const LEAST_MEMORY_MB: usize = 32;
+pub const LEAST_MEMORY_MB: usize = 32;
 const MOST_MEMORY_MB: usize = 192;
-const KIB_PER_MIB: usize = 1024;
+pub const KIB_PER_MIB: usize = 1024;
 /// The longest value of the protocol.
-const VALUE_BYTES: usize = 64 * 1024;
+pub const VALUE_BYTES: usize = 64 * 1024;
 /// How often the clients that read nothing go on writing.
 const WRITE_ROUNDS: usize = 40;
 /// The receive buffer of a client that reads nothing, in bytes.
@@ -33,9 +33,9 @@
 const MAX_READ_TIME: Duration = Duration::from_secs(2);
 
 /// One test at a time needs many sockets and much memory of the machine.
-static IN_USE: Mutex<()> = Mutex::new(());
+pub static IN_USE: Mutex<()> = Mutex::new(());
 
-fn options(memory_mb: usize) -> StartOptions {
+pub fn options(memory_mb: usize) -> StartOptions {
     StartOptions {
         memory_mb,
         sockets: 1_024,
@@ -50,9 +50,9 @@
 
 /// Connects clients that write `bytes`, as far as the router takes them, and read nothing. They stay connected until
 /// they are dropped.
-fn connect_writers(cluster: &Cluster, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
+pub fn connect_writers(router: &RouterProcess, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
     let mut clients: Vec<_> = (0..count)
-        .map(|_| connect_without_reading(cluster.router.address))
+        .map(|_| connect_without_reading(router.address))
         .collect();
     let mut written = vec![0; count];
     for _ in 0..WRITE_ROUNDS {
@@ -77,15 +77,15 @@
 
 /// Watches the memory of a router, and checks that reads of short values are answered meanwhile. Returns the most
 /// memory that was seen, in KiB, and the number of reads that were served.
-fn watch_memory(cluster: &Cluster) -> (usize, usize) {
-    let router = cluster.router.id();
+pub fn watch_memory(router: &RouterProcess) -> (usize, usize) {
+    let process = router.id();
     let is_over = AtomicBool::new(false);
     let most = AtomicUsize::new(0);
     let mut served = 0;
     thread::scope(|scope| {
         scope.spawn(|| {
             while !is_over.load(Ordering::Relaxed) {
-                most.fetch_max(allocated_kib(router), Ordering::Relaxed);
+                most.fetch_max(allocated_kib(process), Ordering::Relaxed);
                 thread::sleep(SAMPLE_INTERVAL);
             }
         });
@@ -95,7 +95,7 @@
                 break;
             }
             let since = Instant::now();
-            let reply = cluster.client().execute(&read("aa", &format!("r{number}")));
+            let reply = router.client().execute(&read("aa", &format!("r{number}")));
             assert!(since.elapsed() <= MAX_READ_TIME, "{:?}", since.elapsed());
             served += usize::from(reply.as_deref() == Some("short"));
             thread::sleep(SAMPLE_INTERVAL);
@@ -106,7 +106,7 @@
 }
 
 fn assert_within_limit(cluster: &Cluster, memory_mb: usize) {
-    let (most, served) = watch_memory(cluster);
+    let (most, served) = watch_memory(&cluster.router);
     let limit = memory_mb * KIB_PER_MIB;
     println!("{most} KiB of {limit}, {served} reads were served");
     assert!(most <= limit, "{most} KiB of {limit}");
@@ -168,7 +168,7 @@
     let long_argument = "a".repeat(512);
     let value = "v".repeat(VALUE_BYTES);
     let write = command(&["OBJ.SET", &long_argument, &long_argument, &fields, &value]);
-    let _clients = connect_writers(&cluster, CLIENTS, &write[..write.len() - 1]);
+    let _clients = connect_writers(&cluster.router, CLIENTS, &write[..write.len() - 1]);
     assert_within_limit(&cluster, LEAST_MEMORY_MB);
 }
 
@@ -179,7 +179,7 @@
     let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
     let cluster = Cluster::start_with(short_values(), failing_origin(), options(LEAST_MEMORY_MB));
     let write = long_write(1);
-    let mut clients = connect_writers(&cluster, CLIENTS, &[]);
+    let mut clients = connect_writers(&cluster.router, CLIENTS, &[]);
     thread::scope(|scope| {
         scope.spawn(|| {
             for piece in write.chunks(PIECE_BYTES) {
@@ -202,8 +202,8 @@
     let many_fields = command(&["OBJ.GET", "aa", "1", &fields]);
     let many_arguments = [b"*1000000\r\n", &b"$1\r\na\r\n".repeat(10_000)[..]].concat();
     let _clients = [
-        connect_writers(&cluster, CLIENTS / 2, &many_fields.repeat(20)),
-        connect_writers(&cluster, CLIENTS / 2, &many_arguments),
+        connect_writers(&cluster.router, CLIENTS / 2, &many_fields.repeat(20)),
+        connect_writers(&cluster.router, CLIENTS / 2, &many_arguments),
     ];
     assert_within_limit(&cluster, LEAST_MEMORY_MB);
 }
@@ -216,7 +216,7 @@
     let cluster = Cluster::start_with(short_values(), failing_origin(), options(LEAST_MEMORY_MB));
     let unknown = command(&["FOO"]);
     let commands = unknown.repeat(COMMAND_BYTES / unknown.len());
-    let _clients = connect_writers(&cluster, CLIENTS, &commands);
+    let _clients = connect_writers(&cluster.router, CLIENTS, &commands);
     assert_within_limit(&cluster, LEAST_MEMORY_MB);
 }
 
@@ -236,7 +236,7 @@
     let reads: Vec<u8> = (0..READS)
         .flat_map(|number| read("bb", &format!("l{number}")))
         .collect();
-    let _clients = connect_writers(&cluster, CLIENTS, &reads);
+    let _clients = connect_writers(&cluster.router, CLIENTS, &reads);
     assert_within_limit(&cluster, LEAST_MEMORY_MB);
 }
 
@@ -250,7 +250,7 @@
     let origin = origin_server(|_| Behaviour::Respond(http(200, "", "stored")));
     let cluster = Cluster::start_with(cache, origin, options(LEAST_MEMORY_MB));
     let write = long_write(1);
-    let _clients = connect_writers(&cluster, CLIENTS, &write[..write.len() - 1]);
+    let _clients = connect_writers(&cluster.router, CLIENTS, &write[..write.len() - 1]);
     let mut client: Client = cluster.client();
     let mut served = 0;
     for _ in 0..TRIES {
--- a/crates/cache-router/tests/router_process/support/mod.rs
+++ b/crates/cache-router/tests/router_process/support/mod.rs
@@ -15,7 +15,8 @@
     FakeDiscovery, UNAVAILABLE, endpoint, endpoint_list, keep_watch_open, watch_head, watch_with,
 };
 pub use process::{
-    LogReader, RouterProcess, StartOptions, allocated_kib, config_file, send_signal, settings,
+    LogReader, RouterProcess, StartOptions, allocated_kib, config_file, peak_kib, send_signal,
+    settings,
 };
 pub use servers::{
     Behaviour, FakeServer, Gate, ReceivedRequest, cache_server, failing_origin, hit, http, miss,
--- a/crates/cache-router/tests/router_process/support/process.rs
+++ b/crates/cache-router/tests/router_process/support/process.rs
@@ -203,12 +203,22 @@
 /// The memory that a process has allocated and used, in KiB. Its program text is not counted: it is large in a build
 /// for tests.
 pub fn allocated_kib(process: u32) -> usize {
+    status_kib(process, "RssAnon:")
+}
+
+/// The most memory of a process that has been resident so far, in KiB, with its program text.
+pub fn peak_kib(process: u32) -> usize {
+    status_kib(process, "VmHWM:")
+}
+
+/// A figure that the kernel states about a process, in KiB.
+fn status_kib(process: u32, name: &str) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let anonymous = status
+    let figure = status
         .lines()
-        .find_map(|line| line.strip_prefix("RssAnon:"))
+        .find_map(|line| line.strip_prefix(name))
         .and_then(|value| value.split_whitespace().next());
-    anonymous.unwrap().parse().unwrap()
+    figure.unwrap().parse().unwrap()
 }
 
 /// Sends a signal to a process.
