Reserve memory for more than 64 arrival times of a client's input

Callers saw a router killed for its memory while hundreds of clients wrote in small pieces behind a pending request.

Cause: each piece that comes over 1 ms after the one before it has a record of its own, up to 1,024 of 16 bytes, on each connection: 8 MB on 504 connections, without a reservation.

Change: 64 records are kept in any case; for more, the memory of all 1,024 is reserved from that for requests. Without it later pieces count as part of the last one, as they did beyond 1,024, which dates them too early and never too late.

--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -95,12 +95,12 @@
         ClientInput {
             buffer: BytesMut::new(),
             scanner: FrameScanner::new(FrameKind::Command),
+            arrival_times: ArrivalTimes::new(memory.clone()),
             memory,
             reservation: None,
             is_short_of_memory: false,
             discards_command: false,
             is_incomplete: false,
-            arrival_times: ArrivalTimes::default(),
             last_read_at: None,
             incomplete_since: None,
             mode: InputMode::default(),
@@ -120,7 +120,7 @@
     /// How many bytes are held without a reservation.
     pub fn unreserved_bytes(&self) -> usize {
         let buffer = self.buffer.capacity().saturating_sub(self.reserved_bytes());
-        buffer + self.arrival_times.held_bytes()
+        buffer + self.arrival_times.unreserved_bytes()
     }
 
     /// How the input is handled.
@@ -142,7 +142,7 @@
         self.reservation = None;
         self.is_short_of_memory = false;
         self.discards_command = false;
-        self.arrival_times = ArrivalTimes::default();
+        self.arrival_times.clear();
         self.incomplete_since = None;
         self.mode = InputMode::Discard;
     }
--- a/crates/cache-router/tests/client_connection/requests.rs
+++ b/crates/cache-router/tests/client_connection/requests.rs
@@ -8,6 +8,7 @@
 use cache_router::client_connection::reply_queue::ReplyQueue;
 use cache_router::client_connection::{MAX_PIPELINED, OUTPUT_STALL_TIMEOUT};
 use cache_router::lifecycle::LifecyclePhase;
+use cache_router::memory_budget::MemoryBudget;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::Instant;
 
@@ -43,7 +44,7 @@
 
 #[test]
 fn requests_read_ahead_one_by_one_keep_their_arrival_times() {
-    let mut arrival_times = ArrivalTimes::default();
+    let mut arrival_times = ArrivalTimes::new(MemoryBudget::new(1024 * 1024));
     for number in 0..1_000 {
         arrival_times.add(60, number * 2_000);
     }
