Bound the unsent replies of a client that have no reservation, wherever they are

Callers saw a router killed for its memory while clients read none of their replies.

Cause: short replies were bounded to 4 KiB only behind the last long value. Those before it became part of the output's segments, which are bounded at 64 KiB whether or not their memory is reserved: over 40 KiB on each connection with two short values between two long ones. The buffer of short replies doubled to 8 KiB as it grew.

Change: what has no reservation is counted over the whole output and bounded to 2 KiB and one more value; values of over 1 KiB are not copied; the buffer is allocated once.

--- a/crates/cache-router/src/client_connection/output.rs
+++ b/crates/cache-router/src/client_connection/output.rs
@@ -1,7 +1,8 @@
 //! The output of a client: replies that have not been written to its socket yet.
 //!
 //! Short replies are collected in a buffer, so that one write sends many of them. Long values are not copied: they are
-//! written from the memory that is reserved for them, which is given back once they are written.
+//! written from the memory that is reserved for them, which is given back once they are written. What is not reserved is
+//! bounded, also if it is between long values.
 
 use std::collections::VecDeque;
 use std::io;
@@ -14,23 +15,26 @@
 use super::reply_queue::ReplyQueue;
 use crate::message::Reply;
 use crate::resp;
+use crate::response_buffer::MAX_UNRESERVED_VALUE_BYTES;
 use crate::socket::SocketStream;
 use crate::socket::errors::is_not_ready;
 
 /// While this many bytes wait to be written to a client, no further command is taken from it.
 const MAX_OUTPUT_BYTES: usize = 64 * 1024;
 /// The same for the bytes of short replies, whose memory is not reserved.
-const MAX_COLLECTED_BYTES: usize = 4 * 1024;
+const MAX_UNRESERVED_BYTES: usize = 2 * 1024;
 /// Values longer than this are not copied, in bytes.
-const MAX_COPIED_BYTES: usize = 2 * 1024;
+const MAX_COPIED_BYTES: usize = 1024;
+/// Room for the longest copied value beside the others, in bytes.
+const COLLECTED_CAPACITY: usize = MAX_UNRESERVED_BYTES + MAX_COPIED_BYTES + 64;
 /// A client that reads none of its replies for this long is disconnected.
 pub const OUTPUT_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A part of the output that is written from its own memory.
 struct Segment {
     bytes: Bytes,
-    /// Whether it was copied from short replies. The memory of all others is reserved.
-    is_copy: bool,
+    /// Whether its memory is reserved.
+    is_reserved: bool,
 }
 
 /// Buffered replies to a client.
@@ -41,8 +45,8 @@
     collected: BytesMut,
     /// How many bytes are in the segments.
     segment_bytes: usize,
-    /// How many of these are copies of short replies, whose memory is not reserved.
-    copied_bytes: usize,
+    /// How many of these have no reservation.
+    unreserved_segment_bytes: usize,
     /// When output was last written to the socket, or became non-empty.
     progress_at: Instant,
     failures: LocalFailures,
@@ -50,8 +54,12 @@
 
 impl Segment {
     /// How many bytes it holds without a reservation.
-    fn copied_bytes(&self) -> usize {
-        if self.is_copy { self.bytes.len() } else { 0 }
+    fn unreserved_bytes(&self) -> usize {
+        if self.is_reserved {
+            0
+        } else {
+            self.bytes.len()
+        }
     }
 }
 
@@ -61,7 +69,7 @@
             segments: VecDeque::new(),
             collected: BytesMut::new(),
             segment_bytes: 0,
-            copied_bytes: 0,
+            unreserved_segment_bytes: 0,
             progress_at: Instant::now(),
             failures: LocalFailures::default(),
         }
@@ -86,12 +94,12 @@
 
     /// How many bytes are held without a reservation.
     pub fn unreserved_bytes(&self) -> usize {
-        self.collected.capacity() + self.copied_bytes
+        self.collected.capacity() + self.unreserved_segment_bytes
     }
 
     /// Whether so much output is waiting that no further command is taken.
     pub fn is_full(&self) -> bool {
-        self.collected.len() >= MAX_COLLECTED_BYTES
+        self.collected.len() + self.unreserved_segment_bytes >= MAX_UNRESERVED_BYTES
             || self.segment_bytes + self.collected.len() >= MAX_OUTPUT_BYTES
     }
 
@@ -114,6 +122,10 @@
     }
 
     fn push(&mut self, reply: Reply) {
+        if self.collected.capacity() == 0 {
+            // A buffer that grows by itself could take twice the memory that it needs.
+            self.collected.reserve(COLLECTED_CAPACITY);
+        }
         match reply {
             Reply::Encoded(line) if line.len() <= MAX_COPIED_BYTES => {
                 self.collected.extend_from_slice(&line);
@@ -133,17 +145,18 @@
     /// Appends bytes that are not copied.
     fn push_segment(&mut self, segment: Bytes) {
         let before = Segment {
-            bytes: self.collected.split().freeze(),
-            is_copy: true,
+            bytes: Bytes::copy_from_slice(&self.collected),
+            is_reserved: false,
         };
+        self.collected.clear();
         let segment = Segment {
+            is_reserved: segment.len() > MAX_UNRESERVED_VALUE_BYTES,
             bytes: segment,
-            is_copy: false,
         };
         let is_not_empty = |segment: &Segment| !segment.bytes.is_empty();
         for segment in [before, segment].into_iter().filter(is_not_empty) {
             self.segment_bytes += segment.bytes.len();
-            self.copied_bytes += segment.copied_bytes();
+            self.unreserved_segment_bytes += segment.unreserved_bytes();
             self.segments.push_back(segment);
         }
     }
@@ -161,9 +174,9 @@
             self.collected.advance(count);
             return;
         };
-        let copied_before = segment.copied_bytes();
+        let unreserved_before = segment.unreserved_bytes();
         segment.bytes.advance(count);
-        self.copied_bytes -= copied_before - segment.copied_bytes();
+        self.unreserved_segment_bytes -= unreserved_before - segment.unreserved_bytes();
         self.segment_bytes -= count;
         if segment.bytes.is_empty() {
             self.segments.pop_front();
