Hold half as much input without a reservation, and reserve commands over 512 bytes

Callers saw a router killed for its memory while hundreds of clients wrote slowly or stopped half way.

Cause: each connection could hold 8 KiB of input without a reservation, 4 MB together, and each of 1,024 requests 2 KiB and its copy for the server, another 4 MB.

Change: 4 KiB of input and 512 bytes a command are held in any case. A read leaves as much room as that allows, so commands that are complete are taken before more is reserved; a nearly full buffer may still grow by reservation. A buffer in which nothing has arrived is freed.

--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -1,6 +1,6 @@
 //! The input of a client: the bytes read from its socket, and the commands that are parsed from them.
 //!
-//! Up to 8 KiB are buffered in any case, which is enough for commands without a long value. Memory for
+//! Up to 4 KiB are buffered in any case, which is enough for commands without a long value. Memory for
 //! more is reserved first. If there is none, the content of a long command is discarded while it is read, and the
 //! command is reported without its arguments.
 
@@ -30,12 +30,12 @@
 const MAX_THROTTLED_BYTES: usize = 2 * 1024 * 1024;
 /// The interval over which throttled reads are counted.
 pub const THROTTLE_INTERVAL: Duration = Duration::from_millis(25);
-/// Free space in the input buffer before each read, in bytes.
-const READ_CAPACITY: usize = 4096;
-/// How many bytes are buffered without a reservation: a command without a long value, and another read.
-const UNRESERVED_BYTES: usize = 2 * READ_CAPACITY;
+/// How many bytes are buffered without a reservation: more than a command without a long value takes.
+const UNRESERVED_BYTES: usize = 4096;
+/// The least free space in the input buffer before a read, in bytes.
+const MIN_READ_BYTES: usize = 1024;
 /// The longest command whose memory is not reserved after it has been taken, in bytes. The number of these is limited.
-const MAX_UNRESERVED_COMMAND_BYTES: usize = 2 * 1024;
+const MAX_UNRESERVED_COMMAND_BYTES: usize = 512;
 /// How often the content of a command is held: as it was received, and encoded for the server.
 const COPIES_OF_COMMAND: usize = 2;
 
@@ -266,6 +266,7 @@
                     self.failures.record_success();
                     self.drained_at = Some(clock.now());
                     self.unread.clear();
+                    self.free_if_empty();
                     break;
                 }
                 Err(error) => return self.failures.record_failure(&error),
@@ -274,21 +275,17 @@
         Ok(())
     }
 
-    /// Makes room for another read; `false` if there is no memory for it.
+    /// Makes room for another read; `false` if there is no memory for it, or if commands have to be taken first.
     fn make_room(&mut self, takes_commands: bool) -> bool {
-        let wanted = self.next_read_capacity(takes_commands);
-        let capacity = self.buffer.len() + wanted;
+        let Some(capacity) = self.next_capacity(takes_commands) else {
+            return false;
+        };
         let available = UNRESERVED_BYTES + self.reserved_bytes();
-        if capacity > available {
-            if takes_commands && !self.is_incomplete {
-                return false; // The buffer may hold complete commands, which are taken first.
-            }
-            if !self.reserve(capacity - available) {
-                self.is_short_of_memory = true;
-                return false;
-            }
+        if capacity > available && !self.reserve(capacity - available) {
+            self.is_short_of_memory = true;
+            return false;
         }
-        if !self.buffer.try_reclaim(wanted) {
+        if !self.buffer.try_reclaim(capacity - self.buffer.len()) {
             // A buffer that grows by itself could take twice the memory that is reserved.
             let mut buffer = BytesMut::with_capacity(capacity);
             buffer.extend_from_slice(&self.buffer);
@@ -297,15 +294,21 @@
         true
     }
 
-    fn next_read_capacity(&self, takes_commands: bool) -> usize {
+    /// The capacity of the buffer for another read. `None` if it is nearly full and may hold complete commands, which are
+    /// taken first.
+    fn next_capacity(&self, takes_commands: bool) -> Option<usize> {
+        let buffered = self.buffer.len();
+        let is_nearly_full = buffered > UNRESERVED_BYTES - MIN_READ_BYTES;
         let wanted = match takes_commands {
-            true if self.discards_command => 0,
-            true if self.is_incomplete => self.scanner.missing_bytes(),
+            true if self.discards_command => MIN_READ_BYTES,
+            true if self.is_incomplete => self.scanner.missing_bytes().max(MIN_READ_BYTES),
+            true if is_nearly_full => return None,
             true => 0,
             // Grows in proportion, as all of it is copied each time.
-            false => self.buffer.len(),
+            false if is_nearly_full => buffered,
+            false => 0,
         };
-        wanted.max(READ_CAPACITY)
+        Some(UNRESERVED_BYTES.max(buffered + wanted))
     }
 
     fn reserved_bytes(&self) -> usize {
@@ -330,7 +333,7 @@
     fn shrink(&mut self) {
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
-        } else if self.reservation.is_some() && self.buffer.len() <= READ_CAPACITY {
+        } else if self.reservation.is_some() && self.buffer.len() <= UNRESERVED_BYTES {
             self.buffer = BytesMut::from(&self.buffer[..]);
         } else {
             return;
@@ -338,6 +341,13 @@
         self.reservation = None;
     }
 
+    /// Gives back the memory of the buffer if it holds nothing.
+    fn free_if_empty(&mut self) {
+        if self.buffer.is_empty() {
+            self.shrink();
+        }
+    }
+
     /// Takes the next command from the input; `None` if it is not complete.
     ///
     /// # Errors
@@ -394,7 +404,7 @@
             return Some(None);
         }
         let wanted = length * COPIES_OF_COMMAND;
-        let leaves_little = self.buffer.len() - length <= READ_CAPACITY;
+        let leaves_little = self.buffer.len() - length <= UNRESERVED_BYTES;
         let missing = match &self.reservation {
             // The buffer shrinks once the command is taken.
             Some(reservation) if leaves_little => wanted.saturating_sub(reservation.bytes()),
@@ -420,9 +430,7 @@
         if self.discards_command || self.is_short_of_memory {
             self.discard_command();
         }
-        if self.buffer.is_empty() {
-            self.shrink();
-        }
+        self.free_if_empty();
     }
 
     /// Removes the scanned part of a command whose content is discarded.
