Reserve memory for more than eight replies that a client waits for

Callers saw a router killed for its memory while hundreds of clients had many commands pending.

Cause: each connection may have 64 commands pending, whose queue and short replies take up to 8 KiB, without a reservation: 4 MB on 504 connections. The queue kept its size for as long as the connection lived.

Change: eight replies are queued in any case; for all 64, memory is reserved from that for replies, and given back with the last of them. Without memory a client's further commands wait as they do behind 64 pending ones.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -11,6 +11,7 @@
 pub mod input;
 pub mod local_failures;
 pub mod output;
+mod pipeline_memory;
 pub mod reply_queue;
 mod wait;
 
@@ -34,12 +35,14 @@
 use input::{ClientInput, InputMode};
 use local_failures::Disconnected;
 use output::ClientOutput;
+use pipeline_memory::PipelineMemory;
 use reply_queue::ReplyQueue;
 
 pub use close::{LINGER_AFTER_ERROR, LINGER_WHEN_IDLE};
 pub use output::OUTPUT_STALL_TIMEOUT;
 
-/// The most commands of one connection that may be waiting for a reply. Later ones wait until one of them is answered.
+/// The most commands of one connection that may be waiting for a reply, if there is memory for so many. Later ones wait
+/// until one of them is answered.
 pub const MAX_PIPELINED: usize = 64;
 /// A client is disconnected if it has not completed its first command within this time, or has left a later command
 /// incomplete for this long, even if it keeps sending bytes: it occupies one of a limited number of slots. A silent
@@ -118,6 +121,7 @@
     reply_receiver: mpsc::Receiver<ClientReply>,
     input: ClientInput,
     replies: ReplyQueue,
+    pipeline_memory: PipelineMemory,
     output: ClientOutput,
     /// What the connection holds without a reservation.
     held: ConnectionMemory,
@@ -154,6 +158,7 @@
         let now = Instant::now();
         let share = FairShare::new(Peer::Client(client), context.bulk_turns.clone());
         let input = ClientInput::new(context.request_memory.clone());
+        let pipeline_memory = PipelineMemory::new(context.reply_memory.clone());
         let held = ConnectionMemory::new(&context);
         ClientConnection {
             stream,
@@ -163,6 +168,7 @@
             reply_receiver,
             input,
             replies: ReplyQueue::default(),
+            pipeline_memory,
             output: ClientOutput::default(),
             held,
             share,
@@ -206,6 +212,10 @@
             }
             let is_interrupted = self.take_commands().await || self.reject_excess_commands();
             self.output.take_ready(&mut self.replies);
+            if self.replies.is_empty() {
+                self.replies.shrink();
+                self.pipeline_memory.release();
+            }
             if self.is_ready_to_close() {
                 match self.close_when_answered().await {
                     ControlFlow::Continue(()) => continue,
@@ -268,8 +278,11 @@
     /// Records what the connection holds while it waits.
     fn record_held_bytes(&mut self) {
         self.held.input.set(self.input.unreserved_bytes());
-        let replies = self.replies.held_bytes() + self.output.unreserved_bytes();
-        self.held.replies.set(replies);
+        let queued_bytes = self.replies.held_bytes();
+        let queued_bytes = queued_bytes.saturating_sub(self.pipeline_memory.reserved_bytes());
+        self.held
+            .replies
+            .set(queued_bytes + self.output.unreserved_bytes());
     }
 
     /// Whether a reply is pending or not completely written.
@@ -307,10 +320,16 @@
     /// Whether commands may be taken from the input now.
     fn can_take_commands(&self) -> bool {
         self.input.mode() != InputMode::Discard
-            && self.replies.len() < MAX_PIPELINED
+            && self.replies.len() < self.pipeline_memory.max_pending()
             && !self.output.is_full()
     }
 
+    /// As [`Self::can_take_commands`], once memory has been reserved for the next reply if possible.
+    fn can_take_next_command(&mut self) -> bool {
+        self.pipeline_memory.extend(self.replies.len());
+        self.can_take_commands()
+    }
+
     /// When the client must have completed its first or its incomplete command; `None` if there is neither. Replies
     /// that are pending do not extend the deadline.
     fn command_deadline(&self) -> Option<Instant> {
--- a/crates/cache-router/src/client_connection/commands.rs
+++ b/crates/cache-router/src/client_connection/commands.rs
@@ -22,7 +22,7 @@
     /// Takes complete commands from the input and handles them, at least one and at most as many as the connection's
     /// share allows. Returns whether it stopped at the end of the share.
     pub(super) async fn take_commands(&mut self) -> bool {
-        while self.can_take_commands() {
+        while self.can_take_next_command() {
             match self.input.take_command() {
                 Ok(Some(ReceivedCommand {
                     arguments,
--- a/crates/cache-router/src/client_connection/reply_queue.rs
+++ b/crates/cache-router/src/client_connection/reply_queue.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use tokio::sync::OwnedSemaphorePermit;
 
+use super::pipeline_memory::UNRESERVED_PIPELINED;
 use crate::event_loop::in_flight::FAILED_REPLY;
 use crate::message::{ClientReply, Reply};
 use crate::response_buffer::MAX_UNRESERVED_VALUE_BYTES;
@@ -19,6 +20,11 @@
     request_permit: Option<OwnedSemaphorePermit>,
 }
 
+/// The memory of a queued reply that is short, such as an error, in bytes.
+const SHORT_REPLY_BYTES: usize = 64;
+/// The memory of a slot with a short reply, in bytes.
+pub const SLOT_BYTES: usize = size_of::<ReplySlot>() + SHORT_REPLY_BYTES;
+
 impl ReplySlot {
     fn has_reply(&self, expected: &[u8]) -> bool {
         matches!(&self.reply, Some(Reply::Encoded(reply)) if reply == expected)
@@ -87,6 +93,11 @@
         replies.map(Reply::content_length).sum()
     }
 
+    /// Gives back the memory of an empty queue that has held more replies than are queued without a reservation.
+    pub fn shrink(&mut self) {
+        self.slots.shrink_to(UNRESERVED_PIPELINED);
+    }
+
     /// How many bytes the queue takes, without long values, whose memory is reserved.
     pub fn held_bytes(&self) -> usize {
         let replies = self.slots.iter().filter_map(|slot| slot.reply.as_ref());
