Set memory aside for all connections and requests before content gets its part

Callers saw routers killed over memory_mb, with 32 MB and 1,024 descriptors within half a second of hundreds of clients.

Cause: content had half of the limit, whatever the number of connections and requests. What these hold without a reservation, times the most there may be of them, is more than the other half: a peak of 34,072 to 35,380 of 32,768 KiB.

Change: the limit is divided at startup (memory_plan.rs): the process, connections of both sides, requests and endpoints have their most set aside, a quarter of the rest is left to the allocator, and content gets what remains, at most half of the limit as before. Deployments with fewer descriptors or more memory keep the half: 48 MB and 384 descriptors do.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -62,6 +62,8 @@
 const STALL_GRACE: Duration = Duration::from_secs(1);
 /// Memory of a connection beside its input and replies: its task, its socket and the channel for its replies, in bytes.
 const TASK_BYTES: usize = 6 * 1024;
+/// What a connection holds at most without a reservation, in bytes: its task, input, and replies that are not sent.
+pub const CLIENT_CONNECTION_BYTES: usize = 16 * 1024;
 /// How often a client that takes no replies is checked while it holds memory.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/crates/cache-router/src/lib.rs
+++ b/crates/cache-router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod listener;
 pub mod memory_budget;
 pub mod memory_monitor;
+pub mod memory_plan;
 pub mod memory_usage;
 pub mod message;
 pub mod origin_protocol;
--- a/crates/cache-router/src/server_connection.rs
+++ b/crates/cache-router/src/server_connection.rs
@@ -34,6 +34,8 @@
 
 /// Memory of a connection beside the received part of a response: its task, its socket and its channel, in bytes.
 const TASK_BYTES: usize = 4 * 1024;
+/// What a connection holds at most without a reservation, in bytes: its task, and the received part of a response.
+pub const SERVER_CONNECTION_BYTES: usize = 8 * 1024;
 
 /// A request that is handed to a connection.
 pub struct OutgoingRequest {
--- a/crates/cache-router/src/startup.rs
+++ b/crates/cache-router/src/startup.rs
@@ -3,6 +3,7 @@
 
 mod error;
 pub mod retry;
+mod router_memory;
 
 use std::io;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use tracing::{dispatcher, info, warn};
 
 use self::retry::{Environment, FILE_TIMEOUT, Retries, START_TIMEOUT};
+use self::router_memory::RouterMemory;
 use crate::client_context::ClientContext;
 use crate::clock::Clock;
 use crate::config::Config;
@@ -24,20 +26,12 @@
 use crate::fair_share::BulkTurns;
 use crate::lifecycle::LifecyclePhase;
 use crate::listener;
-use crate::memory_budget::MemoryBudget;
-use crate::memory_monitor::MemoryMonitor;
-use crate::memory_usage::MemoryUsage;
+use crate::memory_plan::Capacity;
 use crate::signals::{self, PendingSignals, SignalHandler, WakeUps};
 use crate::trace::Trace;
 
 pub use self::error::StartError;
 
-/// Bytes in a MiB, the unit of the limit on memory.
-const BYTES_PER_MB: usize = 1024 * 1024;
-/// Memory of the process without requests, in bytes.
-const PROCESS_MEMORY_BYTES: usize = 2 * BYTES_PER_MB;
-/// The least memory for requests or replies, in bytes: a few of the longest.
-const MIN_BUDGET_BYTES: usize = BYTES_PER_MB;
 /// Capacity of the queue of events for the event loop.
 const EVENT_CAPACITY: usize = 1024;
 /// Maximum number of requests that are accepted and not yet replied to. Each may hold a value of 64 KiB.
@@ -171,18 +165,15 @@
     let max_connections = connections_per_side(config.max_sockets);
     let client_capacity = Arc::new(Semaphore::new(max_connections));
     let deployment = Arc::new(config.deployment);
-    let request_memory = memory_budget(config.memory_mb);
-    let reply_memory = memory_budget(config.memory_mb);
-    let memory_usage = Arc::<MemoryUsage>::default();
-    let memory_monitor = MemoryMonitor {
-        limit: config.memory_mb * BYTES_PER_MB,
-        request_memory: request_memory.clone(),
-        reply_memory: reply_memory.clone(),
-        usage: memory_usage.clone(),
+    let max_open_requests = deployment.max_open.min(MAX_OPEN_REQUESTS);
+    let capacity = Capacity {
+        memory_mb: config.memory_mb,
+        connections: max_connections,
+        requests: max_open_requests,
+        endpoints: config.cached_list.endpoints.len(),
     };
-    tokio::spawn(memory_monitor.run());
+    let memory = RouterMemory::start(&capacity);
     let bulk_turns = Arc::<BulkTurns>::default();
-    let max_open_requests = deployment.max_open.min(MAX_OPEN_REQUESTS);
     let client_context = ClientContext {
         deployment: deployment.clone(),
         clock,
@@ -192,9 +183,9 @@
         reserved_slots: (max_connections / CLIENTS_PER_REJECTION).max(1),
         closable_connections: Arc::default(),
         request_slots: Arc::new(Semaphore::new(max_open_requests)),
-        request_memory,
-        reply_memory: reply_memory.clone(),
-        memory_usage: memory_usage.clone(),
+        request_memory: memory.requests,
+        reply_memory: memory.replies.clone(),
+        memory_usage: memory.usage.clone(),
         incomplete_commands: Arc::default(),
         bulk_turns: bulk_turns.clone(),
     };
@@ -212,8 +203,8 @@
         discovery: config.discovery,
         cached_list: config.cached_list,
         max_server_connections: max_connections,
-        reply_memory,
-        memory_usage,
+        reply_memory: memory.replies,
+        memory_usage: memory.usage,
         bulk_turns,
         events,
         phase,
@@ -226,14 +217,6 @@
     event_loop.run(received_events, no_client_connected).await;
 }
 
-/// Returns the memory for requests, which is also that for replies. Both together get half of the limit, less what the
-/// process needs for itself: connections, lists of servers and short requests need the rest.
-fn memory_budget(limit_mb: usize) -> MemoryBudget {
-    let half = limit_mb * BYTES_PER_MB / 2;
-    let content = half.saturating_sub(PROCESS_MEMORY_BYTES);
-    MemoryBudget::new((content / 2).max(MIN_BUDGET_BYTES))
-}
-
 /// Returns the maximum number of connections to clients, which is also that of connections to servers: each side gets
 /// half of the sockets.
 fn connections_per_side(sockets: usize) -> usize {
--- a/crates/cache-router/tests/client_connection/memory.rs
+++ b/crates/cache-router/tests/client_connection/memory.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cache_router::client_connection::MAX_PIPELINED;
 use cache_router::client_connection::output::ClientOutput;
 use cache_router::client_connection::reply_queue::ReplyQueue;
+use cache_router::client_connection::{CLIENT_CONNECTION_BYTES, MAX_PIPELINED};
 use cache_router::memory_budget::MemoryReservation;
 use cache_router::message::{ClientReply, Reply};
 use cache_router::response_buffer::MAX_UNRESERVED_VALUE_BYTES;
@@ -75,6 +75,7 @@
     fn assert_within_bound(&self) {
         println!("{} of {MAX_UNRESERVED} bytes", self.most);
         assert!(self.most <= MAX_UNRESERVED, "{} bytes", self.most);
+        assert!(self.most <= CLIENT_CONNECTION_BYTES, "{} bytes", self.most);
     }
 }
 
