End the wait for reply memory, and have no reply hold it behind a pending one

Callers got no answer, or a rejection, from a router whose clients read slowly: with 60 of them, reads of short values on other connections were rejected for as long as was looked (0 of 585 in 6 s), since all 504 connections to servers waited for memory. 24 clients with values behind a pending read kept all others from long values until that read's deadline.

Cause: a response waited for memory without end, on a connection that nobody else could use, and memory was held by values of the same clients that waited for exactly these responses. The servers were ejected for the time-outs.

Change: a response waits 100 ms, then its connection is closed as lost by this machine, which does not count against the server. While memory is short, one client's unsent values are kept up to a 32nd of it, not an eighth, and values that have waited for 1 s behind a pending reply are failed.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -58,7 +58,8 @@
 
 /// An incomplete long command is not discarded in its first moments, however short memory is: most arrive at once.
 const INCOMPLETE_GRACE: Duration = Duration::from_millis(100);
-/// If the memory for replies is short, a client that has taken none for this long is disconnected.
+/// If the memory for replies is short, a client that has taken none for this long is disconnected, and long values that
+/// have waited for this long behind a pending reply are failed.
 const STALL_GRACE: Duration = Duration::from_secs(1);
 /// Memory of a connection beside its input and replies: its task, its socket and the channel for its replies, in bytes.
 const TASK_BYTES: usize = 6 * 1024;
@@ -406,15 +407,26 @@
         [silent_at, discardable_at].into_iter().flatten().min()
     }
 
-    /// When to check whether the client still takes no replies: at the stall timeout, or sooner while it holds memory.
-    fn next_stall_check(&self) -> Instant {
-        let deadline = self.output.stall_deadline();
-        if self.output.segment_bytes() == 0 {
-            return deadline;
+    /// When to check whether the client still takes no replies, if any are unsent: at the stall timeout, or sooner while it
+    /// holds memory.
+    fn next_stall_check(&self) -> Option<Instant> {
+        let deadline = Some(self.output.stall_deadline()).filter(|_| !self.output.is_empty());
+        let unsent_since =
+            Some(self.output.progress_at()).filter(|_| self.output.segment_bytes() > 0);
+        let held_since = [unsent_since, self.replies.long_values_since()];
+        let next_interval = Instant::now() + STALL_CHECK_INTERVAL;
+        let first_checks = held_since.into_iter().flatten();
+        let checks = first_checks.map(|since| next_interval.max(since + STALL_GRACE));
+        checks.chain(deadline).min()
+    }
+
+    /// If the memory for replies is short, fails the long values that have waited for too long behind a pending reply.
+    fn fail_held_values(&mut self) {
+        let since = self.replies.long_values_since();
+        let is_past_grace = since.is_some_and(|since| Instant::now() >= since + STALL_GRACE);
+        if is_past_grace && self.context.reply_memory.is_short() {
+            self.replies.fail_long_values();
         }
-        let first_check = self.output.progress_at() + STALL_GRACE;
-        let next_check = first_check.max(Instant::now() + STALL_CHECK_INTERVAL);
-        next_check.min(deadline)
     }
 
     /// Whether the client has taken no replies for too long: for less time if the memory for replies is short.
@@ -422,7 +434,8 @@
         let now = Instant::now();
         let is_past_grace = now >= self.output.progress_at() + STALL_GRACE;
         let is_needed = is_past_grace && self.context.reply_memory.is_short();
-        now >= self.output.stall_deadline() || is_needed
+        let is_unsent = !self.output.is_empty();
+        is_unsent && (now >= self.output.stall_deadline() || is_needed)
     }
 
     /// Registers the connection as idle or silent, or removes its registration.
--- a/crates/cache-router/src/client_connection/reply_queue.rs
+++ b/crates/cache-router/src/client_connection/reply_queue.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
 
 use super::pipeline_memory::UNRESERVED_PIPELINED;
 use crate::event_loop::in_flight::FAILED_REPLY;
@@ -31,12 +32,19 @@
     }
 }
 
+/// Whether a reply is a long value, whose memory is reserved.
+fn is_long(reply: &Reply) -> bool {
+    reply.content_length() > MAX_UNRESERVED_VALUE_BYTES
+}
+
 /// The replies that a client is waiting for, in the order of its commands.
 #[derive(Default)]
 pub struct ReplyQueue {
     slots: VecDeque<ReplySlot>,
     /// Sequence number of the first slot.
     first_sequence: u64,
+    /// Since when long values have been queued behind a pending reply.
+    long_values_since: Option<Instant>,
 }
 
 impl ReplyQueue {
@@ -75,10 +83,28 @@
     pub fn fill(&mut self, reply: ClientReply) {
         let position = reply.sequence.saturating_sub(self.first_sequence) as usize;
         if let Some(slot) = self.slots.get_mut(position) {
+            if is_long(&reply.reply) {
+                self.long_values_since.get_or_insert_with(Instant::now);
+            }
             slot.reply = Some(reply.reply);
         }
     }
 
+    /// Since when long values have been queued, whose memory is reserved.
+    pub fn long_values_since(&self) -> Option<Instant> {
+        self.long_values_since
+    }
+
+    /// Replaces all long values by a failure, which gives back their memory.
+    pub fn fail_long_values(&mut self) {
+        for slot in &mut self.slots {
+            if slot.reply.as_ref().is_some_and(is_long) {
+                slot.reply = Some(Reply::Encoded(Bytes::from_static(FAILED_REPLY)));
+            }
+        }
+        self.long_values_since = None;
+    }
+
     /// Puts a failure in the slot of a reply whose value can't be kept.
     pub fn fill_with_failure(&mut self, reply: &ClientReply) {
         self.fill(ClientReply {
@@ -126,9 +152,17 @@
         }
         let slot = self.slots.pop_front()?;
         self.first_sequence += 1;
+        // The replies that follow have waited for this one and not for long themselves.
+        self.long_values_since = self.long_values_since.and_then(|_| self.first_long_value());
         slot.reply
     }
 
+    /// The present time if a long value is queued.
+    fn first_long_value(&self) -> Option<Instant> {
+        let mut replies = self.slots.iter().filter_map(|slot| slot.reply.as_ref());
+        replies.any(is_long).then(Instant::now)
+    }
+
     /// How many slots are in use.
     pub fn len(&self) -> usize {
         self.slots.len()
--- a/crates/cache-router/src/client_connection/wait.rs
+++ b/crates/cache-router/src/client_connection/wait.rs
@@ -19,7 +19,7 @@
 const CLOSE_CHECK_INTERVAL: Duration = THROTTLE_INTERVAL;
 
 /// If the memory for replies is short, the unsent replies of one client take at most one part in this many of it.
-const MAX_SHARE_OF_MEMORY: usize = 8;
+const MAX_SHARE_OF_MEMORY: usize = 32;
 
 /// The event that ended a wait.
 pub(super) enum WakeUp {
@@ -47,7 +47,7 @@
     CloseRequested,
     /// A new client needs the slot of this bulk connection.
     SlotReclaimed,
-    /// It is time to check whether the client still reads none of its replies.
+    /// It is time to check whether the client still reads none of its replies, or holds memory for others.
     StallCheckDue,
     /// It is time to check whether the client has closed a connection that is not being read.
     CloseCheckDue,
@@ -98,7 +98,7 @@
             () = std::future::ready(()), if is_shutting_down && is_idle => WakeUp::IdleInShutdown,
             () = close_requested(&mut self.idle_guard), if is_idle => WakeUp::CloseRequested,
             () = close_requested(&mut self.bulk_guard), if is_bulk => WakeUp::SlotReclaimed,
-            () = tokio::time::sleep_until(stall_check_at), if has_output => WakeUp::StallCheckDue,
+            () = sleep_until(stall_check_at), if stall_check_at.is_some() => WakeUp::StallCheckDue,
             () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !is_reading => WakeUp::CloseCheckDue,
             () = sleep_until(command_deadline), if command_deadline.is_some() => {
                 WakeUp::CommandOverdue
@@ -126,7 +126,10 @@
             WakeUp::StallCheckDue if self.is_output_stalled() => {
                 ControlFlow::Break(CloseReason::OutputStalled)
             }
-            WakeUp::StallCheckDue => ControlFlow::Continue(()),
+            WakeUp::StallCheckDue => {
+                self.fail_held_values();
+                ControlFlow::Continue(())
+            }
             WakeUp::CommandOverdue => self.handle_overdue_command().await,
         }
     }
--- a/crates/cache-router/src/server_connection.rs
+++ b/crates/cache-router/src/server_connection.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use tracing::warn;
 
 use crate::clock::Clock;
 use crate::fair_share::{BulkTurns, FairShare, Peer, Work};
@@ -27,7 +28,7 @@
     ServerResponse, ServerTarget,
 };
 use crate::response_buffer::ResponseBuffer;
-use crate::socket::errors::classify;
+use crate::socket::errors::{classify, out_of_memory};
 use crate::socket::stream::LOCAL_RETRY_PAUSE;
 use crate::socket::{self, SocketStream};
 use crate::write_progress::{SharedWriteProgress, WriteProgress};
@@ -37,6 +38,9 @@
 /// What a connection holds at most without a reservation, in bytes: its task, and the received part of a response.
 pub const SERVER_CONNECTION_BYTES: usize = 8 * 1024;
 
+/// How long a response waits for memory. While it does, its connection and its request are kept from others.
+const MEMORY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A request that is handed to a connection.
 pub struct OutgoingRequest {
     /// The encoded request.
@@ -249,6 +253,19 @@
         ServerConnectionEvent::ConfirmWrite
     }
 
+    /// Reserves the memory for a response; an error of this machine if there is none for too long.
+    async fn reserve_memory(&self, buffer: &mut ResponseBuffer) -> io::Result<()> {
+        let reserved = buffer.reserve(&self.context.reply_memory);
+        if tokio::time::timeout(MEMORY_TIMEOUT, reserved).await.is_ok() {
+            return Ok(());
+        }
+        warn!(
+            connection = self.id,
+            "a connection is closed because there is no memory for its response"
+        );
+        Err(out_of_memory())
+    }
+
     /// Reads a response; an error if the connection is lost or the server violates the protocol.
     async fn read_response(
         &self,
@@ -267,7 +284,7 @@
             share.wait_for_more().await;
             if buffer.needs_memory() {
                 share.end_turn();
-                buffer.reserve(&self.context.reply_memory).await;
+                self.reserve_memory(buffer).await?;
             }
             buffer.free_space();
             held.set(buffer.unreserved_bytes());
--- a/crates/cache-router/src/socket/errors.rs
+++ b/crates/cache-router/src/socket/errors.rs
@@ -78,6 +78,11 @@
         .map_or(ErrorMeaning::ConnectionLost, |row| row.meaning)
 }
 
+/// The error for data that can't be read because this process has no memory for it.
+pub fn out_of_memory() -> io::Error {
+    io::Error::from_raw_os_error(libc::ENOMEM)
+}
+
 /// Whether a call on a non-blocking socket failed because the socket is not ready.
 pub fn is_not_ready(error: &io::Error) -> bool {
     error.kind() == io::ErrorKind::WouldBlock
--- a/crates/cache-router/tests/router_process/memory_limit.rs
+++ b/crates/cache-router/tests/router_process/memory_limit.rs
@@ -13,7 +13,7 @@
 };
 use crate::support::{
     Behaviour, FakeDiscovery, FakeServer, RouterProcess, StartOptions, cache_server, command,
-    endpoint, endpoint_list, hit, miss, origin_server, peak_kib, settings,
+    endpoint, endpoint_list, hit, miss, origin_server, peak_kib, settings, wait_until,
 };
 
 /// How many cache servers there are.
@@ -33,6 +33,9 @@
 /// The pause between two pieces, longer than the time in which a router takes them for one arrival.
 const PIECE_PAUSE: Duration = Duration::from_millis(4);
 
+/// How many reads in a row are served where service goes on.
+const SERVED_IN_A_ROW: usize = 30;
+
 /// A router with cache servers, and an origin that does not answer.
 struct Fleet {
     /// The first field, so that the router is dropped before the servers that it calls.
@@ -141,3 +144,23 @@
     fleet.assert_peak_within_limit();
     fleet.assert_reads_are_served();
 }
+
+#[test]
+fn a_long_value_is_served_beside_clients_whose_values_wait_behind_a_pending_reply() {
+    // Guards against values that hold all memory for replies until the requests before them end.
+    const CLIENTS: usize = 24;
+    const LONG_READS: usize = 12;
+    let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
+    let fleet = Fleet::start();
+    let long_reads = (0..LONG_READS).flat_map(|id| read("b", id));
+    let commands: Vec<u8> = read("h", 1).into_iter().chain(long_reads).collect();
+    let _clients = connect_writers(&fleet.router, CLIENTS, &commands);
+    let long_value = "v".repeat(VALUE_BYTES);
+    let mut served_in_a_row = 0;
+    wait_until("long values are served", || {
+        let reply = fleet.router.client().execute(&read("b", 1));
+        let is_served = reply.is_some_and(|reply| reply == long_value);
+        served_in_a_row = if is_served { served_in_a_row + 1 } else { 0 };
+        served_in_a_row == SERVED_IN_A_ROW
+    });
+}
