--- a/crates/cache-router/tests/router_process/memory_limit.rs
+++ b/crates/cache-router/tests/router_process/memory_limit.rs
@@ -8,24 +8,23 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::crowd::{Fleet, Limits, long_reads, long_write, pending_commands, read, try_connect};
 use crate::memory::{
-    IN_USE, KIB_PER_MIB, LEAST_MEMORY_MB, VALUE_BYTES, connect_writers, options, watch_memory,
-};
-use crate::support::{
-    Behaviour, FakeDiscovery, FakeServer, RouterProcess, StartOptions, cache_server, command,
-    endpoint, endpoint_list, hit, miss, origin_server, peak_kib, settings, wait_until,
+    IN_USE, KIB_PER_MIB, LEAST_MEMORY_MB, VALUE_BYTES, connect_writers, watch_memory,
 };
+use crate::support::{RouterProcess, peak_kib, wait_until};
 
-/// How many cache servers there are.
-const CACHE_SERVERS: usize = 4;
+/// The least memory and the most descriptors.
+const LIMITS: Limits = Limits {
+    memory_mb: LEAST_MEMORY_MB,
+    sockets: 1_024,
+};
 /// Clients that write in small pieces behind a pending request.
 const PIECEMEAL_CLIENTS: usize = 330;
 /// Clients that read none of their long replies.
 const STALLED_READERS: usize = 60;
 /// Clients that stop half way through a long write. All clients together leave the slots reserved for rejections.
 const HALF_WAY_CLIENTS: usize = 50;
-/// How many commands a client may have pending.
-const MAX_PIPELINED: usize = 64;
 /// A piece of a command.
 const PIECE: &[u8] = b"*1\r\n$3\r\n";
 /// How often the piecemeal clients write a piece: together nearly as much as is read ahead without a reservation.
@@ -36,80 +35,26 @@
 /// How many reads in a row are served where service goes on.
 const SERVED_IN_A_ROW: usize = 30;
 
-/// A router with cache servers, and an origin that does not answer.
-struct Fleet {
-    /// The first field, so that the router is dropped before the servers that it calls.
-    router: RouterProcess,
-    _servers: Vec<FakeServer>,
-    _discovery: FakeDiscovery,
-}
-
-impl Fleet {
-    fn start() -> Fleet {
-        let mut servers: Vec<_> = (0..CACHE_SERVERS).map(|_| mixed_values()).collect();
-        let mut endpoints: Vec<_> = (0..)
-            .zip(&servers)
-            .map(|(number, server): (usize, _)| {
-                endpoint(&format!("s-{number}"), server.address, "std", "active")
-            })
-            .collect();
-        let origin = origin_server(|_| Behaviour::Hang);
-        endpoints.push(endpoint("o-1", origin.address, "origin", "active"));
-        servers.push(origin);
-        let discovery = FakeDiscovery::unchanging();
-        let list = endpoint_list(5, true, &endpoints);
-        let options = StartOptions {
-            settings: settings().replace("1000.0", "100000.0"), // No request exceeds the tenant's quota.
-            ..options(LEAST_MEMORY_MB)
-        };
-        Fleet {
-            router: RouterProcess::start_with(discovery.address, &list, options),
-            _servers: servers,
-            _discovery: discovery,
-        }
-    }
-
-    fn assert_peak_within_limit(&self) {
-        let limit = LEAST_MEMORY_MB * KIB_PER_MIB;
-        let peak = peak_kib(self.router.id());
-        let log = self.router.log.try_iter();
-        let by_holder = log.filter(|line| line.contains("memory of the process"));
-        println!("peak of {peak} KiB of {limit}; {:?}", by_holder.last());
-        assert!(peak <= limit, "peak of {peak} KiB of {limit}");
-    }
-
-    /// Checks that reads of short values are answered in time, and some of them with their value.
-    fn assert_reads_are_served(&self) {
-        let (_, served) = watch_memory(&self.router);
-        println!("{served} reads were served");
-        assert!(served > 0, "no read was served");
-    }
-}
-
-/// A cache server that knows no key that begins with `h`, has long values for those that begin with `b`, and short values
-/// for all others.
-fn mixed_values() -> FakeServer {
-    let long_value = "v".repeat(VALUE_BYTES);
-    cache_server(move |parts| {
-        Behaviour::Respond(match parts[1].as_bytes().first() {
-            Some(b'h') => miss(),
-            Some(b'b') => hit(&long_value),
-            _ => hit("short"),
-        })
-    })
+fn assert_peak_within_limit(router: &RouterProcess) {
+    let limit = LEAST_MEMORY_MB * KIB_PER_MIB;
+    let peak = peak_kib(router.id());
+    let log = router.log.try_iter();
+    let by_holder = log.filter(|line| line.contains("memory of the process"));
+    println!("peak of {peak} KiB of {limit}; {:?}", by_holder.last());
+    assert!(peak <= limit, "peak of {peak} KiB of {limit}");
 }
 
-fn read(key: &str, id: usize) -> Vec<u8> {
-    let fields = "c=read,t=acme,d=60000";
-    command(&["OBJ.GET", &format!("{key}{id}"), &format!("i{id}"), fields])
+/// Checks that reads of short values are answered in time, and some of them with their value.
+fn assert_reads_are_served(router: &RouterProcess) {
+    let (_, served) = watch_memory(router);
+    println!("{served} reads were served");
+    assert!(served > 0, "no read was served");
 }
 
 /// Connects clients with a request that stays pending, as many other commands as may be pending, and unread input that
 /// arrives in small pieces.
 fn connect_piecemeal_clients(router: &RouterProcess) -> Vec<TcpStream> {
-    let unknown = command(&["UNKNOWN-COMMAND"]);
-    let commands = [read("h", 1), unknown.repeat(MAX_PIPELINED - 1)].concat();
-    let mut clients = connect_writers(router, PIECEMEAL_CLIENTS, &commands);
+    let mut clients = connect_writers(router, PIECEMEAL_CLIENTS, &pending_commands());
     for _ in 0..PIECES {
         for client in &mut clients {
             let _ = client.write(PIECE);
@@ -120,29 +65,90 @@
 }
 
 fn connect_stalled_readers(router: &RouterProcess) -> Vec<TcpStream> {
-    let reads: Vec<u8> = (0..MAX_PIPELINED).flat_map(|id| read("b", id)).collect();
-    connect_writers(router, STALLED_READERS, &reads)
+    connect_writers(router, STALLED_READERS, &long_reads())
 }
 
 fn connect_half_way_clients(router: &RouterProcess) -> Vec<TcpStream> {
-    let long_argument = "a".repeat(512);
-    let fields = format!("c=put,t=acme,d=8000,k=77,x={}", "x".repeat(480));
-    let value = "v".repeat(VALUE_BYTES);
-    let write = command(&["OBJ.SET", &long_argument, &long_argument, &fields, &value]);
+    let write = long_write();
     connect_writers(router, HALF_WAY_CLIENTS, &write[..write.len() - 1])
 }
 
+/// Connects clients that hold all that they can. They stay connected until they are dropped.
+fn connect_all_kinds(router: &RouterProcess) -> [Vec<TcpStream>; 3] {
+    [
+        connect_piecemeal_clients(router),
+        connect_stalled_readers(router),
+        connect_half_way_clients(router),
+    ]
+}
+
 #[test]
 fn all_that_hundreds_of_clients_hold_at_once_stays_within_the_least_memory() {
     let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
-    let fleet = Fleet::start();
-    let _clients = [
-        connect_piecemeal_clients(&fleet.router),
+    let fleet = Fleet::start(LIMITS);
+    let _clients = connect_all_kinds(&fleet.router);
+    assert_peak_within_limit(&fleet.router);
+    assert_reads_are_served(&fleet.router);
+}
+
+#[test]
+fn all_that_hundreds_of_clients_hold_stays_within_the_memory_in_a_reload() {
+    const RELOADS: usize = 5;
+    const BETWEEN_RELOADS: Duration = Duration::from_millis(50);
+    let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
+    let fleet = Fleet::start(LIMITS);
+    let _piecemeal = connect_piecemeal_clients(&fleet.router);
+    for _ in 0..RELOADS {
+        fleet.router.signal("HUP");
+        thread::sleep(BETWEEN_RELOADS);
+    }
+    let _others = [
         connect_stalled_readers(&fleet.router),
         connect_half_way_clients(&fleet.router),
     ];
-    fleet.assert_peak_within_limit();
-    fleet.assert_reads_are_served();
+    assert_peak_within_limit(&fleet.router);
+    assert_reads_are_served(&fleet.router);
+}
+
+#[test]
+fn all_that_hundreds_of_clients_hold_stays_within_the_memory_in_a_shutdown() {
+    /// Clients go on to connect for so long after the signal.
+    const LATE_CLIENTS: usize = 40;
+    const BETWEEN_CLIENTS: Duration = Duration::from_millis(5);
+    let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut fleet = Fleet::start(LIMITS);
+    let _clients = connect_all_kinds(&fleet.router);
+    fleet.router.terminate();
+    let write = long_write();
+    let mut late_clients = Vec::new();
+    for _ in 0..LATE_CLIENTS {
+        late_clients.extend(try_connect(fleet.router.address));
+        for client in &mut late_clients {
+            let _ = client.write(&write);
+        }
+        thread::sleep(BETWEEN_CLIENTS);
+    }
+    assert_peak_within_limit(&fleet.router);
+    fleet.router.assert_exits_with_success();
+}
+
+#[test]
+fn clients_that_all_come_back_at_once_after_a_restart_stay_within_the_memory() {
+    let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut fleet = Fleet::start(LIMITS);
+    fleet.router.signal("KILL");
+    fleet.restart();
+    let mut clients = Vec::new();
+    for commands in [pending_commands(), long_reads(), long_write(), long_write()] {
+        clients.push(connect_writers(
+            &fleet.router,
+            HALF_WAY_CLIENTS * 2,
+            &commands[..commands.len() - 1],
+        ));
+    }
+    assert_peak_within_limit(&fleet.router);
+    drop(clients);
+    assert_reads_are_served(&fleet.router);
 }
 
 #[test]
@@ -151,7 +157,7 @@
     const CLIENTS: usize = 24;
     const LONG_READS: usize = 12;
     let _in_use = IN_USE.lock().unwrap_or_else(PoisonError::into_inner);
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(LIMITS);
     let long_reads = (0..LONG_READS).flat_map(|id| read("b", id));
     let commands: Vec<u8> = read("h", 1).into_iter().chain(long_reads).collect();
     let _clients = connect_writers(&fleet.router, CLIENTS, &commands);
--- a/crates/cache-router/tests/router_process/support/client.rs
+++ b/crates/cache-router/tests/router_process/support/client.rs
@@ -17,12 +17,17 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> Client {
-        let stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
-        Client {
-            output: stream.try_clone().unwrap(),
+        Client::try_connect(address).unwrap()
+    }
+
+    /// As [`Self::connect`]; `None` if the router does not accept the connection.
+    pub fn try_connect(address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).ok()?;
+        Some(Client {
+            output: stream.try_clone().ok()?,
             input: BufReader::new(stream),
-        }
+        })
     }
 
     pub fn send(&mut self, bytes: &[u8]) {
@@ -42,6 +47,12 @@
         Some(String::from_utf8_lossy(&bytes).into_owned())
     }
 
+    /// Sends a command and returns its reply; `None` if the connection is closed or reset.
+    pub fn try_execute(&mut self, bytes: &[u8]) -> Option<String> {
+        self.output.write_all(bytes).ok()?;
+        self.reply()
+    }
+
     /// Sends a command and returns its reply.
     pub fn execute(&mut self, bytes: &[u8]) -> Option<String> {
         self.send(bytes);
@@ -69,6 +80,11 @@
     command(&["OBJ.GET", key, id, "c=read,t=acme,d=8000"])
 }
 
+/// A read with the given fields.
+pub fn read_with_fields(key: &str, id: &str, fields: &str) -> Vec<u8> {
+    command(&["OBJ.GET", key, id, fields])
+}
+
 /// A read of the key `aa` with the request id `id` and a deadline in milliseconds.
 pub fn read_with_deadline(id: &str, deadline_ms: u32) -> Vec<u8> {
     let fields = format!("c=read,t=acme,d={deadline_ms}");
--- a/crates/cache-router/tests/router_process/support/mod.rs
+++ b/crates/cache-router/tests/router_process/support/mod.rs
@@ -10,13 +10,13 @@
 
 use socket2::{Domain, Socket, Type};
 
-pub use client::{Client, PING, command, read, read_with_deadline, write};
+pub use client::{Client, PING, command, read, read_with_deadline, read_with_fields, write};
 pub use discovery::{
     FakeDiscovery, UNAVAILABLE, endpoint, endpoint_list, keep_watch_open, watch_head, watch_with,
 };
 pub use process::{
     LogReader, RouterProcess, StartOptions, allocated_kib, config_file, peak_kib, send_signal,
-    settings,
+    settings, try_peak_kib,
 };
 pub use servers::{
     Behaviour, FakeServer, Gate, ReceivedRequest, cache_server, failing_origin, hit, http, miss,
--- a/crates/cache-router/tests/router_process/support/process.rs
+++ b/crates/cache-router/tests/router_process/support/process.rs
@@ -187,6 +187,12 @@
         assert_eq!(self.wait().code(), Some(0));
     }
 
+    /// The exit code of the process if it has ended, `Some(None)` if a signal ended it.
+    pub fn exit_code(&mut self) -> Option<Option<i32>> {
+        let status = self.child.try_wait().unwrap();
+        status.map(|status| status.code())
+    }
+
     fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
@@ -211,14 +217,21 @@
     status_kib(process, "VmHWM:")
 }
 
+/// As [`peak_kib`]; `None` if the process has ended.
+pub fn try_peak_kib(process: u32) -> Option<usize> {
+    try_status_kib(process, "VmHWM:")
+}
+
 /// A figure that the kernel states about a process, in KiB.
 fn status_kib(process: u32, name: &str) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let figure = status
-        .lines()
-        .find_map(|line| line.strip_prefix(name))
-        .and_then(|value| value.split_whitespace().next());
-    figure.unwrap().parse().unwrap()
+    try_status_kib(process, name).unwrap()
+}
+
+/// As [`status_kib`]; `None` if the process has ended.
+fn try_status_kib(process: u32, name: &str) -> Option<usize> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let value = status.lines().find_map(|line| line.strip_prefix(name))?;
+    value.split_whitespace().next()?.parse().ok()
 }
 
 /// Sends a signal to a process.
