--- a/crates/cache-router/tests/router_process/connection_limits.rs
+++ b/crates/cache-router/tests/router_process/connection_limits.rs
@@ -1,7 +1,12 @@
 //! Routers that have used up their file descriptors or sockets.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
 use crate::bulk_clients::OtherClient;
-use crate::support::{Behaviour, Cluster, StartOptions, cache_server, command, hit, read};
+use crate::crowd::{self, Fleet, Limits, long_write};
+use crate::support::{Behaviour, Client, Cluster, StartOptions, cache_server, command, hit, read};
 
 #[test]
 fn a_router_that_runs_out_of_descriptors_serves_again_when_some_are_free() {
@@ -66,3 +71,52 @@
     let _silent: Vec<_> = (0..SILENT_CLIENTS).map(|_| cluster.client()).collect();
     OtherClient::run(&cluster).assert_answered_in_time();
 }
+
+#[test]
+fn reads_are_served_while_more_clients_than_slots_stop_half_way_and_come_back() {
+    // Guards against clients with half a request that keep all slots from others, also after they are closed.
+    const SOCKETS: usize = 256;
+    const HALF_WAY_CLIENTS: usize = 200;
+    const PLAYED: Duration = Duration::from_secs(6);
+    /// A tenth of what one client is served in this time without the others.
+    const LEAST_SERVED: usize = 50;
+    const PAUSE: Duration = Duration::from_millis(10);
+    let limits = Limits {
+        memory_mb: 32,
+        sockets: SOCKETS,
+    };
+    let fleet = Fleet::start(limits);
+    let address = fleet.router.address;
+    let is_over = AtomicBool::new(false);
+    let write = long_write();
+    let half = &write[..write.len() / 2];
+    let mut served = 0;
+    thread::scope(|scope| {
+        for _ in 0..HALF_WAY_CLIENTS {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    let Some(mut client) = Client::try_connect(address) else {
+                        continue;
+                    };
+                    let _ = client.output.set_read_timeout(Some(PLAYED));
+                    let _ = client.try_execute(half);
+                }
+            });
+        }
+        let end = Instant::now() + PLAYED;
+        let mut connection = None;
+        while Instant::now() < end {
+            let client: &mut Client = connection.get_or_insert_with(|| fleet.router.client());
+            let _ = client.output.set_read_timeout(Some(PLAYED));
+            match client.try_execute(&crowd::read("aa", 1)) {
+                Some(reply) => served += usize::from(reply == "short"),
+                None => connection = None,
+            }
+            thread::sleep(PAUSE);
+        }
+        is_over.store(true, Ordering::Relaxed);
+        fleet.router.signal("KILL");
+    });
+    println!("{served} reads were served");
+    assert!(served >= LEAST_SERVED, "{served} reads were served");
+}
