Say once how many bytes a holder has reserved

Need: four holders had the same lines for a reservation that may be missing.

Change: a function of memory_budget.rs; behaviour is the same.

Result: the tests of client_connection, memory_budget and memory_plan pass.

--- a/crates/cache-router/src/client_connection/arrival_times.rs
+++ b/crates/cache-router/src/client_connection/arrival_times.rs
@@ -4,7 +4,7 @@
 
 use routing_policy::Micros;
 
-use crate::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::memory_budget::{MemoryBudget, MemoryReservation, reserved_bytes};
 
 /// The most arrivals that are recorded separately. Later bytes count as part of the last one, which dates them too
 /// early. The limit exceeds the number of small requests in half of the read-ahead buffer.
@@ -73,11 +73,8 @@
 
     /// How many bytes of memory the times take without a reservation.
     pub fn unreserved_bytes(&self) -> usize {
-        let reserved = self
-            .reservation
-            .as_ref()
-            .map_or(0, MemoryReservation::bytes);
-        (self.arrivals.capacity() * size_of::<Arrival>()).saturating_sub(reserved)
+        let held = self.arrivals.capacity() * size_of::<Arrival>();
+        held.saturating_sub(reserved_bytes(self.reservation.as_ref()))
     }
 
     /// Forgets all bytes.
--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -14,7 +14,7 @@
 use super::arrival_times::ArrivalTimes;
 use super::local_failures::{Disconnected, LocalFailures};
 use crate::clock::Clock;
-use crate::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::memory_budget::{MemoryBudget, MemoryReservation, reserved_bytes};
 use crate::resp::frame::{FrameKind, FrameScanner};
 use crate::resp::{self, RespError};
 use crate::socket::errors::is_not_ready;
@@ -312,9 +312,7 @@
     }
 
     fn reserved_bytes(&self) -> usize {
-        self.reservation
-            .as_ref()
-            .map_or(0, MemoryReservation::bytes)
+        reserved_bytes(self.reservation.as_ref())
     }
 
     /// Reserves more memory for the buffer; `false` if there is none.
--- a/crates/cache-router/src/client_connection/pipeline_memory.rs
+++ b/crates/cache-router/src/client_connection/pipeline_memory.rs
@@ -3,7 +3,7 @@
 
 use super::MAX_PIPELINED;
 use super::reply_queue::SLOT_BYTES;
-use crate::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::memory_budget::{MemoryBudget, MemoryReservation, reserved_bytes};
 
 /// How many replies a client may wait for without a reservation.
 pub const UNRESERVED_PIPELINED: usize = 8;
@@ -47,8 +47,6 @@
 
     /// How many bytes are reserved.
     pub fn reserved_bytes(&self) -> usize {
-        self.reservation
-            .as_ref()
-            .map_or(0, MemoryReservation::bytes)
+        reserved_bytes(self.reservation.as_ref())
     }
 }
--- a/crates/cache-router/src/memory_budget.rs
+++ b/crates/cache-router/src/memory_budget.rs
@@ -97,6 +97,11 @@
     }
 }
 
+/// How many bytes a holder has reserved that may have no reservation.
+pub fn reserved_bytes(reservation: Option<&MemoryReservation>) -> usize {
+    reservation.map_or(0, MemoryReservation::bytes)
+}
+
 impl Debug for MemoryReservation {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{} bytes", self.bytes())
--- a/crates/cache-router/src/response_buffer.rs
+++ b/crates/cache-router/src/response_buffer.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::memory_budget::{MemoryBudget, MemoryReservation, reserved_bytes};
 use crate::message::{ProtocolError, ServerProtocol, ServerResponse};
 use crate::resp::MAX_REPLY_BYTES;
 use crate::{cache_protocol, origin_protocol};
@@ -53,9 +53,7 @@
     }
 
     fn reserved_bytes(&self) -> usize {
-        self.reservation
-            .as_ref()
-            .map_or(0, MemoryReservation::bytes)
+        reserved_bytes(self.reservation.as_ref())
     }
 
     /// Waits until memory is reserved for the response, and allocates it at once: a buffer that grows by itself could
