Derive what a client connection holds at most from the bounds of its parts

Need: the memory set aside for a client connection was a constant of 16 KiB, while the bounds of its parts add up to more.

Cause: the largest reply that may follow full output, and the buffer's room for it, were left out of the sum.

--- a/crates/cache-router/src/client_connection.rs
+++ b/crates/cache-router/src/client_connection.rs
@@ -32,10 +32,10 @@
 use crate::message::{ClientId, ClientReply, DisconnectCause};
 use crate::socket::SocketStream;
 use close::CloseReason;
-use input::{ClientInput, InputMode};
+use input::{ClientInput, InputMode, MAX_UNRESERVED_INPUT_BYTES};
 use local_failures::Disconnected;
-use output::ClientOutput;
-use pipeline_memory::PipelineMemory;
+use output::{ClientOutput, MAX_UNRESERVED_OUTPUT_BYTES};
+use pipeline_memory::{PipelineMemory, UNRESERVED_PIPELINE_BYTES};
 use reply_queue::ReplyQueue;
 
 pub use close::{LINGER_AFTER_ERROR, LINGER_WHEN_IDLE};
@@ -63,8 +63,11 @@
 const STALL_GRACE: Duration = Duration::from_secs(1);
 /// Memory of a connection beside its input and replies: its task, its socket and the channel for its replies, in bytes.
 const TASK_BYTES: usize = 6 * 1024;
-/// What a connection holds at most without a reservation, in bytes: its task, input, and replies that are not sent.
-pub const CLIENT_CONNECTION_BYTES: usize = 16 * 1024;
+/// What a connection holds at most without a reservation, in bytes.
+pub const CLIENT_CONNECTION_BYTES: usize = TASK_BYTES
+    + MAX_UNRESERVED_INPUT_BYTES
+    + UNRESERVED_PIPELINE_BYTES
+    + MAX_UNRESERVED_OUTPUT_BYTES;
 /// How often a client that takes no replies is checked while it holds memory.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/crates/cache-router/src/client_connection/arrival_times.rs
+++ b/crates/cache-router/src/client_connection/arrival_times.rs
@@ -11,6 +11,8 @@
 const MAX_ARRIVALS: usize = 1_024;
 /// How many arrivals are recorded without a reservation of memory.
 const UNRESERVED_ARRIVALS: usize = 64;
+/// Their memory, in bytes.
+pub const MAX_UNRESERVED_ARRIVAL_BYTES: usize = UNRESERVED_ARRIVALS * size_of::<Arrival>();
 /// The memory of all others, in bytes.
 const RESERVED_BYTES: usize = (MAX_ARRIVALS - UNRESERVED_ARRIVALS) * size_of::<Arrival>();
 /// Bytes that arrive within this many microseconds after others are merged with them: deadlines are in milliseconds.
--- a/crates/cache-router/src/client_connection/input.rs
+++ b/crates/cache-router/src/client_connection/input.rs
@@ -11,7 +11,7 @@
 use routing_policy::Micros;
 use tokio::time::Instant;
 
-use super::arrival_times::ArrivalTimes;
+use super::arrival_times::{ArrivalTimes, MAX_UNRESERVED_ARRIVAL_BYTES};
 use super::local_failures::{Disconnected, LocalFailures};
 use crate::clock::Clock;
 use crate::memory_budget::{MemoryBudget, MemoryReservation, reserved_bytes};
@@ -32,6 +32,8 @@
 pub const THROTTLE_INTERVAL: Duration = Duration::from_millis(25);
 /// How many bytes are buffered without a reservation: more than a command without a long value takes.
 const UNRESERVED_BYTES: usize = 4096;
+/// What the input holds at most without a reservation, in bytes.
+pub const MAX_UNRESERVED_INPUT_BYTES: usize = UNRESERVED_BYTES + MAX_UNRESERVED_ARRIVAL_BYTES;
 /// The least free space in the input buffer before a read, in bytes.
 const MIN_READ_BYTES: usize = 1024;
 /// The longest command whose memory is not reserved after it has been taken, in bytes. The number of these is limited.
--- a/crates/cache-router/src/client_connection/output.rs
+++ b/crates/cache-router/src/client_connection/output.rs
@@ -27,6 +27,10 @@
 const MAX_COPIED_BYTES: usize = 1024;
 /// Room for the longest copied value beside the others, in bytes.
 const COLLECTED_CAPACITY: usize = MAX_UNRESERVED_BYTES + MAX_COPIED_BYTES + 64;
+/// What the output holds at most without a reservation, in bytes: the buffer, copies of its content between long values,
+/// and one more value.
+pub const MAX_UNRESERVED_OUTPUT_BYTES: usize =
+    COLLECTED_CAPACITY + MAX_UNRESERVED_BYTES + MAX_UNRESERVED_VALUE_BYTES;
 /// A client that reads none of its replies for this long is disconnected.
 pub const OUTPUT_STALL_TIMEOUT: Duration = Duration::from_secs(20);
 
--- a/crates/cache-router/src/client_connection/pipeline_memory.rs
+++ b/crates/cache-router/src/client_connection/pipeline_memory.rs
@@ -8,6 +8,9 @@
 /// How many replies a client may wait for without a reservation.
 pub const UNRESERVED_PIPELINED: usize = 8;
 
+/// Their memory, in bytes.
+pub const UNRESERVED_PIPELINE_BYTES: usize = UNRESERVED_PIPELINED * SLOT_BYTES;
+
 /// The memory for the queued replies of one client.
 pub struct PipelineMemory {
     /// The memory that all connections share.
